--- a/rosemaryyoke/calls/claims.py
+++ b/rosemaryyoke/calls/claims.py
@@ -14,7 +14,7 @@
 
 import orjson
 from absl import logging
-from attrs import asdict, define, field, frozen
+from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.core import Kernel
@@ -27,13 +27,14 @@
     update_object,
 )
 
-SHARDS = 64
+SHARDS = 16
+FLUSH_GAP_S = 0.02
 RETENTION_S = 3_600.0
 MAX_SHARD_BYTES = 1_000_000
 MAX_OUTCOME_BYTES = 16 * 1024
 UPDATE_DEADLINE_S = 1.5
 REPAIR_DEADLINE_S = 60.0
-FLUSH_WORKERS = 8
+FLUSH_WORKERS = SHARDS
 
 CLAIMED = "claimed"
 ANSWERED = "answered"
@@ -62,6 +63,18 @@
     content_type: str = ""
     body: str = ""
 
+    def row(self) -> tuple:
+        """Return the fields in the order of the constructor."""
+        return (
+            self.token,
+            self.request,
+            self.at_s,
+            self.state,
+            self.status,
+            self.content_type,
+            self.body,
+        )
+
     def outcome(self) -> Outcome:
         """Return the answer that is kept."""
         return Outcome(self.status, self.content_type, base64.b64decode(self.body))
@@ -160,12 +173,12 @@
     """Return the claims that an object holds."""
     if stored is None:
         return {}
-    return {key: Entry(**value) for key, value in orjson.loads(stored.body).items()}
+    return {key: Entry(*row) for key, row in orjson.loads(stored.body).items()}
 
 
 def write_entries(entries: Entries) -> bytes:
     """Return the object's body of claims."""
-    return orjson.dumps({key: asdict(entry) for key, entry in entries.items()})
+    return orjson.dumps({key: entry.row() for key, entry in entries.items()})
 
 
 def drop_expired(entries: Entries, now_s: float) -> None:
@@ -204,6 +217,7 @@
                     self.flushing = False
                     return
             self.write(batch)
+            time.sleep(FLUSH_GAP_S)
 
     def write(self, batch: list[Change]) -> None:
         """Write a batch of changes in one conditional update."""
--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -89,7 +89,7 @@
         claim = self.claims.claim(key)
         if isinstance(claim, Err):
             message = "the key could not be claimed; the platform does not answer"
-            return Err(Failure(503, "platform_unavailable", message, True, 1.0))
+            return Err(Failure(503, "platform_unavailable", message, False, 1.0))
         token, entry = claim.ok_value
         if entry.token != token:
             return self._repeat(rules, call, key, entry)
--- a/rosemaryyoke/entry/app.py
+++ b/rosemaryyoke/entry/app.py
@@ -4,7 +4,7 @@
 import math
 from typing import Callable
 
-from attrs import asdict
+from attrs import asdict, evolve
 from result import Err
 from werkzeug.wrappers import Response
 
@@ -167,7 +167,19 @@
             raise RequestRefused(429, "over_limit", over.message, over.retry_after_s)
 
     def call_service(self, exchange: Exchange, name: str, path: str) -> Response:
-        """Answer a call of a plain service."""
+        """Answer a call of a plain service.
+
+        A refusal of a call with a key says ``not_run`` only where its claim proves it,
+        since an earlier call with the key may have run through another host.
+        """
+        try:
+            return self._call_service(exchange, name, path)
+        except RequestRefused as refusal:
+            if exchange.request.headers.get("Idempotency-Key"):
+                refusal.failure = evolve(refusal.failure, not_run=False)
+            raise
+
+    def _call_service(self, exchange: Exchange, name: str, path: str) -> Response:
         rules = self.rules()
         account = self.account(exchange, rules)
         service = rules.services.get(name)
--- a/rosemaryyoke/standins/service.py
+++ b/rosemaryyoke/standins/service.py
@@ -3,7 +3,6 @@
 import itertools
 import threading
 import time
-from collections import Counter
 
 from attrs import define, field
 from werkzeug.wrappers import Response
@@ -21,10 +20,13 @@
 
 @define
 class ServiceStandin:
-    """State of the service and its HTTP application."""
+    """State of the service and its HTTP application.
+
+    ``runs`` holds the wall time of every run of a key.
+    """
 
     name: str
-    runs: Counter = field(factory=Counter)
+    runs: dict[str, list[float]] = field(factory=dict)
     fault: ServiceFault = field(factory=ServiceFault)
     numbers: itertools.count = field(factory=lambda: itertools.count(1))
     lock: threading.Lock = field(factory=threading.Lock)
@@ -46,7 +48,7 @@
         request = exchange.request.headers.get("X-Request-Id", "")
         with self.lock:
             number = next(self.numbers)
-            self.runs[key] += 1
+            self.runs.setdefault(key, []).append(time.time())
         if self.fault.slow_ms:
             time.sleep(self.fault.slow_ms / 1000)
         if self.fault.lose_every and number % self.fault.lose_every == 0:
@@ -63,7 +65,7 @@
     def look_up(self, exchange: Exchange, key: str) -> Response:
         """Tell whether a key ran."""
         with self.lock:
-            ran = self.runs[key] > 0
+            ran = key in self.runs
         if not ran:
             return error_response(404, "not_found", "the key did not run")
         return json_response({"key": key, "ran": True})
@@ -73,9 +75,9 @@
         return json_response({"accepting": True, "leaving": False})
 
     def show_runs(self, exchange: Exchange) -> Response:
-        """Return the number of runs by key."""
+        """Return the times of runs by key."""
         with self.lock:
-            return json_response({"runs": dict(self.runs)})
+            return json_response({"runs": self.runs})
 
     def set_fault(self, exchange: Exchange) -> Response:
         """Set how the service misbehaves."""
