Link hosts by peers and gather claims at a shard's owner

Cause: every host watched the platform, so calls grew with hosts; claims of a shard from three hosts met in conflicts: 2.70 writes and 1.25 reads a claim at 24 callers. Ruled out: more shards (64 were tried: no grouping at all), trusting the owner alone (the conditional update still decides, so a wrong owner costs a conflict and no promise). Change: peer protocol (Cap'n Proto frames with keyed digests over TCP), links on a ring with suspicion and refutation, two watchers a data centre, rules and claims over peers.

--- /dev/null
+++ b/rosemaryyoke/calls/claim_codec.py
@@ -0,0 +1,77 @@
+"""Changes of claims as messages between hosts."""
+
+from result import Err, Ok, Result
+
+from rosemaryyoke.calls.claim_entries import Change, Claim, Entry, Outcome, Settle
+from rosemaryyoke.peers import Message, PeerError
+from rosemaryyoke.platform import PlatformError
+
+
+def change_message(change: Change):
+    """Return the message that asks a shard's owner for a change."""
+    message = Message.new_message()
+    item = message.init("changeClaim")
+    item.digest = change.digest
+    item.token = change.token
+    if isinstance(change, Claim):
+        item.request = change.request
+        return message
+    item.settle = True
+    item.state = change.state
+    item.status = change.outcome.status
+    item.contentType = change.outcome.content_type
+    item.body = change.outcome.body
+    return message
+
+
+def read_change(item) -> Change:
+    """Return the change that a message asks for."""
+    if not item.settle:
+        return Claim(item.digest, item.token, request=item.request)
+    outcome = Outcome(item.status, item.contentType, bytes(item.body))
+    return Settle(item.digest, item.token, state=item.state, outcome=outcome)
+
+
+def result_message(outcome: Result[Entry | None, PlatformError]):
+    """Return the message that tells what became of a change."""
+    message = Message.new_message()
+    result = message.init("claimResult")
+    if isinstance(outcome, Err):
+        result.error = outcome.err_value.message
+    elif outcome.ok_value is None:
+        result.none = None
+    else:
+        entry = outcome.ok_value
+        item = result.init("entry")
+        item.token = entry.token
+        item.request = entry.request
+        item.atSeconds = entry.at_s
+        item.state = entry.state
+        item.status = entry.status
+        item.contentType = entry.content_type
+        item.body = entry.body
+    return message
+
+
+def read_result(message) -> Result[Entry | None, PlatformError]:
+    """Return what a message tells of a change; raise ``PeerError`` for another kind."""
+    if message.which() != "claimResult":
+        raise PeerError("the owner did not answer with a result")
+    result = message.claimResult
+    kind = result.which()
+    if kind == "error":
+        return Err(PlatformError(result.error, maybe_done=True))
+    if kind == "none":
+        return Ok(None)
+    item = result.entry
+    return Ok(
+        Entry(
+            item.token,
+            item.request,
+            item.atSeconds,
+            item.state,
+            item.status,
+            item.contentType,
+            item.body,
+        )
+    )
--- /dev/null
+++ b/rosemaryyoke/calls/claim_shards.py
@@ -0,0 +1,113 @@
+"""A shard of claims: one platform object that holds the claims of many keys."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from absl import logging
+from result import Err, Ok, Result
+
+from rosemaryyoke.calls.claim_entries import (
+    Change,
+    Claim,
+    drop_expired,
+    read_entries,
+    write_entries,
+)
+from rosemaryyoke.platform import (
+    Abandoned,
+    ObjectApi,
+    PlatformError,
+    StoredObject,
+    update_object,
+)
+
+FLUSH_GAP_S = 0.02
+MAX_SHARD_BYTES = 1_000_000
+UPDATE_DEADLINE_S = 1.5
+
+
+class Shard:
+    """One object of claims and the changes that wait for its next write."""
+
+    def __init__(self, name: str, api: ObjectApi):
+        self.name = name
+        self.api = api
+        self.lock = threading.Lock()
+        self.waiting: list[Change] = []
+        self.flushing = False
+        self.current: StoredObject | None = None
+        self.writes = 0
+
+    def enqueue(self, change: Change, pool: ThreadPoolExecutor) -> None:
+        """Let a change wait for the next write and see that one comes."""
+        with self.lock:
+            self.waiting.append(change)
+            if self.flushing:
+                return
+            self.flushing = True
+        pool.submit(self.flush)
+
+    def flush(self) -> None:
+        """Write until no change waits."""
+        while True:
+            with self.lock:
+                batch, self.waiting = self.waiting, []
+                if not batch:
+                    self.flushing = False
+                    return
+            self.write(batch)
+            time.sleep(FLUSH_GAP_S)
+
+    def write(self, batch: list[Change]) -> None:
+        """Write a batch of changes in one conditional update."""
+        deadline_s = time.monotonic() + UPDATE_DEADLINE_S
+        try:
+            outcome = update_object(
+                self.api,
+                self.name,
+                lambda stored: self._apply(batch, stored),
+                lambda stored: self._recognise(batch, stored),
+                deadline_s,
+                self._believed(batch),
+            )
+        except Exception as error:
+            logging.exception("claims of %s could not be written", self.name)
+            outcome = Err(PlatformError(str(error), maybe_done=True))
+        self.writes += 1
+        self._settle(batch, outcome)
+
+    def _believed(self, batch: list[Change]) -> StoredObject | None:
+        """Return the object as last seen, unless a key in it needs a fresh read."""
+        if self.current is None:
+            return None
+        entries = read_entries(self.current)
+        if any(isinstance(c, Claim) and c.digest in entries for c in batch):
+            return None
+        return self.current
+
+    def _apply(self, batch: list[Change], stored: StoredObject | None) -> bytes | None:
+        entries = read_entries(stored)
+        drop_expired(entries, time.time())
+        changed = [change.apply(entries) for change in batch]
+        if not any(changed):
+            return None
+        body = write_entries(entries)
+        if len(body) > MAX_SHARD_BYTES:
+            raise ValueError("the shard is full")
+        return body
+
+    def _recognise(self, batch: list[Change], stored: StoredObject | None) -> bool:
+        entries = read_entries(stored)
+        return any(change.holds(entries) for change in batch)
+
+    def _settle(self, batch: list[Change], outcome: Result) -> None:
+        if isinstance(outcome, Err):
+            self.current = None
+            for change in batch:
+                change.future.set_result(outcome)
+            return
+        stored = outcome.ok_value
+        self.current = stored.current if isinstance(stored, Abandoned) else stored
+        for change in batch:
+            change.future.set_result(Ok(change.result))
--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -8,16 +8,16 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from rosemaryyoke.calls.claims import (
+from rosemaryyoke.calls.claim_entries import (
     ANSWERED,
     CLAIMED,
     RELEASED,
     UNKNOWN,
     ClaimKey,
-    Claims,
     Entry,
     Outcome,
 )
+from rosemaryyoke.calls.claims import Claims
 from rosemaryyoke.calls.retry import RetryBudget
 from rosemaryyoke.core import Kernel
 from rosemaryyoke.rules.model import SERVICE_KIND, PlainService, RuleSet, Upstream
--- a/rosemaryyoke/entry/app.py
+++ b/rosemaryyoke/entry/app.py
@@ -12,8 +12,8 @@
 from rosemaryyoke.core import Kernel
 from rosemaryyoke.entry.bodies import CompletionBody, read_chat_body, read_text_body
 from rosemaryyoke.entry.errors import RequestRefused
+from rosemaryyoke.membership import Member
 from rosemaryyoke.placement import count_tokens
-from rosemaryyoke.platform import LIVE
 from rosemaryyoke.rules import RuleSet
 from rosemaryyoke.settings import Settings, operator_key
 from rosemaryyoke.streams import (
@@ -243,7 +243,7 @@
 
     def readyz(self, exchange: Exchange) -> Response:
         """Tell whether the host takes callers."""
-        ready = self.revisions.revision > 0 and self.members.me.state == LIVE
+        ready = self.revisions.revision > 0 and self.members.me.live
         return json_response({"ready": ready}, 200 if ready else 503)
 
     def show_metrics(self, exchange: Exchange) -> Response:
@@ -276,7 +276,7 @@
             {
                 "host": self.settings.name,
                 "revision": self.revisions.revision,
-                "hosts": [asdict(member) for member in self.members.all()],
+                "hosts": [show_member(member) for member in self.members.all()],
                 "upstreams": upstreams,
             }
         )
@@ -288,6 +288,11 @@
         return json_response({"process": self.settings.name, "events": events})
 
 
+def show_member(member: Member) -> dict:
+    """Return a host as operators see it."""
+    return {**asdict(member), "state": member.state}
+
+
 def bearer(exchange: Exchange) -> str:
     """Return the key that the request bears, or an empty text."""
     header = exchange.request.headers.get("Authorization", "")
--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -19,10 +19,11 @@
 from rosemaryyoke.entry.app import Entry
 from rosemaryyoke.limits import Limits
 from rosemaryyoke.membership import Members
+from rosemaryyoke.peers import Peers
 from rosemaryyoke.placement.service import Placement
 from rosemaryyoke.platform import platform_adapters
 from rosemaryyoke.settings import Settings
-from rosemaryyoke.spread import Revisions
+from rosemaryyoke.spread import RevisionExchange, Revisions
 from rosemaryyoke.streams import Relay
 from rosemaryyoke.upstreams import Directory
 from rosemaryyoke.wire import HttpServer
@@ -91,7 +92,9 @@
     kernel.add("metrics", Metrics())
     kernel.add("pool", pool)
     kernel.add("timer", TimerService(pool.executor))
+    kernel.add("peers", Peers(kernel, settings))
     kernel.add("revisions", Revisions(kernel, api))
+    kernel.add("exchange", RevisionExchange(kernel))
     kernel.add("members", Members(kernel, settings, api))
     kernel.add("directory", Directory(kernel))
     kernel.add("placement", Placement(kernel))
--- /dev/null
+++ b/rosemaryyoke/membership/codec.py
@@ -0,0 +1,80 @@
+"""Members and notices as messages between hosts."""
+
+from attrs import frozen
+
+from rosemaryyoke.membership.table import FAILED, Member
+from rosemaryyoke.peers import Message, PeerError
+
+
+@frozen
+class UpstreamNotice:
+    """News that an upstream leaves, or came back at an address."""
+
+    name: str
+    address: str
+    leaving: bool
+
+
+def members_message(members: list[Member], short: bool = False):
+    """Return a message with members; a short one leaves out their addresses."""
+    message = Message.new_message()
+    items = message.init("members", len(members))
+    for item, member in zip(items, members):
+        item.name = member.name
+        item.incarnation = member.incarnation
+        item.version = member.version
+        item.standing = member.standing
+        item.leaving = member.leaving
+        item.revision = member.revision
+        if not short:
+            item.httpAddress = member.address
+            item.peerAddress = member.peer_address
+            item.dataCentre = member.data_centre
+    return message
+
+
+def read_members(message) -> list[Member]:
+    """Return the members of a message; raise ``PeerError`` for a wrong one."""
+    members = []
+    for item in message.members:
+        if item.standing > FAILED or not item.name:
+            raise PeerError("a member is malformed")
+        members.append(
+            Member(
+                item.name,
+                item.httpAddress,
+                item.peerAddress,
+                item.dataCentre,
+                item.incarnation,
+                item.version,
+                item.standing,
+                item.leaving,
+                item.revision,
+            )
+        )
+    return members
+
+
+def notices_message(notices: list[UpstreamNotice]):
+    """Return a message with notices."""
+    message = Message.new_message()
+    for item, notice in zip(message.init("notices", len(notices)), notices):
+        item.name = notice.name
+        item.address = notice.address
+        item.leaving = notice.leaving
+    return message
+
+
+def read_notices(message) -> list[UpstreamNotice]:
+    """Return the notices of a message."""
+    return [
+        UpstreamNotice(item.name, item.address, item.leaving)
+        for item in message.notices
+    ]
+
+
+def heartbeat_message():
+    """Return a heartbeat."""
+    message = Message.new_message()
+    message.heartbeat = None
+    return message
--- /dev/null
+++ b/rosemaryyoke/membership/links.py
@@ -0,0 +1,303 @@
+"""Links to a few peers: heartbeats, and news passed on to every other link."""
+
+import random
+import threading
+import time
+
+from absl import logging
+from attrs import define, field
+
+from rosemaryyoke.core import Kernel, make_pool
+from rosemaryyoke.membership.codec import (
+    UpstreamNotice,
+    heartbeat_message,
+    members_message,
+    notices_message,
+    read_members,
+    read_notices,
+)
+from rosemaryyoke.membership.overlay import link_targets
+from rosemaryyoke.membership.table import FAILED, SUSPECT, Member, MemberTable
+from rosemaryyoke.peers import Channel, PeerError, PeerServer, connect
+
+HEARTBEAT_S = 2.0
+SILENCE_S = 5.0
+SUSPICION_S = 3.0
+COALESCE_S = 0.05
+LINK_PERIOD_S = 0.5
+SEND_TIMEOUT_S = 1.0
+LINK_TASKS = 16
+RETRY_FAILED_S = 2.0
+
+
+def start_of(member: Member) -> tuple[str, int]:
+    """Return what names one start of a host's process; its addresses go with it."""
+    return member.name, member.incarnation
+
+
+@define(eq=False)
+class Link:
+    """One open link and the news that waits to be sent on it."""
+
+    channel: Channel
+    members: dict[str, Member] = field(factory=dict)
+    notices: dict[str, UpstreamNotice] = field(factory=dict)
+    known: set[tuple[str, int]] = field(factory=set)
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def queue_member(self, member: Member) -> None:
+        """Let the newest entry of a member wait."""
+        with self.lock:
+            self.members[member.name] = member
+
+    def queue_notice(self, notice: UpstreamNotice) -> None:
+        """Let the newest notice of an upstream wait."""
+        with self.lock:
+            self.notices[notice.name] = notice
+
+    def flush(self) -> None:
+        """Send what waits; an entry that the peer has seen goes without addresses."""
+        with self.lock:
+            members, self.members = list(self.members.values()), {}
+            notices, self.notices = list(self.notices.values()), {}
+            short = [item for item in members if start_of(item) in self.known]
+            whole = [item for item in members if start_of(item) not in self.known]
+            self.known.update(start_of(item) for item in whole)
+        for group, is_short in ((whole, False), (short, True)):
+            if group:
+                message = members_message(group, is_short)
+                self.channel.send(message, SEND_TIMEOUT_S)
+        if notices:
+            self.channel.send(notices_message(notices), SEND_TIMEOUT_S)
+
+
+class Links:
+    """Keep the links that the overlay asks for and spread news over them."""
+
+    def __init__(
+        self, kernel: Kernel, table: MemberTable, key: bytes, seeds: list[str]
+    ):
+        self.kernel = kernel
+        self.table = table
+        self.key = key
+        self.seeds = seeds
+        self.pool = make_pool("link", LINK_TASKS)
+        self.lock = threading.Lock()
+        self.outgoing: dict[str, Link] = {}
+        self.links: dict[Channel, Link] = {}
+        self.seen_notices: dict[str, UpstreamNotice] = {}
+        self.suspected_at_s: dict[str, float] = {}
+        self.flushing = False
+        self.stopping = False
+
+    def start(self) -> None:
+        """Take messages of peers and keep links open."""
+        self.recorder = self.kernel.get("recorder")
+        self.timer = self.kernel.get("timer")
+        server: PeerServer = self.kernel.get("peers").server
+        server.handlers.register("members")(self.take_members)
+        server.handlers.register("notices")(self.take_notices)
+        server.handlers.register("heartbeat")(self.take_heartbeat)
+        self.timer.after(0.0, self.call_seeds)
+        self.timer.every(LINK_PERIOD_S, self.keep_links)
+        self.timer.every(RETRY_FAILED_S, self.call_failed)
+        self.timer.every(HEARTBEAT_S, self.send_heartbeats)
+
+    def stop(self) -> None:
+        """Close every link."""
+        self.stopping = True
+        with self.lock:
+            links = list(self.links.values())
+        for link in links:
+            link.channel.close()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def keep_links(self) -> None:
+        """Open links that are missing, close those not wanted, judge suspects."""
+        reachable = [m for m in self.table.all() if m.standing != FAILED]
+        by_name = {member.name: member for member in reachable}
+        wanted = link_targets(self.table.my_name, by_name)
+        with self.lock:
+            missing = [name for name in wanted if name not in self.outgoing]
+            surplus = [name for name in self.outgoing if name not in wanted]
+            unwanted = [self.outgoing.pop(name) for name in surplus]
+        for link in unwanted:
+            link.channel.close()
+        for name in missing:
+            self._open(by_name[name])
+        self._judge_suspects()
+
+    def call_seeds(self) -> None:
+        """Exchange news once with each seed."""
+        for address in self.seeds:
+            self._open_once(address)
+
+    def call_failed(self) -> None:
+        """Exchange news with a host held as failed, since it may be back.
+
+        After a cut between data centres each side holds the other as failed.
+        """
+        failed = [m for m in self.table.all() if m.standing == FAILED]
+        if failed:
+            self._open_once(random.choice(failed).peer_address)
+        elif len(self.table.all()) == 1:
+            self.call_seeds()
+
+    def _open_once(self, address: str) -> None:
+        try:
+            channel = connect(address, self.key, self.recorder)
+        except PeerError:
+            return
+        self.pool.submit(self._receive, "", self._add(channel))
+
+    def _open(self, member: Member) -> None:
+        try:
+            channel = connect(member.peer_address, self.key, self.recorder)
+        except PeerError as error:
+            self.suspect(member.name, str(error))
+            return
+        link = self._add(channel)
+        with self.lock:
+            self.outgoing[member.name] = link
+        self.pool.submit(self._receive, member.name, link)
+
+    def _add(self, channel: Channel) -> Link:
+        """File a link and tell its peer of all members."""
+        link = Link(channel)
+        with self.lock:
+            self.links[channel] = link
+        for member in self.table.all():
+            link.queue_member(member)
+        for notice in list(self.seen_notices.values()):
+            link.queue_notice(notice)
+        self._schedule_flush()
+        return link
+
+    def _receive(self, name: str, link: Link) -> None:
+        """Take a link's messages until it ends, then suspect its peer."""
+        reason = ""
+        try:
+            while True:
+                message = link.channel.receive(SILENCE_S)
+                kind = message.which()
+                if kind == "members":
+                    self.take_members(link.channel, message)
+                elif kind == "notices":
+                    self.take_notices(link.channel, message)
+        except PeerError as error:
+            reason = str(error)
+        except Exception as error:
+            logging.exception("the link to %s failed", name)
+            reason = str(error)
+        with self.lock:
+            self.links.pop(link.channel, None)
+            wanted = self.outgoing.get(name) is link
+            if wanted:
+                del self.outgoing[name]
+        link.channel.close()
+        if wanted and not self.stopping:
+            self.suspect(name, reason)
+
+    def suspect(self, name: str, reason: str) -> None:
+        """Hold that a host may have failed, and tell others."""
+        entry = self.table.judge(name, SUSPECT)
+        if entry is not None:
+            self.recorder.record("host.suspected", host=name, reason=reason)
+            self.announce(entry)
+
+    def _judge_suspects(self) -> None:
+        now_s = time.monotonic()
+        suspects = {m.name for m in self.table.all() if m.standing == SUSPECT}
+        for name in set(self.suspected_at_s) - suspects:
+            del self.suspected_at_s[name]
+        for name in suspects:
+            since_s = self.suspected_at_s.setdefault(name, now_s)
+            if now_s - since_s >= SUSPICION_S:
+                entry = self.table.judge(name, FAILED)
+                if entry is not None:
+                    self.recorder.record("host.failed", host=name)
+                    self.announce(entry)
+
+    def take_members(self, channel: Channel, message) -> None:
+        """Take in entries and pass on what is news."""
+        link = self._link_of(channel)
+        for heard in read_members(message):
+            if heard.address:
+                link.known.add(start_of(heard))
+            changed = self.table.merge(heard)
+            if changed is None:
+                continue
+            mine = changed.name == self.table.my_name
+            self.announce(changed, None if mine else channel)
+            self.kernel.get("exchange").heard(changed)
+
+    def take_notices(self, channel: Channel, message) -> None:
+        """Take in notices and pass on what is news."""
+        self._link_of(channel)
+        for notice in read_notices(message):
+            self.tell_notice(notice, channel)
+
+    def take_heartbeat(self, channel: Channel, message):
+        """Answer a heartbeat, so that the peer hears that this host lives."""
+        self._link_of(channel)
+        return heartbeat_message()
+
+    def tell_notice(
+        self, notice: UpstreamNotice, source: Channel | None = None
+    ) -> None:
+        """Act on a notice that is news and pass it on."""
+        if self.seen_notices.get(notice.name) == notice:
+            return
+        self.seen_notices[notice.name] = notice
+        self.kernel.get("directory").take_notice(notice)
+        self._spread(lambda link: link.queue_notice(notice), source)
+
+    def announce(self, member: Member, source: Channel | None = None) -> None:
+        """Let an entry wait on every link but the one that it came from."""
+        self._spread(lambda link: link.queue_member(member), source)
+
+    def _spread(self, queue, source: Channel | None) -> None:
+        with self.lock:
+            links = list(self.links.items())
+        for channel, link in links:
+            if channel is not source:
+                queue(link)
+        self._schedule_flush()
+
+    def _link_of(self, channel: Channel) -> Link:
+        with self.lock:
+            link = self.links.get(channel)
+        return link or self._add(channel)
+
+    def _schedule_flush(self) -> None:
+        with self.lock:
+            if self.flushing:
+                return
+            self.flushing = True
+        self.timer.after(COALESCE_S, self.flush)
+
+    def flush(self) -> None:
+        """Send what waits on every link."""
+        with self.lock:
+            self.flushing = False
+            links = list(self.links.items())
+        for channel, link in links:
+            try:
+                link.flush()
+            except PeerError:
+                self._drop(channel)
+
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat on every link that this host opened."""
+        with self.lock:
+            links = list(self.outgoing.values())
+        for link in links:
+            try:
+                link.channel.send(heartbeat_message(), SEND_TIMEOUT_S)
+            except PeerError:
+                link.channel.close()
+
+    def _drop(self, channel: Channel) -> None:
+        with self.lock:
+            self.links.pop(channel, None)
+        channel.close()
--- a/rosemaryyoke/membership/members.py
+++ b/rosemaryyoke/membership/members.py
@@ -1,95 +1,149 @@
 """The hosts of the system, as this host knows them."""
 
 import threading
+import time
 
-from attrs import evolve, frozen
 from result import Err
 
 from rosemaryyoke.core import Kernel
-from rosemaryyoke.placement.rendezvous import rank
-from rosemaryyoke.platform import LEAVING, LIVE, ListedHost, ObjectApi
+from rosemaryyoke.membership.codec import UpstreamNotice
+from rosemaryyoke.membership.links import Links
+from rosemaryyoke.membership.table import FAILED, Member, MemberTable
+from rosemaryyoke.placement.rendezvous import RankingCache, rank
+from rosemaryyoke.platform import LEAVING, ListedHost, ObjectApi
 from rosemaryyoke.settings import Settings
 
 LIST_PERIOD_S = 1.0
 HOMES_PER_ACCOUNT = 2
-
-
-@frozen
-class Member:
-    """One host."""
-
-    name: str
-    address: str
-    data_centre: str
-    state: str
-    peer_address: str = ""
-    revision: int = 0
+WATCHERS_PER_DATA_CENTRE = 2
+FORGET_FAILED_S = 86_400.0
+MILLISECONDS = 1_000
 
 
 class Members:
-    """Know the hosts and which of them are an account's homes."""
+    """Know the hosts, which of them are an account's homes, and which ones watch.
+
+    The platform's list seeds and corrects the table. A few hosts of each data centre
+    read it; the others hear from peers.
+    """
 
     def __init__(self, kernel: Kernel, settings: Settings, api: ObjectApi):
         self.kernel = kernel
         self.settings = settings
         self.api = api
-        self.lock = threading.Lock()
-        self.me = Member(
+        me = Member(
             settings.name,
             settings.http_address,
-            settings.data_centre,
-            LIVE,
             settings.peer_address,
+            settings.data_centre,
+            int(time.time() * MILLISECONDS),
         )
-        self.members: dict[str, Member] = {settings.name: self.me}
+        self.table = MemberTable(me)
+        key = settings.shared_key.encode()
+        self.links = Links(kernel, self.table, key, settings.seed_peers)
+        self.lock = threading.Lock()
+        self.rankings = RankingCache(HOMES_PER_ACCOUNT)
+        self.failed_at_s: dict[str, float] = {}
+        self.listed = False
+        self.live_cache: tuple[int, dict[str, Member]] = (-1, {})
 
     def start(self) -> None:
-        """Follow the platform's list of hosts."""
-        self.kernel.get("timer").every(LIST_PERIOD_S, self.refresh)
+        """Open links and follow the platform's list of hosts."""
+        self.links.start()
+        timer = self.kernel.get("timer")
+        timer.after(0.0, self.refresh)
+        timer.every(LIST_PERIOD_S, self.refresh)
+        self.kernel.get("revisions").subscribe(self.report_revision)
 
     def stop(self) -> None:
-        """Do nothing; the timer ends the refreshing."""
+        """Close the links."""
+        self.links.stop()
+
+    @property
+    def me(self) -> Member:
+        """Return this host's entry."""
+        return self.table.me
+
+    def report_revision(self, rules) -> None:
+        """Tell others which revision is in force here."""
+        self.links.announce(self.table.change_me(revision=rules.revision))
 
     def refresh(self) -> None:
-        """Take in the platform's list."""
+        """Take in the platform's list, where this host watches or knows no one."""
+        self._forget_failed()
+        if self.listed and not self.is_watcher():
+            return
         listed = self.api.hosts()
         if isinstance(listed, Err):
             return
-        with self.lock:
-            members = {host.name: _member(host) for host in listed.ok_value}
-            members[self.me.name] = self.me
-            self.members = members
-        leaving = {host.name for host in listed.ok_value if host.state == LEAVING}
-        self.kernel.get("directory").set_leaving(leaving)
+        self.listed = True
+        for host in listed.ok_value:
+            self._take_listed(host)
+
+    def _take_listed(self, host: ListedHost) -> None:
+        if host.peer_address:
+            self._take_listed_host(host)
+            return
+        leaving = host.state == LEAVING
+        if leaving or host.name in self.links.seen_notices:
+            self.links.tell_notice(UpstreamNotice(host.name, host.address, leaving))
+
+    def _take_listed_host(self, host: ListedHost) -> None:
+        known = self.table.members.get(host.name)
+        if known is None:
+            entry = Member(host.name, host.address, host.peer_address, host.data_centre)
+            self.links.announce(self.table.merge(entry) or entry)
+
+    def _forget_failed(self) -> None:
+        now_s = time.monotonic()
+        failed = {m.name for m in self.table.all() if m.standing == FAILED}
+        for name in set(self.failed_at_s) - failed:
+            del self.failed_at_s[name]
+        for name in failed:
+            if now_s - self.failed_at_s.setdefault(name, now_s) > FORGET_FAILED_S:
+                self.table.forget(name)
 
     def leave(self) -> None:
-        """Take no new callers from now on."""
-        with self.lock:
-            self.me = evolve(self.me, state=LEAVING)
-            self.members[self.me.name] = self.me
+        """Take no new callers from now on, and tell others."""
+        self.links.announce(self.table.change_me(leaving=True))
 
     def all(self) -> list[Member]:
         """Return all hosts known, by name."""
-        with self.lock:
-            return sorted(self.members.values(), key=lambda member: member.name)
-
-    def live(self) -> list[Member]:
-        """Return the hosts that take callers."""
-        return [member for member in self.all() if member.state == LIVE]
+        return self.table.all()
+
+    def live(self) -> dict[str, Member]:
+        """Return the hosts that take callers, by name."""
+        generation, live = self.live_cache
+        if generation != self.table.generation:
+            generation = self.table.generation
+            live = {m.name: m for m in self.table.all() if m.live and m.address}
+            self.live_cache = (generation, live)
+        return live
+
+    def is_watcher(self) -> bool:
+        """Tell whether this host reads the platform for its data centre."""
+        mine = [
+            name
+            for name, member in self.live().items()
+            if member.data_centre == self.me.data_centre
+        ]
+        watchers = rank(b"watch", mine, WATCHERS_PER_DATA_CENTRE)
+        return self.me.name in watchers or self.me.leaving
+
+    def owner(self, key: bytes) -> Member:
+        """Return the host that gathers writes for a key."""
+        live = self.live()
+        names = rank(key, live, 1)
+        return live[names[0]] if names else self.me
 
     def homes(self, account: str, data_centre: str = "") -> list[Member]:
         """Return an account's home hosts, those of a data centre first."""
-        live = {member.name: member for member in self.live()}
-        names = rank(account.encode(), live, HOMES_PER_ACCOUNT)
+        live = self.live()
+        with self.lock:
+            names = self.rankings.rank(account.encode(), frozenset(live))
         homes = [live[name] for name in names]
         return sorted(homes, key=lambda member: member.data_centre != data_centre)
 
     def home_count(self, account: str) -> int:
         """Return the number of an account's home hosts."""
         return min(HOMES_PER_ACCOUNT, len(self.live()))
-
-
-def _member(host: ListedHost) -> Member:
-    return Member(
-        host.name, host.address, host.data_centre, host.state, host.peer_address
-    )
--- /dev/null
+++ b/rosemaryyoke/peers/calls.py
@@ -0,0 +1,68 @@
+"""Requests and answers between any two hosts, on connections kept for reuse."""
+
+import threading
+
+from rosemaryyoke.core import EventRecorder
+from rosemaryyoke.peers.channel import Channel, connect
+from rosemaryyoke.peers.errors import PeerError
+
+IDLE_KEPT_PER_PEER = 4
+
+
+class PeerCaller:
+    """Ask peers, one request at a time on each connection."""
+
+    def __init__(self, key: bytes, recorder: EventRecorder):
+        self.key = key
+        self.recorder = recorder
+        self.idle: dict[str, list[Channel]] = {}
+        self.lock = threading.Lock()
+
+    def ask(self, address: str, message, timeout_s: float):
+        """Return a peer's answer; raise ``PeerError`` where there is none.
+
+        A request on a kept connection that turns out to be closed is sent again on a
+        new one, so every request must be idempotent.
+        """
+        channel = self._take(address)
+        if channel is not None:
+            try:
+                return self._exchange(address, channel, message, timeout_s)
+            except PeerError:
+                self._drop_idle(address)
+        channel = connect(address, self.key, self.recorder)
+        return self._exchange(address, channel, message, timeout_s)
+
+    def _exchange(self, address: str, channel: Channel, message, timeout_s: float):
+        try:
+            channel.send(message, timeout_s)
+            answer = channel.receive(timeout_s)
+        except PeerError:
+            channel.close()
+            raise
+        self._keep(address, channel)
+        return answer
+
+    def _take(self, address: str) -> Channel | None:
+        with self.lock:
+            channels = self.idle.get(address)
+            return channels.pop() if channels else None
+
+    def _keep(self, address: str, channel: Channel) -> None:
+        with self.lock:
+            channels = self.idle.setdefault(address, [])
+            if len(channels) < IDLE_KEPT_PER_PEER:
+                channels.append(channel)
+                return
+        channel.close()
+
+    def _drop_idle(self, address: str) -> None:
+        with self.lock:
+            channels = self.idle.pop(address, [])
+        for channel in channels:
+            channel.close()
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        for address in list(self.idle):
+            self._drop_idle(address)
--- /dev/null
+++ b/rosemaryyoke/peers/channel.py
@@ -0,0 +1,134 @@
+"""A connection between two hosts that share a key.
+
+Both sides prove the key over each other's nonce. Each frame carries a keyed digest over
+its number and body, so that nothing can be changed, left out or sent again.
+"""
+
+import hashlib
+import hmac
+import secrets
+import socket
+import struct
+import threading
+
+from rosemaryyoke.core import EventRecorder
+from rosemaryyoke.peers.codec import decode_message, encode_message, message_time
+from rosemaryyoke.peers.errors import PeerError
+
+NONCE_BYTES = 16
+DIGEST_BYTES = 16
+HEAD = struct.Struct(">I")
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+CONNECT_TIMEOUT_S = 0.5
+HANDSHAKE_TIMEOUT_S = 1.0
+
+
+class Channel:
+    """Send and receive messages over a socket."""
+
+    def __init__(self, connection: socket.socket, key: bytes, recorder: EventRecorder):
+        self.connection = connection
+        self.recorder = recorder
+        self.lock = threading.Lock()
+        self.sent = 0
+        self.received = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.send_key = b""
+        self.receive_key = b""
+        self._shake_hands(key)
+
+    def _shake_hands(self, key: bytes) -> None:
+        self.connection.settimeout(HANDSHAKE_TIMEOUT_S)
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        mine = secrets.token_bytes(NONCE_BYTES)
+        self._send_all(mine)
+        theirs = self._receive_exactly(NONCE_BYTES)
+        if theirs == mine:
+            raise PeerError("the nonce was sent back")
+        self.send_key = _derive(key, mine, theirs)
+        self.receive_key = _derive(key, theirs, mine)
+        self._send_all(_digest(self.send_key, 0, b"hello"))
+        proof = self._receive_exactly(DIGEST_BYTES)
+        if not hmac.compare_digest(proof, _digest(self.receive_key, 0, b"hello")):
+            raise PeerError("the peer does not know the shared key")
+
+    def send(self, message, timeout_s: float) -> None:
+        """Send a message; raise ``PeerError`` where the connection is lost."""
+        body = encode_message(message, self.recorder.clock.now())
+        with self.lock:
+            self.sent += 1
+            digest = _digest(self.send_key, self.sent, body)
+            self.connection.settimeout(timeout_s)
+            self._send_all(HEAD.pack(len(body)) + digest + body)
+
+    def receive(self, timeout_s: float):
+        """Return the next message; raise ``PeerError`` on silence or a fault."""
+        self.connection.settimeout(timeout_s)
+        (length,) = HEAD.unpack(self._receive_exactly(HEAD.size))
+        if length > MAX_FRAME_BYTES:
+            raise PeerError("a frame is too long")
+        digest = self._receive_exactly(DIGEST_BYTES)
+        body = self._receive_exactly(length)
+        self.received += 1
+        if not hmac.compare_digest(
+            digest, _digest(self.receive_key, self.received, body)
+        ):
+            raise PeerError("a frame's digest is wrong")
+        message = decode_message(body)
+        self.recorder.clock.observe(message_time(message))
+        return message
+
+    def close(self) -> None:
+        """Close the connection; a task that reads from it ends."""
+        try:
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.connection.close()
+
+    def _send_all(self, data: bytes) -> None:
+        try:
+            self.connection.sendall(data)
+            self.bytes_sent += len(data)
+        except OSError as error:
+            raise PeerError(str(error), sent=True) from error
+
+    def _receive_exactly(self, count: int) -> bytes:
+        parts = []
+        while count:
+            try:
+                part = self.connection.recv(min(count, 65536))
+            except OSError as error:
+                raise PeerError(str(error), sent=True) from error
+            if not part:
+                raise PeerError("the peer closed the connection", sent=True)
+            parts.append(part)
+            count -= len(part)
+            self.bytes_received += len(part)
+        return b"".join(parts)
+
+
+def connect(address: str, key: bytes, recorder: EventRecorder) -> Channel:
+    """Return a channel to a peer; raise ``PeerError`` where there is none."""
+    host, _, port = address.partition(":")
+    try:
+        connection = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    except (OSError, ValueError) as error:
+        raise PeerError(str(error)) from error
+    try:
+        return Channel(connection, key, recorder)
+    except PeerError as error:
+        connection.close()
+        raise PeerError(str(error)) from error
+
+
+def _derive(key: bytes, first: bytes, second: bytes) -> bytes:
+    return hmac.new(key, b"peer" + first + second, hashlib.sha256).digest()
+
+
+def _digest(key: bytes, number: int, body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=key)
+    digest.update(number.to_bytes(8, "big"))
+    digest.update(body)
+    return digest.digest()
--- /dev/null
+++ b/rosemaryyoke/peers/codec.py
@@ -0,0 +1,37 @@
+"""Messages between hosts, encoded with Cap'n Proto."""
+
+from pathlib import Path
+
+import capnp
+
+from rosemaryyoke.core import Timestamp
+from rosemaryyoke.peers.errors import PeerError
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+Message = SCHEMA.Message
+
+TRAVERSAL_LIMIT_WORDS = 1024 * 1024
+
+
+def encode_message(message, now: Timestamp) -> bytes:
+    """Return the packed bytes of a message, stamped with a time."""
+    message.wallMicroseconds = now.wall_us
+    message.counter = now.counter
+    return message.to_bytes_packed()
+
+
+def decode_message(data: bytes):
+    """Return the reader of a message; raise ``PeerError`` where it is malformed."""
+    try:
+        message = Message.from_bytes_packed(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        )
+        message.which()
+        return message
+    except (capnp.KjException, ValueError, MemoryError) as error:
+        raise PeerError(f"malformed message: {type(error).__name__}") from error
+
+
+def message_time(message) -> Timestamp:
+    """Return the time that a message is stamped with."""
+    return Timestamp(message.wallMicroseconds, message.counter)
--- /dev/null
+++ b/rosemaryyoke/peers/server.py
@@ -0,0 +1,123 @@
+"""Accept connections of peers, one task for each."""
+
+import socket
+import threading
+from typing import Callable
+
+from absl import logging
+
+from rosemaryyoke.core import EventRecorder, Registry, make_pool
+from rosemaryyoke.peers.channel import Channel
+from rosemaryyoke.peers.codec import Message
+from rosemaryyoke.peers.errors import PeerError
+
+PEER_CONNECTIONS = 128
+IDLE_TIMEOUT_S = 6.0
+SEND_TIMEOUT_S = 1.0
+
+Handler = Callable[["PeerServer", Channel, object], None]
+
+
+class PeerServer:
+    """Serve what peers ask and tell.
+
+    ``handlers`` maps a message's kind to what takes it; a handler may return a message
+    to send back.
+    """
+
+    def __init__(self, address: str, port: int, key: bytes, recorder: EventRecorder):
+        self.key = key
+        self.recorder = recorder
+        self.handlers: Registry[Callable] = Registry("peer message")
+        self.pool = make_pool("peer", PEER_CONNECTIONS)
+        self.channels: set[Channel] = set()
+        self.lock = threading.Lock()
+        self.opened = 0
+        self.refused = 0
+        self.stopping = False
+        self.listener = socket.create_server((address, port), backlog=256)
+        self.thread = threading.Thread(target=self.accept, name="peers", daemon=True)
+
+    def start(self) -> None:
+        """Accept connections on a thread of its own."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and every connection."""
+        self.stopping = True
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.listener.close()
+        with self.lock:
+            channels = list(self.channels)
+        for channel in channels:
+            channel.close()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def accept(self) -> None:
+        """Give each connection its task, or close it where all tasks are taken."""
+        while not self.stopping:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                full = self.opened >= PEER_CONNECTIONS
+                if not full:
+                    self.opened += 1
+            if full:
+                self.refused += 1
+                connection.close()
+                continue
+            try:
+                self.pool.submit(self.serve, connection)
+            except RuntimeError:
+                connection.close()
+                return
+
+    def serve(self, connection: socket.socket) -> None:
+        """Shake hands and take messages until the connection ends."""
+        try:
+            channel = Channel(connection, self.key, self.recorder)
+        except PeerError as error:
+            self.refused += 1
+            logging.warning("a peer's connection was refused: %s", error)
+            connection.close()
+            self._closed(None)
+            return
+        with self.lock:
+            self.channels.add(channel)
+        try:
+            self.receive(channel)
+        except PeerError:
+            pass
+        except Exception:
+            logging.exception("a peer's message could not be taken")
+        finally:
+            channel.close()
+            self._closed(channel)
+
+    def _closed(self, channel: Channel | None) -> None:
+        with self.lock:
+            self.channels.discard(channel)
+            self.opened -= 1
+
+    def receive(self, channel: Channel) -> None:
+        """Hand each message to its handler and send back what it returns."""
+        while True:
+            message = channel.receive(IDLE_TIMEOUT_S)
+            handler = self.handlers.entries.get(message.which())
+            if handler is None:
+                raise PeerError(f"unexpected message {message.which()}")
+            answer = handler(channel, message)
+            if answer is not None:
+                channel.send(answer, SEND_TIMEOUT_S)
+
+
+def missing_message():
+    """Return the answer that says that there is none."""
+    message = Message.new_message()
+    message.missing = None
+    return message
--- a/rosemaryyoke/spread/__init__.py
+++ b/rosemaryyoke/spread/__init__.py
@@ -1,5 +1,6 @@
 """Rules revisions: publishing them and putting them in force."""
 
+from rosemaryyoke.spread.exchange import RevisionExchange
 from rosemaryyoke.spread.manifest import Manifest, decode_manifest, encode_manifest
 from rosemaryyoke.spread.publish import Published, PublishError, publish_rules
 from rosemaryyoke.spread.revisions import Revisions
@@ -8,6 +9,7 @@
     "Manifest",
     "PublishError",
     "Published",
+    "RevisionExchange",
     "Revisions",
     "decode_manifest",
     "encode_manifest",
--- /dev/null
+++ b/rosemaryyoke/spread/exchange.py
@@ -0,0 +1,92 @@
+"""Exchange rules revisions with peers."""
+
+import threading
+
+from absl import logging
+from result import Err, Ok, Result
+
+from rosemaryyoke.core import Kernel
+from rosemaryyoke.membership import Member
+from rosemaryyoke.peers import Channel, Message, PeerError, missing_message
+from rosemaryyoke.spread.manifest import decode_manifest, encode_manifest
+from rosemaryyoke.spread.revisions import Revisions
+
+FETCH_TIMEOUT_S = 1.0
+CHUNK_FETCH_TIMEOUT_S = 2.0
+
+
+class RevisionExchange:
+    """Fetch a higher revision from the peer that reports it, and serve one's own."""
+
+    def __init__(self, kernel: Kernel):
+        self.kernel = kernel
+        self.fetching = threading.Lock()
+
+    def start(self) -> None:
+        """Serve manifests and chunks to peers."""
+        self.revisions: Revisions = self.kernel.get("revisions")
+        self.peers = self.kernel.get("peers")
+        self.executor = self.kernel.get("pool").executor
+        handlers = self.peers.server.handlers
+        handlers.register("getManifest")(self.give_manifest)
+        handlers.register("getChunk")(self.give_chunk)
+
+    def stop(self) -> None:
+        """Do nothing; the peers service ends the serving."""
+
+    def heard(self, member: Member) -> None:
+        """Fetch the member's revision in the background if it is higher."""
+        if member.revision > self.revisions.revision and member.peer_address:
+            self.executor.submit(self.fetch, member)
+
+    def fetch(self, member: Member) -> None:
+        """Fetch a revision from a peer, one fetch at a time."""
+        with self.fetching:
+            if member.revision <= self.revisions.revision:
+                return
+            outcome = self._fetch(member.peer_address)
+        if isinstance(outcome, Err):
+            logging.warning("revision not had from %s: %s", member.name, outcome.err())
+
+    def _fetch(self, address: str) -> Result[bool, str]:
+        request = Message.new_message()
+        request.getManifest = None
+        try:
+            answer = self.peers.caller.ask(address, request, FETCH_TIMEOUT_S)
+            if answer.which() != "manifest":
+                return Err("the peer has no manifest")
+            manifest = decode_manifest(answer.manifest)
+        except (PeerError, ValueError) as error:
+            return Err(str(error))
+        return self.revisions.offer(
+            manifest, lambda digest: self.fetch_chunk(address, digest)
+        )
+
+    def fetch_chunk(self, address: str, digest: str) -> Result[str, str]:
+        """Return a chunk's text from a peer, or from the platform."""
+        request = Message.new_message()
+        request.getChunk = digest
+        try:
+            answer = self.peers.caller.ask(address, request, CHUNK_FETCH_TIMEOUT_S)
+            if answer.which() == "chunk":
+                return Ok(answer.chunk)
+        except PeerError:
+            pass
+        return self.revisions.fetch_from_platform(digest)
+
+    def give_manifest(self, channel: Channel, message):
+        """Answer with the manifest in force."""
+        if not self.revisions.revision:
+            return missing_message()
+        answer = Message.new_message()
+        answer.manifest = encode_manifest(self.revisions.manifest)
+        return answer
+
+    def give_chunk(self, channel: Channel, message):
+        """Answer with a chunk of the revision in force."""
+        chunk = self.revisions.chunks.get(message.getChunk)
+        if chunk is None:
+            return missing_message()
+        answer = Message.new_message()
+        answer.chunk = chunk.text
+        return answer
--- a/rosemaryyoke/spread/revisions.py
+++ b/rosemaryyoke/spread/revisions.py
@@ -20,6 +20,7 @@
 WATCH_WAIT_S = 10.0
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+WATCHER_CHECK_S = 0.5
 
 Listener = Callable[[RuleSet], None]
 FetchChunk = Callable[[str], Result[str, str]]
@@ -46,8 +47,9 @@
         return self.rules.revision
 
     def start(self) -> None:
-        """Follow the platform."""
+        """Follow the platform, at first and where this host watches for others."""
         self.recorder = self.kernel.get("recorder")
+        self.members = self.kernel.get("members")
         self.watcher.start()
 
     def stop(self) -> None:
@@ -119,10 +121,13 @@
         return Ok(stored.ok_value.body.decode())
 
     def watch(self) -> None:
-        """Read the rules, then wait for changes, until stopped."""
+        """Read the rules, then wait for changes while this host is a watcher."""
         position = 0
         retry_s = RETRY_S
         while not self.stopping.is_set():
+            if position and not self.members.is_watcher():
+                self.stopping.wait(WATCHER_CHECK_S)
+                continue
             changes = self.api.watch(MANIFEST_NAME, position, WATCH_WAIT_S)
             outcome: Result = changes
             if isinstance(changes, Ok):
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -78,6 +78,7 @@
     extra_rules: str = ""
     folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="rosemaryyoke-")))
     processes: dict[str, Process] = field(factory=dict)
+    peer_ports: dict[str, int] = field(factory=dict)
 
     def __enter__(self) -> "System":
         try:
@@ -101,6 +102,7 @@
             self.run(name, "stand-in", "service", "--name", name)
         self.wait_for("platform")
         self.publish()
+        self.peer_ports = {f"host{number}": free_port() for number in range(self.hosts)}
         for number in range(self.hosts):
             self.start_host(f"host{number}")
         for name in self.processes:
@@ -160,7 +162,8 @@
             "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             "address": "127.0.0.1",
             "http_port": port,
-            "peer_port": free_port(),
+            "peer_port": self.peer_ports.setdefault(name, free_port()),
+            "seed_peers": [f"127.0.0.1:{item}" for item in self.peer_ports.values()],
             "platform": self.address("platform"),
             "shared_key": SHARED_KEY,
             "answer_lifetime_s": 1.0,
--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.membership import UpstreamNotice
 from rosemaryyoke.placement import EngineView, Fleet
 from rosemaryyoke.rules.model import ENGINE_KIND, STORE_KIND, RuleSet, Upstream
 from rosemaryyoke.upstreams.engine import EngineWire, LoadReport, engine_adapters
@@ -29,6 +30,7 @@
     retry_at_s: float = 0.0
     in_flight: int = 0
     weights: str = ""
+    incarnation: str = ""
 
     def usable(self, now_s: float) -> bool:
         """Tell whether new work may go to the upstream."""
@@ -50,6 +52,8 @@
         """Follow the rules in force and poll load reports."""
         revisions = self.kernel.get("revisions")
         revisions.subscribe(self.follow)
+        self.members = self.kernel.get("members")
+        self.executor = self.kernel.get("pool").executor
         self.kernel.get("timer").every(POLL_PERIOD_S, self.poll)
 
     def stop(self) -> None:
@@ -99,11 +103,12 @@
             if name in self.states:
                 self.states[name].accepting = False
 
-    def set_leaving(self, names: set[str]) -> None:
-        """Take in which upstreams the platform lists as leaving."""
+    def take_notice(self, notice: UpstreamNotice) -> None:
+        """Take in what the platform or another host says of an upstream."""
         with self.lock:
-            for name in names & set(self.states):
-                self.states[name].leaving = True
+            state = self.states.get(notice.name)
+            if state is not None and state.upstream.address == notice.address:
+                state.leaving = notice.leaving
 
     def poll(self) -> None:
         """Ask the next few upstreams for their load."""
@@ -113,7 +118,7 @@
             names = self.turn[:POLLS_PER_PERIOD]
             del self.turn[:POLLS_PER_PERIOD]
         for name in names:
-            self.poll_one(name)
+            self.executor.submit(self.poll_one, name)
 
     def poll_one(self, name: str) -> None:
         """Ask one upstream for its load and take in the answer."""
@@ -131,15 +136,19 @@
         self.take_report(name, answer.ok_value, asked_s)
 
     def take_report(self, name: str, report: LoadReport, as_of_s: float) -> None:
-        """Take in an upstream's load report."""
+        """Take in an upstream's load report, and tell others when it leaves."""
         with self.lock:
             state = self.states.get(name)
             if state is None:
                 return
+            started_anew = report.incarnation != state.incarnation
+            news = report.leaving and not state.leaving
+            state.incarnation = report.incarnation
             state.failures = 0
             state.retry_at_s = 0.0
             state.accepting = report.accepting
-            state.leaving = state.leaving or report.leaving
+            if started_anew or report.leaving:
+                state.leaving = report.leaving
             state.weights = report.weights
             engine = self.fleet.engines.get(name)
             if engine is not None:
@@ -147,6 +156,9 @@
                 engine.weights = report.weights
                 engine.cache_blocks = report.cache_blocks or engine.cache_blocks
                 engine.reported(report.waiting_s, report.blocks_stored, as_of_s)
+        if news:
+            address = state.upstream.address
+            self.members.links.tell_notice(UpstreamNotice(name, address, True))
 
     def store_known(self) -> bool:
         """Tell whether rules name a kept-KV store."""
