Test the relay on scripted engines

Cause: with its checks of doubled and missing tokens taken out, the process test of 400 streams still passed; it met too few of those faults.

--- /dev/null
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -0,0 +1,146 @@
+"""Scripted engines and the services that a relay asks, without processes."""
+
+from attrs import define, field
+from result import Err, Ok
+
+from rosemaryyoke.core import EventRecorder, Kernel, Metrics
+from rosemaryyoke.placement import Choice
+from rosemaryyoke.placement.service import NoEngine, Placed
+from rosemaryyoke.rules import Route, RuleSet, Upstream
+from rosemaryyoke.standins import expected_text
+from rosemaryyoke.streams import Completion, Relay
+from rosemaryyoke.upstreams import Finished, Started, Token, UpstreamError
+
+PROMPT = "prompt"
+TOKENS = 8
+
+
+def words(count=TOKENS):
+    """Return the tokens that answer the prompt."""
+    return expected_text(PROMPT, count).split(" ")[:-1]
+
+
+@define
+class ScriptedWire:
+    """Engines that follow scripts of steps, one script for each call."""
+
+    scripts: list
+    calls: int = 0
+
+    def complete(self, address, request, on_event):
+        """Follow the next script from the request's first token."""
+        return self._follow(request.request, request.first_index, on_event)
+
+    def resume(self, address, request, after, on_event):
+        """Follow the next script from an index."""
+        return self._follow(request, after, on_event)
+
+    def _follow(self, request, index, on_event):
+        script = self.scripts[self.calls] if self.calls < len(self.scripts) else []
+        self.calls += 1
+        if "refuse" in script[:1]:
+            return Err(UpstreamError("refused", refused=True))
+        on_event(Started(request, "i", "v1", 0, 0, 0.0, 0))
+        tokens = words()
+        for step in script:
+            if step == "cut":
+                return Err(UpstreamError("cut", sent=True))
+            if step == "silent":
+                return Ok(None)
+            if step == "crossed":
+                on_event(Token("another", index, "crossed "))
+            elif step == "skip":
+                index += 1
+            elif step == "double" and 0 < index <= len(tokens):
+                on_event(Token(request, index - 1, tokens[index - 1] + " "))
+            elif step == "token" and index < len(tokens):
+                on_event(Token(request, index, tokens[index] + " "))
+                index += 1
+        while index < len(tokens):
+            on_event(Token(request, index, tokens[index] + " "))
+            index += 1
+        on_event(Finished(request, len(tokens)))
+        return Ok(None)
+
+
+@define
+class OpenDirectory:
+    """A directory whose engines are all usable."""
+
+    engine_wire: ScriptedWire
+    failures: list = field(factory=list)
+
+    def failed(self, name):
+        """Keep the failure."""
+        self.failures.append(name)
+
+    def refused(self, name):
+        """Keep the refusal."""
+        self.failures.append(name)
+
+
+@define
+class TurnPlacement:
+    """Place on engines in turn."""
+
+    engines: list
+
+    def place(self, rules, route, account, text, excluded):
+        """Return the first engine that is not excluded."""
+        for name in self.engines:
+            if name not in excluded:
+                upstream = Upstream(name, "engine", "a", "d", "m")
+                return Ok(Placed(upstream, "v1", [], Choice(name)))
+        return Err(NoEngine("none", False, 1.0))
+
+    def answered(self, *_):
+        """Take no notice."""
+
+    def ended(self, placed):
+        """Take no notice."""
+
+
+@define
+class ListSink:
+    """Keep what a caller would get, and check its order."""
+
+    texts: list = field(factory=list)
+    failure: object = None
+    count: int = -1
+    first: int = 0
+
+    def open(self, opening):
+        """Take no notice."""
+
+    def token(self, index, text):
+        """Keep a token that comes at its place."""
+        assert index == self.first + len(self.texts)
+        self.texts.append(text)
+
+    def close(self, count):
+        """Keep the count."""
+        self.count = count
+
+    def fail(self, failure):
+        """Keep the error."""
+        self.failure = failure
+
+
+def make_relay(scripts, engines=("a", "b", "c", "d")):
+    """Return a relay over scripted engines."""
+    kernel = Kernel()
+    kernel.add("directory", OpenDirectory(ScriptedWire(scripts)))
+    kernel.add("placement", TurnPlacement(list(engines)))
+    kernel.add("recorder", EventRecorder("test"))
+    kernel.add("metrics", Metrics())
+    relay = Relay(kernel, "0123456789abcdef")
+    relay.start()
+    return relay
+
+
+def make_completion(repeatable=True):
+    """Return a completion of the prompt."""
+    return Completion("account", Route("m"), PROMPT, TOKENS, repeatable)
+
+
+NO_RULES = RuleSet()
