Prove configuration, graceful stops and restarts

Found on the way, each with a test that failed first: - the server closed its socket before the backlog was drained, and the process then waited for its pools for ever (stop never ended within 30 s); - a closed link raised OSError in the middle of a flush, so the remaining links never heard that a host leaves: 26 calls were cut over 3 stops. Ruled out: the lifetime margin (cuts came on hosts whose leaving was never heard). Change: the socket outlives the accept loop; a channel turns OSError into PeerError; an operator's apply hands accepted rules to a host, so the platform may go down right after.

--- a/rosemaryyoke/cli/operator.py
+++ b/rosemaryyoke/cli/operator.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.settings import operator_key
-from rosemaryyoke.wire import Call, send
+from rosemaryyoke.wire import Call, json_call, send
 
 ASK_TIMEOUT_S = 2.0
 
@@ -27,7 +27,19 @@
 def ask_host(address: str, path: str, key: str) -> Result[dict, str]:
     """Return what a host answers an operator."""
     headers = {"Authorization": f"Bearer {key}"}
-    call = Call("GET", f"http://{address}{path}", headers, timeout_s=ASK_TIMEOUT_S)
+    url = f"http://{address}{path}"
+    return _read(address, Call("GET", url, headers, timeout_s=ASK_TIMEOUT_S))
+
+
+def tell_host(address: str, path: str, key: str, value: object) -> Result[dict, str]:
+    """Return what a host answers to what an operator tells it."""
+    headers = {"Authorization": f"Bearer {key}"}
+    url = f"http://{address}{path}"
+    call = json_call("POST", url, value, headers=headers, timeout_s=ASK_TIMEOUT_S)
+    return _read(address, call)
+
+
+def _read(address: str, call: Call) -> Result[dict, str]:
     answer = send(call)
     if isinstance(answer, Err):
         return Err(f"{address}: {answer.err_value.message}")
--- a/rosemaryyoke/cli/rules.py
+++ b/rosemaryyoke/cli/rules.py
@@ -13,10 +13,16 @@
     add_host_arguments,
     ask_host,
     read_operator_key,
+    tell_host,
 )
 from rosemaryyoke.platform import HttpObjectApi
 from rosemaryyoke.rules import parse_rules
-from rosemaryyoke.spread.manifest import CHUNK_PREFIX, MANIFEST_NAME, read_manifest
+from rosemaryyoke.spread.manifest import (
+    CHUNK_PREFIX,
+    MANIFEST_NAME,
+    encode_offer,
+    read_manifest,
+)
 from rosemaryyoke.spread.publish import publish_rules
 
 WAIT_S = 5.0
@@ -91,18 +97,21 @@
             print("it may have been accepted; run the command again", file=sys.stderr)
             return EXIT_UNKNOWN
         return EXIT_FAULT
-    revision = published.ok_value.revision
+    done = published.ok_value
     accepted_s = time.monotonic()
-    how = "accepted" if published.ok_value.written else "in force already"
-    print(f"revision {revision} {how}")
-    return wait_for_hosts(options, revision, accepted_s)
+    how = "accepted" if done.written else "in force already"
+    print(f"revision {done.revision} {how}", flush=True)
+    key = read_operator_key(options.key_file)
+    tell_host(
+        options.host, "/rules/offer", key, encode_offer(done.manifest, done.fresh)
+    )
+    return wait_for_hosts(options, key, done.revision, accepted_s)
 
 
 def wait_for_hosts(
-    options: argparse.Namespace, revision: int, accepted_s: float
+    options: argparse.Namespace, key: str, revision: int, accepted_s: float
 ) -> int:
     """Wait until every live host has the revision; print who lacks it."""
-    key = read_operator_key(options.key_file)
     lacking = ["(no host answered)"]
     while time.monotonic() - accepted_s < options.wait:
         lacking = hosts_lacking(options.host, key, revision)
--- a/rosemaryyoke/core/logs.py
+++ b/rosemaryyoke/core/logs.py
@@ -2,10 +2,9 @@
 
 import logging as standard_logging
 import sys
-import time
 
 import orjson
-from absl import logging
+from absl import flags, logging
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -31,10 +30,10 @@
 
 def set_up_logs(process: str, level: str) -> None:
     """Send the logs of this process to standard error."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(process))
     handler.python_handler.stream = sys.stderr
     logging.set_verbosity(level)
     standard_logging.getLogger("werkzeug").setLevel(standard_logging.ERROR)
-    time.tzset()
--- a/rosemaryyoke/entry/app.py
+++ b/rosemaryyoke/entry/app.py
@@ -16,6 +16,7 @@
 from rosemaryyoke.placement import count_tokens
 from rosemaryyoke.rules import RuleSet
 from rosemaryyoke.settings import Settings, operator_key
+from rosemaryyoke.spread.manifest import decode_offer
 from rosemaryyoke.streams import (
     BufferSink,
     Completion,
@@ -75,6 +76,7 @@
             ("/services/<name>/<path:path>", SERVICE_METHODS, self.call_service),
             ("/status", ("GET",), self.status),
             ("/events", ("GET",), self.events),
+            ("/rules/offer", ("POST",), self.take_offer),
         ):
             app.add(path, self.guard(handler), *methods)
         app.add("/healthz", self.healthz, "GET")
@@ -281,6 +283,18 @@
             }
         )
 
+    def take_offer(self, exchange: Exchange) -> Response:
+        """Take rules from an operator whose publishing the platform accepted."""
+        self.operator(exchange)
+        try:
+            offer = decode_offer(exchange.json())
+        except ValueError as error:
+            raise RequestRefused(400, "malformed_body", str(error)) from error
+        outcome = self.revisions.take_offer(offer)
+        if isinstance(outcome, Err):
+            raise RequestRefused(409, "not_taken", outcome.err_value)
+        return json_response({"revision": self.revisions.revision})
+
     def events(self, exchange: Exchange) -> Response:
         """Return the events kept by this process to an operator."""
         self.operator(exchange)
--- /dev/null
+++ b/rosemaryyoke/membership/tests/test_links.py
@@ -0,0 +1,71 @@
+import socket
+import threading
+
+from rosemaryyoke.core import EventRecorder, Kernel
+from rosemaryyoke.membership import Links, Member, MemberTable
+from rosemaryyoke.membership.codec import read_members
+from rosemaryyoke.peers import Channel
+
+KEY = b"0123456789abcdef"
+
+
+class ManualTimer:
+    """A timer that calls nothing."""
+
+    def after(self, delay_s, callback):
+        """Take no notice."""
+
+
+def member(name, **changes):
+    return Member(name, f"http-{name}", f"peer-{name}", "Kamloops", 1, **changes)
+
+
+def channel_pair():
+    """Return the two ends of a channel."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        left = socket.create_connection(listener.getsockname())
+        right, _ = listener.accept()
+    ends = {}
+
+    def open_end(name, connection):
+        ends[name] = Channel(connection, KEY, EventRecorder(name))
+
+    thread = threading.Thread(target=open_end, args=("left", left))
+    thread.start()
+    open_end("right", right)
+    thread.join()
+    return ends["left"], ends["right"]
+
+
+def make_links():
+    kernel = Kernel()
+    kernel.add("recorder", EventRecorder("test"))
+    links = Links(kernel, MemberTable(member("me")), KEY, [])
+    links.timer = ManualTimer()
+    return links
+
+
+def test_flush_passes_a_closed_link():
+    links = make_links()
+    closed, _ = channel_pair()
+    links._add(closed)
+    ours, theirs = channel_pair()
+    links._add(ours)
+    closed.close()
+    links.announce(member("news"))
+    links.flush()
+    names = [item.name for item in read_members(theirs.receive(1.0))]
+    assert names == ["me", "news"]
+    assert closed not in links.links
+
+
+def test_second_update_of_a_member_is_short():
+    links = make_links()
+    ours, theirs = channel_pair()
+    links._add(ours)
+    links.flush()
+    theirs.receive(1.0)
+    links.announce(links.table.change_me(revision=7))
+    links.flush()
+    (short,) = read_members(theirs.receive(1.0))
+    assert (short.address, short.revision) == ("", 7)
--- a/rosemaryyoke/peers/channel.py
+++ b/rosemaryyoke/peers/channel.py
@@ -59,12 +59,12 @@
         with self.lock:
             self.sent += 1
             digest = _digest(self.send_key, self.sent, body)
-            self.connection.settimeout(timeout_s)
+            self._set_timeout(timeout_s)
             self._send_all(HEAD.pack(len(body)) + digest + body)
 
     def receive(self, timeout_s: float):
         """Return the next message; raise ``PeerError`` on silence or a fault."""
-        self.connection.settimeout(timeout_s)
+        self._set_timeout(timeout_s)
         (length,) = HEAD.unpack(self._receive_exactly(HEAD.size))
         if length > MAX_FRAME_BYTES:
             raise PeerError("a frame is too long")
@@ -87,6 +87,12 @@
             pass
         self.connection.close()
 
+    def _set_timeout(self, timeout_s: float) -> None:
+        try:
+            self.connection.settimeout(timeout_s)
+        except OSError as error:
+            raise PeerError("the connection is closed") from error
+
     def _send_all(self, data: bytes) -> None:
         try:
             self.connection.sendall(data)
--- a/rosemaryyoke/spread/manifest.py
+++ b/rosemaryyoke/spread/manifest.py
@@ -4,6 +4,7 @@
 from attrs import frozen
 
 from rosemaryyoke.platform import StoredObject
+from rosemaryyoke.rules import Chunk, make_chunk
 
 MANIFEST_NAME = "rules/current"
 CHUNK_PREFIX = "rule-chunks/"
@@ -60,3 +61,29 @@
     if stored is None:
         return Manifest(0, (), ())
     return decode_manifest(stored.body)
+
+
+@frozen
+class Offer:
+    """A manifest that the platform accepted, and chunks that a host may lack."""
+
+    manifest: Manifest
+    chunks: dict[str, Chunk]
+
+
+def encode_offer(manifest: Manifest, chunks: tuple[Chunk, ...]) -> dict:
+    """Return the JSON value of an offer."""
+    return {
+        "manifest": encode_manifest(manifest).decode(),
+        "chunks": [chunk.text for chunk in chunks],
+    }
+
+
+def decode_offer(value: object) -> Offer:
+    """Return the offer of its JSON value; raise ``ValueError`` where it is not one."""
+    try:
+        manifest = decode_manifest(value["manifest"].encode())
+        chunks = [make_chunk(text) for text in value["chunks"]]
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not an offer: {error}") from error
+    return Offer(manifest, {chunk.digest: chunk for chunk in chunks})
--- a/rosemaryyoke/spread/publish.py
+++ b/rosemaryyoke/spread/publish.py
@@ -29,10 +29,15 @@
 
 @frozen
 class Published:
-    """The revision that the text has, and whether this call wrote it."""
+    """The revision that the text has, whether this call wrote it, and what makes it.
+
+    ``fresh`` are the chunks that the revision before did not have.
+    """
 
     revision: int
     written: bool
+    manifest: Manifest
+    fresh: tuple[Chunk, ...] = ()
 
 
 @frozen
@@ -61,8 +66,7 @@
         stored = store_chunk(api, chunk, until_s)
         if isinstance(stored, Err):
             return Err(PublishError(f"platform: {stored.err_value.message}"))
-    digests = tuple(chunk.digest for chunk in chunks)
-    return write_manifest(api, digests, expected_revision, until_s)
+    return write_manifest(api, chunks, expected_revision, until_s)
 
 
 def store_chunk(
@@ -81,17 +85,18 @@
 
 def write_manifest(
     api: ObjectApi,
-    digests: tuple[str, ...],
+    chunks: list[Chunk],
     expected_revision: int | None,
     until_s: float,
 ) -> Result[Published, PublishError]:
     """Write the manifest, and find out from its history whether it was accepted."""
     token = secrets.token_hex(12)
-    seen: list[int] = [0]
+    digests = tuple(chunk.digest for chunk in chunks)
+    seen = [Manifest(0, (), ())]
 
     def change(stored: StoredObject | None) -> bytes | None:
         manifest = read_manifest(stored)
-        seen[0] = manifest.revision
+        seen[0] = manifest
         if manifest.chunks == digests and manifest.revision:
             return None
         if expected_revision not in (None, manifest.revision):
@@ -112,9 +117,12 @@
         return Err(PublishError(error.message, maybe_done=error.maybe_done))
     updated = outcome.ok_value
     if not isinstance(updated, Abandoned):
-        return Ok(Published(read_manifest(updated).revision_of(token), True))
+        manifest = read_manifest(updated)
+        revision = manifest.revision_of(token)
+        fresh = tuple(c for c in chunks if c.digest not in seen[0].chunks)
+        return Ok(Published(revision, True, manifest, fresh))
     current = read_manifest(updated.current)
     if current.chunks == digests:
-        return Ok(Published(current.revision, False))
-    message = f"revision {seen[0]} is in force, not {expected_revision}"
+        return Ok(Published(current.revision, False, current))
+    message = f"revision {current.revision} is in force, not {expected_revision}"
     return Err(PublishError(message, lost_race=True))
--- a/rosemaryyoke/spread/revisions.py
+++ b/rosemaryyoke/spread/revisions.py
@@ -14,6 +14,7 @@
     CHUNK_PREFIX,
     MANIFEST_NAME,
     Manifest,
+    Offer,
     read_manifest,
 )
 
@@ -100,6 +101,15 @@
         logging.info("revision %d is in force", manifest.revision)
         return True
 
+    def take_offer(self, offer: Offer) -> Result[bool, str]:
+        """Put in force what an operator says that the platform accepted."""
+
+        def fetch(digest: str) -> Result[str, str]:
+            chunk = offer.chunks.get(digest)
+            return Ok(chunk.text) if chunk else self.fetch_from_platform(digest)
+
+        return self.offer(offer.manifest, fetch)
+
     def read_platform(self) -> Result[bool, str]:
         """Read the manifest from the platform and put it in force."""
         stored = self.api.get(MANIFEST_NAME)
--- a/rosemaryyoke/standins/engine.py
+++ b/rosemaryyoke/standins/engine.py
@@ -122,6 +122,8 @@
         self.blocks_stored = 0
         self.events: list[CacheEvent] = []
         self.orders: list[dict] = []
+        self.admitted_at: list[float] = []
+        self.refused = 0
         self.sequences: dict[str, Sequence] = {}
         self.running: dict[str, Sequence] = {}
         self.waiting: list[tuple[int, int, Sequence]] = []
@@ -147,6 +149,8 @@
         app.add("/orders", self.take_order, "POST")
         app.add("/control/fault", self.set_fault, "POST")
         app.add("/control/leave", self.leave, "POST")
+        app.add("/control/refused", self.show_refused, "GET")
+        app.add("/control/admitted", self.show_admitted, "GET")
         app.add("/control/orders", self.show_orders, "GET")
         return app
 
@@ -155,7 +159,9 @@
         body = exchange.json()
         refusal = self._refusal(body)
         if refusal is not None:
+            self.refused += 1
             return refusal
+        self.admitted_at.append(time.time())
         sequence = self._admit(body)
         self._stream(exchange, sequence, sequence.first_index)
         return None
@@ -415,6 +421,14 @@
         """Return the orders that were carried out, in order."""
         return json_response({"orders": self.orders, "weights": self.weights})
 
+    def show_refused(self, exchange: Exchange) -> Response:
+        """Return how many requests were refused."""
+        return json_response({"refused": self.refused})
+
+    def show_admitted(self, exchange: Exchange) -> Response:
+        """Return the times at which work was admitted."""
+        return json_response({"admitted_at": self.admitted_at})
+
     def set_fault(self, exchange: Exchange) -> Response:
         """Set how the engine misbehaves."""
         self.fault = EngineFault(**exchange.json())
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -13,9 +13,11 @@
 from attrs import define, field
 from result import Err
 
+from rosemaryyoke.cli.operator import ask_host
 from rosemaryyoke.client import Client
 from rosemaryyoke.platform import HttpObjectApi
 from rosemaryyoke.rules import digest_key
+from rosemaryyoke.settings import operator_key
 from rosemaryyoke.spread import Published, publish_rules
 from rosemaryyoke.wire import Call, json_call, send
 
@@ -195,6 +197,11 @@
         log = (self.folder / f"{name}.log").read_text()[-2000:]
         raise TimeoutError(f"{name} does not answer: {log}")
 
+    def list_upstream(self, name: str, state: str) -> None:
+        """Put an upstream on the platform's list in a state."""
+        host = {"name": name, "address": self.address(name), "data_centre": "Kamloops"}
+        self.control("platform", "hosts", {"hosts": [{**host, "state": state}]})
+
     def list_hosts(self, **states: str) -> None:
         """Put the hosts on the platform's list, live but for the given states."""
         hosts = []
@@ -221,6 +228,17 @@
         """Return the JSON that a process answers."""
         return send(Call("GET", f"http://{self.address(name)}{path}")).unwrap().json()
 
+    def events(self, name: str, kind: str) -> list[dict]:
+        """Return a host's events of a kind, oldest first."""
+        key = operator_key(SHARED_KEY)
+        answer = ask_host(self.address(name), "/events", key).unwrap()
+        return [event for event in answer["events"] if event["kind"] == kind]
+
+    def status(self, name: str) -> dict:
+        """Return a host's status."""
+        key = operator_key(SHARED_KEY)
+        return ask_host(self.address(name), "/status", key).unwrap()
+
     def rules_text(self) -> str:
         """Return rules for all upstreams."""
         lines = [
--- a/rosemaryyoke/wire/server.py
+++ b/rosemaryyoke/wire/server.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import socketserver
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -18,6 +19,7 @@
 SWEEP_PERIOD_S = 0.5
 WRITE_TIMEOUT_S = 30.0
 BACKLOG = 512
+ACCEPT_POLL_S = 0.1
 WRITE_BUFFER_BYTES = 64 * 1024
 MAX_HEADERS_BYTES = 32 * 1024
 REFUSAL_BODY = (
@@ -133,6 +135,10 @@
             target=self.serve_forever, name=f"{name}-accept", daemon=True
         )
 
+    def serve_forever(self, poll_interval: float = ACCEPT_POLL_S) -> None:
+        """Accept until told to stop, and leave the socket open for its backlog."""
+        socketserver.BaseServer.serve_forever(self, poll_interval)
+
     def log_startup(self) -> None:
         """Say nothing; the process logs its own start."""
 
