Roll out weights by orders under a lease

Ruled out: wall clocks in the lease (holders compare a version's age on their own clock, one that no pause stops); a lease held without need (taken only while an engine is behind).

--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -26,6 +26,7 @@
 from rosemaryyoke.spread import RevisionExchange, Revisions
 from rosemaryyoke.streams import Relay
 from rosemaryyoke.upstreams import Directory
+from rosemaryyoke.upstreams.orders import Orders
 from rosemaryyoke.wire import HttpServer
 
 SPREAD_MARGIN_S = 2.0
@@ -97,6 +98,7 @@
     kernel.add("exchange", RevisionExchange(kernel))
     kernel.add("members", Members(kernel, settings, api))
     kernel.add("directory", Directory(kernel))
+    kernel.add("orders", Orders(kernel, api))
     kernel.add("placement", Placement(kernel))
     kernel.add("limits", Limits(kernel))
     kernel.add("claims", Claims(kernel, api))
--- a/rosemaryyoke/platform/__init__.py
+++ b/rosemaryyoke/platform/__init__.py
@@ -1,6 +1,7 @@
 """The platform's object API: messages, adapters, conditional updates."""
 
 from rosemaryyoke.platform.adapters import HttpObjectApi, platform_adapters
+from rosemaryyoke.platform.leases import Lease
 from rosemaryyoke.platform.objects import (
     LEAVING,
     LIVE,
@@ -20,6 +21,7 @@
     "HttpObjectApi",
     "LEAVING",
     "LIVE",
+    "Lease",
     "ListedHost",
     "ObjectApi",
     "PlatformError",
--- /dev/null
+++ b/rosemaryyoke/platform/leases.py
@@ -0,0 +1,116 @@
+"""Leases kept as platform objects; an object's version is the fencing number.
+
+Time is read from a clock that goes on while a process is stopped or a machine sleeps.
+Source of fencing: Burrows, "The Chubby lock service", 2006 (sequencers).
+"""
+
+import secrets
+import threading
+import time
+
+import orjson
+from attrs import define, field
+from result import Err
+
+from rosemaryyoke.platform.objects import ObjectApi, StoredObject
+
+LEASE_S = 6.0
+RENEW_S = LEASE_S / 3
+
+
+def now_s() -> float:
+    """Return the seconds of a clock that no pause stops."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@define(eq=False)
+class Lease:
+    """One lease, as one process sees it.
+
+    ``held_since_s`` is when this process took the lease from another holder; the lease
+    before it had ended by then.
+    """
+
+    api: ObjectApi
+    name: str
+    holder: str
+    duration_s: float = LEASE_S
+    token: str = field(factory=lambda: secrets.token_hex(12))
+    version: int = 0
+    held_until_s: float = 0.0
+    held_since_s: float = 0.0
+    seen_version: int = -1
+    seen_at_s: float = 0.0
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def remaining_s(self) -> float:
+        """Return for how long this process surely holds the lease."""
+        return max(0.0, self.held_until_s - now_s())
+
+    @property
+    def fencing(self) -> int:
+        """Return the fencing number of the lease that is held."""
+        return self.version
+
+    def acquire(self) -> bool:
+        """Take or renew the lease; tell whether it is held."""
+        with self.lock:
+            if self.remaining_s() > 0:
+                if self.remaining_s() > self.duration_s - self.duration_s / 3:
+                    return True
+                return self._renew()
+            return self._take()
+
+    def _renew(self) -> bool:
+        began_s = now_s()
+        written = self.api.put(self.name, self._body(), self.version)
+        if isinstance(written, Err):
+            if written.err_value.conflict:
+                self._read_back(began_s)
+            return self.remaining_s() > 0
+        self._hold(written.ok_value, began_s)
+        return True
+
+    def _take(self) -> bool:
+        began_s = now_s()
+        read = self.api.get(self.name)
+        if isinstance(read, Err):
+            return False
+        stored = read.ok_value
+        if not self._free(stored, began_s):
+            return False
+        self.token = secrets.token_hex(12)
+        version = stored.version if stored else 0
+        written = self.api.put(self.name, self._body(), version)
+        if isinstance(written, Err):
+            return False
+        self.held_since_s = began_s
+        self._hold(written.ok_value, began_s)
+        return True
+
+    def _free(self, stored: StoredObject | None, at_s: float) -> bool:
+        """Tell whether the lease was left unrenewed for its whole duration."""
+        if stored is None:
+            return True
+        if stored.version != self.seen_version:
+            self.seen_version = stored.version
+            self.seen_at_s = at_s
+            return False
+        return at_s - self.seen_at_s > self.duration_s
+
+    def _read_back(self, began_s: float) -> None:
+        """Find out whether a renewal whose answer was lost took effect."""
+        read = self.api.get(self.name)
+        if isinstance(read, Err) or read.ok_value is None:
+            return
+        if orjson.loads(read.ok_value.body)["token"] == self.token:
+            self._hold(read.ok_value.version, began_s)
+        else:
+            self.held_until_s = 0.0
+
+    def _hold(self, version: int, began_s: float) -> None:
+        self.version = version
+        self.held_until_s = began_s + self.duration_s
+
+    def _body(self) -> bytes:
+        return orjson.dumps({"holder": self.holder, "token": self.token})
--- a/rosemaryyoke/standins/engine.py
+++ b/rosemaryyoke/standins/engine.py
@@ -384,6 +384,7 @@
                 "cache_blocks": self.options.cache_blocks,
                 "accepting": not (self.loading or self.leaving),
                 "leaving": self.leaving,
+                "loading": self.loading,
             }
         return json_response(self.last_load)
 
@@ -406,15 +407,19 @@
             if self.options.checks_fencing and order["fencing"] < self.fence:
                 return error_response(409, "old_fencing_number", "a newer one is known")
             self.fence = max(self.fence, order["fencing"])
-            self.orders.append({**order, "at": time.time()})
+            if self.loading:
+                return error_response(409, "loading", "a load is under way")
             if order["weights"] == self.weights:
                 return json_response({"weights": self.weights})
+            record = {**order, "began_at": time.time(), "ended_at": 0.0}
+            self.orders.append(record)
             self.loading = True
         time.sleep(self.options.load_s)
         with self.lock:
             self.weights = order["weights"]
             self.cache.clear()
             self.loading = False
+            record["ended_at"] = time.time()
         return json_response({"weights": self.weights})
 
     def show_orders(self, exchange: Exchange) -> Response:
--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -31,6 +31,8 @@
     in_flight: int = 0
     weights: str = ""
     incarnation: str = ""
+    loading: bool = False
+    reported_at_s: float = 0.0
 
     def usable(self, now_s: float) -> bool:
         """Tell whether new work may go to the upstream."""
@@ -150,6 +152,8 @@
             if started_anew or report.leaving:
                 state.leaving = report.leaving
             state.weights = report.weights
+            state.loading = report.loading
+            state.reported_at_s = as_of_s
             engine = self.fleet.engines.get(name)
             if engine is not None:
                 self.fleet.set_incarnation(engine, report.incarnation)
--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -99,6 +99,16 @@
     cache_blocks: int = 0
     accepting: bool = True
     leaving: bool = False
+    loading: bool = False
+
+
+@frozen
+class LoadOrder:
+    """An order to load weights, under a fencing number."""
+
+    weights: str
+    fencing: int
+    timeout_s: float
 
 
 class EngineWire(Protocol):
@@ -120,6 +130,9 @@
     def load(self, address: str) -> Result[LoadReport, UpstreamError]:
         """Return the load report."""
 
+    def order(self, address: str, order: LoadOrder) -> Result[None, UpstreamError]:
+        """Have an engine load weights, and wait until it has."""
+
 
 engine_adapters: Registry[Callable[[], EngineWire]] = Registry("engine adapter")
 
@@ -171,6 +184,19 @@
             return Err(UpstreamError(f"status {answer.ok_value.status}"))
         return Ok(LoadReport(**answer.ok_value.json()))
 
+    def order(self, address: str, order: LoadOrder) -> Result[None, UpstreamError]:
+        """Have an engine load weights, and wait until it has."""
+        value = {"weights": order.weights, "fencing": order.fencing}
+        url = f"http://{address}/orders"
+        call = json_call("POST", url, value, timeout_s=order.timeout_s, fresh=True)
+        answer = send(call)
+        if isinstance(answer, Err):
+            return Err(from_wire(answer.err_value))
+        if not answer.ok_value.ok:
+            message = f"status {answer.ok_value.status}"
+            return Err(UpstreamError(message, refused=True))
+        return Ok(None)
+
 
 def encode_request(request: EngineRequest) -> dict:
     """Return the JSON value of a request."""
