Weigh prefill by queue pressure and let engines ask the kept-KV store

Change: weight 1 + 20 for each second of mean queue; an engine asks the store for what it misses, since a host knows only the chains that passed it.

--- /dev/null
+++ b/rosemaryyoke/bench/simulate.py
@@ -0,0 +1,262 @@
+"""Run a workload through a placement policy in modelled time.
+
+The policies and the fleet view are the product's own; the engines are the cache of the
+stand-in engine with serial prefill. Each host has a view of its own and learns from its
+answers and from load reports that lag.
+"""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from typing import Callable
+
+from attrs import define, field, frozen
+
+from rosemaryyoke.bench.workloads import (
+    CACHE_BLOCKS,
+    PREFILL_S_PER_BLOCK,
+    BenchRequest,
+    Workload,
+)
+from rosemaryyoke.placement import EngineView, Fleet, PlacementRequest, policies, rank
+from rosemaryyoke.placement.fleet import IMPORT_S, Choice, import_s
+from rosemaryyoke.standins.cache import BlockCache
+
+STORE_BLOCKS = 200_000
+REPORT_PERIOD_S = 0.5
+HOMES_PER_ACCOUNT = 2
+FIRST_TOKEN_SHARE_S = 0.0
+
+
+@frozen
+class Options:
+    """How a run differs from the plain one."""
+
+    policy: str = "predicted-ttft"
+    hosts: int = 3
+    report_lag_s: float = 0.5
+    imports: bool = False
+    perfect: bool = False
+    crash_at_s: float = 0.0
+    seed: int = 0
+    set_up: Callable = lambda policy: None
+
+
+@define
+class SimulatedEngine:
+    """An engine in modelled time."""
+
+    name: str
+    cache: BlockCache = field(factory=lambda: BlockCache(CACHE_BLOCKS))
+    free_at_s: float = 0.0
+    insertions: int = 0
+    incarnation: str = "1"
+
+    def match(self, chain: list[bytes]) -> int:
+        """Return the cached prefix of a chain; a block outlives its children."""
+        low, high = 0, len(chain)
+        while low < high:
+            middle = (low + high) // 2
+            if chain[middle] in self.cache.blocks:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+    def crash(self) -> None:
+        """Return to a cold start."""
+        self.cache.clear()
+        self.insertions = 0
+        self.incarnation += "1"
+
+
+@frozen
+class Served:
+    """What became of one request."""
+
+    account: int
+    ttft_s: float
+    blocks: int
+    hit: int
+    imported: int
+    best_elsewhere: int
+
+    @property
+    def recomputed(self) -> int:
+        """Return the blocks computed again that another place held."""
+        return max(0, self.best_elsewhere - self.hit - self.imported)
+
+
+@define
+class HostView:
+    """One host: its fleet view and its policy."""
+
+    fleet: Fleet
+    policy: object
+
+
+class Simulation:
+    """Engines, hosts and the events between them."""
+
+    def __init__(self, workload: Workload, options: Options):
+        self.workload = workload
+        self.options = options
+        names = [f"engine{number}" for number in range(workload.engines)]
+        self.engines = {name: SimulatedEngine(name) for name in names}
+        self.store = BlockCache(STORE_BLOCKS)
+        self.ordered = tuple(names)
+        self.names = frozenset(names)
+        self.hosts = [self._host() for _ in range(options.hosts)]
+        self.generator = random.Random(options.seed)
+        self.events: list = []
+        self.numbers = itertools.count()
+        self.crashed = False
+        self.reports: deque = deque()
+        self.next_report_s = 0.0
+
+    def _host(self) -> HostView:
+        fleet = Fleet(imports=self.options.imports)
+        for name in self.engines:
+            fleet.engines[name] = EngineView(name, incarnation="1")
+        policy = policies.get(self.options.policy)()
+        self.options.set_up(policy)
+        return HostView(fleet, policy)
+
+    def run(self, requests: list[BenchRequest]) -> list[Served]:
+        """Return what became of each request, in order of arrival."""
+        return [self.serve(request) for request in requests]
+
+    def serve(self, request: BenchRequest) -> Served:
+        """Place and serve one request at its time."""
+        now_s = request.at_s
+        self._advance(now_s)
+        host = self._home(request)
+        if self.options.perfect:
+            self._show_all(host, request, now_s)
+        placement = PlacementRequest(request.chain, self.names, self.ordered)
+        choice = host.policy.choose(placement, host.fleet, now_s)
+        host.fleet.sent(choice, request.chain, now_s)
+        return self._dispatch(host, request, choice, now_s)
+
+    def _home(self, request: BenchRequest) -> HostView:
+        names = [str(number) for number in range(len(self.hosts))]
+        homes = rank(str(request.account).encode(), names, HOMES_PER_ACCOUNT)
+        return self.hosts[int(homes[request.number % len(homes)])]
+
+    def _dispatch(
+        self, host: HostView, request: BenchRequest, choice: Choice, now_s: float
+    ) -> Served:
+        engine = self.engines[choice.engine]
+        chain = request.chain
+        best = max(item.match(chain) for item in self.engines.values())
+        if self.options.imports:
+            best = max(best, self.store.match(chain))
+        hit = engine.match(chain)
+        imported = 0
+        seconds = 0.0
+        if choice.asks_store and hit < len(chain):
+            imported = max(0, self.store.match(chain) - hit)
+            seconds = import_s(imported) or IMPORT_S
+        missed = len(chain) - hit - imported
+        seconds += missed * PREFILL_S_PER_BLOCK
+        start_s = max(now_s, engine.free_at_s)
+        engine.free_at_s = start_s + seconds
+        engine.insertions += len(engine.cache.insert(chain).added)
+        if self.options.imports:
+            self.store.insert(chain)
+        self._later(engine.free_at_s, self._answer, host, engine, chain)
+        ttft_s = engine.free_at_s - now_s
+        return Served(request.account, ttft_s, len(chain), hit, imported, best)
+
+    def _later(self, at_s: float, call: Callable, *arguments) -> None:
+        heapq.heappush(self.events, (at_s, next(self.numbers), call, arguments))
+
+    def _advance(self, now_s: float) -> None:
+        """Let everything happen that is due by now."""
+        crash_at_s = self.options.crash_at_s
+        if crash_at_s and now_s >= crash_at_s and not self.crashed:
+            self.crashed = True
+            self.engines["engine0"].crash()
+        while self.next_report_s <= now_s:
+            self._report(self.next_report_s)
+            self.next_report_s += REPORT_PERIOD_S
+        while self.events and self.events[0][0] <= now_s:
+            at_s, _, call, arguments = heapq.heappop(self.events)
+            call(at_s, *arguments)
+
+    def _answer(
+        self, at_s: float, host: HostView, engine: SimulatedEngine, chain: list[bytes]
+    ) -> None:
+        fleet = host.fleet
+        kept = self.options.imports
+        fleet.answered(engine.name, engine.incarnation, chain, at_s, kept)
+        fleet.ended(engine.name)
+        waiting_s = max(0.0, engine.free_at_s - at_s)
+        view = fleet.engines[engine.name]
+        view.reported(waiting_s, engine.insertions, at_s)
+
+    def _report(self, at_s: float) -> None:
+        for engine in self.engines.values():
+            waiting_s = max(0.0, engine.free_at_s - at_s)
+            report = (engine.name, engine.incarnation, waiting_s, engine.insertions)
+            due_s = at_s + self.options.report_lag_s
+            self._later(due_s, self._take_report, at_s, *report)
+
+    def _take_report(
+        self,
+        now_s: float,
+        as_of_s: float,
+        name: str,
+        incarnation: str,
+        waiting_s: float,
+        insertions: int,
+    ) -> None:
+        for host in self.hosts:
+            view = host.fleet.engines[name]
+            host.fleet.set_incarnation(view, incarnation)
+            view.reported(waiting_s, insertions, as_of_s)
+
+    def _show_all(self, host: HostView, request: BenchRequest, now_s: float) -> None:
+        """Let a host know every queue and what each engine holds of this chain."""
+        for name, engine in self.engines.items():
+            view = host.fleet.engines[name]
+            view.recent.clear()
+            view.free_at_s = engine.free_at_s
+            view.exact_hit = engine.match(request.chain)
+
+
+def summarise(served: list[Served]) -> "Summary":
+    """Return the measures of a run."""
+    blocks = sum(item.blocks for item in served)
+    times = sorted(item.ttft_s for item in served)
+    return Summary(
+        sum(item.hit for item in served) / blocks,
+        sum(item.imported for item in served) / blocks,
+        sum(item.recomputed for item in served) / blocks,
+        percentile(times, 0.50),
+        percentile(times, 0.99),
+    )
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Return the value below which a share of ordered values lies."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@frozen
+class Summary:
+    """Measures of a run; rates are shares of all prompt blocks."""
+
+    hit_rate: float
+    import_rate: float
+    recomputed: float
+    p50_s: float
+    p99_s: float
+
+
+def run_workload(
+    workload: Workload, requests: list[BenchRequest], options: Options
+) -> Summary:
+    """Return the measures of a policy on requests."""
+    return summarise(Simulation(workload, options).run(requests))
--- a/rosemaryyoke/placement/fleet.py
+++ b/rosemaryyoke/placement/fleet.py
@@ -70,12 +70,16 @@
 
 @frozen
 class Choice:
-    """An engine for a request and what is expected of it."""
+    """An engine for a request and what is expected of it.
+
+    ``asks_store`` has the engine look in the kept-KV store for what it misses, which
+    costs far less than to compute it.
+    """
 
     engine: str
     hit_blocks: int = 0
     ttft_s: float = 0.0
-    import_blocks: int = 0
+    asks_store: bool = False
     prefill_s: float = 0.0
 
 
@@ -119,15 +123,14 @@
     ) -> Choice:
         """Return the choice of an engine with its predicted time to first token."""
         hit = self.hit_blocks(engine, steps)
+        missed = len(chain) - hit
+        asks_store = self.imports and missed > 0
         imported = max(0, kept - hit)
-        if imported and imported * engine.prefill_s_per_block <= import_s(imported):
-            imported = 0
-        missed = len(chain) - hit - imported
-        prefill_s = missed * engine.prefill_s_per_block + import_s(imported)
+        prefill_s = (missed - imported) * engine.prefill_s_per_block
+        if asks_store:
+            prefill_s += import_s(imported) or IMPORT_S
         ttft_s = engine.queue_s(now_s) + prefill_s
-        return Choice(
-            engine.name, hit, ttft_s, hit + imported if imported else 0, prefill_s
-        )
+        return Choice(engine.name, hit, ttft_s, asks_store, prefill_s)
 
     def sent(self, choice: Choice, chain: Chain, now_s: float) -> None:
         """Note that a request was given to its engine."""
--- a/rosemaryyoke/placement/policies.py
+++ b/rosemaryyoke/placement/policies.py
@@ -16,7 +16,9 @@
 SAMPLES = 4
 HOLDERS_TRIED = 8
 MAX_HOMES = 8
+AWAY_FROM_HOME_S = 1e-6
 RECOMPUTE_WEIGHT = 1.0
+PRESSURE_WEIGHT_PER_S = 20.0
 
 
 @frozen
@@ -99,11 +101,13 @@
 class PredictedTtft:
     """Weigh predicted time to first token against prefill that others wait for.
 
-    Candidates are engines believed to hold the prefix, the homes of its widest level
-    (more of them for a hotter one) and a few samples of low load.
+    Prefill weighs more the longer the queues are, since each second of it then delays
+    more requests. Candidates are engines believed to hold the prefix, the homes of its
+    widest level (more of them for a hotter one) and a few samples.
     """
 
     recompute_weight: float = RECOMPUTE_WEIGHT
+    pressure_weight_per_s: float = PRESSURE_WEIGHT_PER_S
     rankings: RankingCache = field(factory=lambda: RankingCache(MAX_HOMES))
     generator: random.Random = field(factory=lambda: random.Random(0))
 
@@ -112,19 +116,23 @@
         steps = fleet.index.walk(request.chain)
         kept = fleet.kept_blocks(steps)
         homes = self.homes(request, fleet, steps, now_s)
+        names = self.candidates(request, fleet, steps, homes)
+        engines = [fleet.engines[name] for name in names]
+        weight = self.prefill_weight(engines, now_s)
         best, best_cost = None, 0.0
-        for name in self.candidates(request, fleet, steps, homes):
-            engine = fleet.engines[name]
+        for engine in engines:
             choice = fleet.predict(engine, request.chain, steps, kept, now_s)
-            cost = self.cost(choice, name in homes)
+            cost = choice.ttft_s + weight * choice.prefill_s
+            if engine.name not in homes:
+                cost += AWAY_FROM_HOME_S
             if best is None or cost < best_cost:
                 best, best_cost = choice, cost
         return best
 
-    def cost(self, choice: Choice, is_home: bool) -> float:
-        """Return the cost of a choice in seconds; homes win ties."""
-        tie_s = 0.0 if is_home else 1e-6
-        return choice.ttft_s + self.recompute_weight * choice.prefill_s + tie_s
+    def prefill_weight(self, engines: list[EngineView], now_s: float) -> float:
+        """Return what a second of prefill weighs beside a second of waiting."""
+        mean_s = sum(engine.queue_s(now_s) for engine in engines) / len(engines)
+        return self.recompute_weight + self.pressure_weight_per_s * mean_s
 
     def homes(
         self, request: PlacementRequest, fleet: Fleet, steps: list[Step], now_s: float
--- a/rosemaryyoke/standins/engine.py
+++ b/rosemaryyoke/standins/engine.py
@@ -14,6 +14,7 @@
 
 import orjson
 from attrs import define, field, frozen
+from result import Err
 from werkzeug.wrappers import Response
 
 from rosemaryyoke.placement.blocks import Scope, hash_blocks
@@ -25,7 +26,9 @@
     SseEvent,
     encode_event,
     error_response,
+    json_call,
     json_response,
+    send,
 )
 
 CACHE_BLOCKS = 2_000
@@ -34,6 +37,7 @@
 IMPORT_S_PER_BLOCK = 0.0002
 TOKEN_S = 0.020
 LOAD_S = 2.0
+STORE_TIMEOUT_S = 0.2
 RESUME_GRACE_S = 10.0
 FINISHED_KEPT_S = 60.0
 EVENTS_KEPT = 10_000
@@ -76,7 +80,7 @@
     source: TokenSource
     max_tokens: int
     first_index: int
-    imported: int = 0
+    store: str = ""
     cached: int = 0
     tokens: list[str] = field(factory=list)
     reader: queue.SimpleQueue | None = None
@@ -190,7 +194,7 @@
             source=TokenSource(prompt + continued),
             max_tokens=body["max_tokens"],
             first_index=body.get("first_index", 0),
-            imported=(body.get("kv_import") or {}).get("blocks", 0),
+            store=(body.get("kv_import") or {}).get("store", ""),
             reader=queue.SimpleQueue(),
         )
         item = (-body.get("priority", 1), next(self.numbers), sequence)
@@ -301,7 +305,9 @@
 
     def _prefill(self, sequence: Sequence) -> float:
         cached = self.cache.match(sequence.chain)
-        imported = max(0, min(sequence.imported, len(sequence.chain)) - cached)
+        imported = 0
+        if sequence.store and cached < len(sequence.chain):
+            imported = max(0, self._kept(sequence) - cached)
         sequence.cached = cached + imported
         stored = self.cache.insert(sequence.chain)
         self.blocks_stored += len(stored.added)
@@ -312,6 +318,18 @@
             seconds += IMPORT_S + imported * IMPORT_S_PER_BLOCK
         return seconds
 
+    def _kept(self, sequence: Sequence) -> int:
+        """Return how much the store holds of a chain, and leave the chain there."""
+        chain = {"chain": [block.hex() for block in sequence.chain]}
+        url = f"http://{sequence.store}/kv"
+        match = send(
+            json_call("POST", f"{url}/match", chain, timeout_s=STORE_TIMEOUT_S)
+        )
+        send(json_call("POST", url, chain, timeout_s=STORE_TIMEOUT_S))
+        if isinstance(match, Err) or not match.ok_value.ok:
+            return 0
+        return match.ok_value.json()["blocks"]
+
     def _publish(self, added: list[bytes], evicted: list[bytes]) -> None:
         event = CacheEvent(
             next(self.numbers),
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -205,12 +205,12 @@
     ) -> EngineRequest:
         first = len(progress.texts)
         kv_import = None
-        if placed.choice.import_blocks:
+        if placed.choice.asks_store:
             kv_import = KvImport(
                 completion.account,
                 completion.route.model,
                 placed.weights,
-                placed.choice.import_blocks,
+                self.directory.store_address(),
             )
         return EngineRequest(
             request=secrets.token_hex(12),
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -74,6 +74,7 @@
 
     engines: int = 2
     services: int = 1
+    stores: int = 0
     hosts: int = 3
     engine_options: tuple[str, ...] = ()
     host_settings: dict = field(factory=dict)
@@ -102,6 +103,8 @@
         for number in range(self.services):
             name = f"records{number}"
             self.run(name, "stand-in", "service", "--name", name)
+        for number in range(self.stores):
+            self.run(f"store{number}", "stand-in", "kv-store", "--name", "store")
         self.wait_for("platform")
         self.publish()
         self.peer_ports = {f"host{number}": free_port() for number in range(self.hosts)}
@@ -255,6 +258,8 @@
                 lines.append(self._upstream_line(process, "engine", "m"))
             if name.startswith("records"):
                 lines.append(self._upstream_line(process, "service", "records"))
+            if name.startswith("store"):
+                lines.append(self._upstream_line(process, "kv-store", "kv"))
         return "\n".join(lines) + "\n" + self.extra_rules
 
     def _upstream_line(self, process: Process, kind: str, serves: str) -> str:
--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -42,11 +42,11 @@
 class Directory:
     """Hold the state of all upstreams and refresh it by polling a few at a time."""
 
-    def __init__(self, kernel: Kernel, imports: bool = False):
+    def __init__(self, kernel: Kernel):
         self.kernel = kernel
         self.lock = threading.RLock()
         self.states: dict[str, UpstreamState] = {}
-        self.fleet = Fleet(imports=imports)
+        self.fleet = Fleet()
         self.engine_wire: EngineWire = engine_adapters.get("http")()
         self.turn: list[str] = []
 
@@ -115,6 +115,7 @@
     def poll(self) -> None:
         """Ask the next few upstreams for their load."""
         with self.lock:
+            self.fleet.imports = bool(self.store_address())
             if not self.turn:
                 self.turn = sorted(self.states)
             names = self.turn[:POLLS_PER_PERIOD]
@@ -164,8 +165,11 @@
             address = state.upstream.address
             self.members.links.tell_notice(UpstreamNotice(name, address, True))
 
-    def store_known(self) -> bool:
-        """Tell whether rules name a kept-KV store."""
+    def store_address(self) -> str:
+        """Return the address of a kept-KV store that answers, or an empty text."""
+        now_s = time.monotonic()
         with self.lock:
-            states = self.states.values()
-            return any(state.upstream.kind == STORE_KIND for state in states)
+            for state in self.states.values():
+                if state.upstream.kind == STORE_KIND and state.usable(now_s):
+                    return state.upstream.address
+        return ""
--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -29,12 +29,12 @@
 
 @frozen
 class KvImport:
-    """KV to take from the kept-KV store, and the scope that it must be of."""
+    """A kept-KV store to take missing blocks from, and the scope they must be of."""
 
     account: str
     model: str
     weights: str
-    blocks: int
+    store: str
 
 
 @frozen
@@ -217,7 +217,7 @@
             "account": request.kv_import.account,
             "model": request.kv_import.model,
             "weights": request.kv_import.weights,
-            "blocks": request.kv_import.blocks,
+            "store": request.kv_import.store,
         }
     return value
 
