Measure placement against naive policies and an offline bound

Change: the pinned workloads in modelled time, a Belady bound over one pool, ablations, bounds as tests.

--- /dev/null
+++ b/rosemaryyoke/bench/__init__.py
@@ -0,0 +1,6 @@
+"""Benchmarks with their bounds."""
+
+from rosemaryyoke.bench import decision, host, placement
+from rosemaryyoke.bench.measure import Measure, bench
+
+__all__ = ["Measure", "bench", "decision", "host", "placement"]
--- a/rosemaryyoke/placement/fleet.py
+++ b/rosemaryyoke/placement/fleet.py
@@ -137,22 +137,17 @@
         engine = self.engines[choice.engine]
         missed = len(chain) - choice.hit_blocks
         engine.dispatched(choice.prefill_s, missed, now_s)
-        self._hold(engine, chain, now_s)
+        self._hold(engine, chain)
 
     def answered(
-        self,
-        name: str,
-        incarnation: str,
-        chain: Chain,
-        now_s: float,
-        kept: bool = False,
+        self, name: str, incarnation: str, chain: Chain, kept: bool = False
     ) -> None:
         """Note that an engine computed a chain, so that it holds it now."""
         engine = self.engines.get(name)
         if engine is None:
             return
         self.set_incarnation(engine, incarnation)
-        self._hold(engine, chain, now_s, kept)
+        self._hold(engine, chain, kept)
 
     def ended(self, name: str) -> None:
         """Note that a request ended at an engine."""
@@ -169,10 +164,8 @@
         engine.recent.clear()
         engine.free_at_s = 0.0
 
-    def _hold(
-        self, engine: EngineView, chain: Chain, now_s: float, kept: bool = False
-    ) -> None:
-        for node in self.index.insert(chain, now_s):
+    def _hold(self, engine: EngineView, chain: Chain, kept: bool = False) -> None:
+        for node in self.index.insert(chain):
             node.holders[engine.name] = Holding(
                 engine.incarnation, len(node.run), engine.insertions
             )
--- a/rosemaryyoke/placement/policies.py
+++ b/rosemaryyoke/placement/policies.py
@@ -13,9 +13,8 @@
 from rosemaryyoke.placement.rendezvous import RankingCache
 
 ALL_ENGINES_UP_TO = 16
-SAMPLES = 4
-HOLDERS_TRIED = 8
-MAX_HOMES = 8
+SAMPLES = 2
+HOLDERS_TRIED = 6
 AWAY_FROM_HOME_S = 1e-6
 RECOMPUTE_WEIGHT = 1.0
 PRESSURE_WEIGHT_PER_S = 20.0
@@ -43,6 +42,11 @@
 policies: Registry[Callable[[], Policy]] = Registry("placement policy")
 
 
+def home_key(chain: Chain) -> bytes:
+    """Return what stands for the widest level of a prompt: its first block."""
+    return chain[0] if chain else b"empty"
+
+
 def predict(
     engine: EngineView, request: PlacementRequest, fleet: Fleet, now_s: float
 ) -> Choice:
@@ -91,8 +95,7 @@
 
     def choose(self, request: PlacementRequest, fleet: Fleet, now_s: float) -> Choice:
         """Return the home of the prompt's widest level."""
-        key = request.chain[0] if request.chain else b"empty"
-        name = self.rankings.rank(key, request.names)[0]
+        name = self.rankings.rank(home_key(request.chain), request.names)[0]
         return predict(fleet.engines[name], request, fleet, now_s)
 
 
@@ -102,28 +105,28 @@
     """Weigh predicted time to first token against prefill that others wait for.
 
     Prefill weighs more the longer the queues are, since each second of it then delays
-    more requests. Candidates are engines believed to hold the prefix, the homes of its
-    widest level (more of them for a hotter one) and a few samples.
+    more requests. Candidates are engines believed to hold the prefix, the home of its
+    widest level and a few samples.
     """
 
     recompute_weight: float = RECOMPUTE_WEIGHT
     pressure_weight_per_s: float = PRESSURE_WEIGHT_PER_S
-    rankings: RankingCache = field(factory=lambda: RankingCache(MAX_HOMES))
+    rankings: RankingCache = field(factory=lambda: RankingCache(1))
     generator: random.Random = field(factory=lambda: random.Random(0))
 
     def choose(self, request: PlacementRequest, fleet: Fleet, now_s: float) -> Choice:
         """Return the candidate with the lowest cost."""
         steps = fleet.index.walk(request.chain)
         kept = fleet.kept_blocks(steps)
-        homes = self.homes(request, fleet, steps, now_s)
-        names = self.candidates(request, fleet, steps, homes)
+        home = self.rankings.rank(home_key(request.chain), request.names)[0]
+        names = self.candidates(request, steps, home)
         engines = [fleet.engines[name] for name in names]
         weight = self.prefill_weight(engines, now_s)
         best, best_cost = None, 0.0
         for engine in engines:
             choice = fleet.predict(engine, request.chain, steps, kept, now_s)
             cost = choice.ttft_s + weight * choice.prefill_s
-            if engine.name not in homes:
+            if engine.name != home:
                 cost += AWAY_FROM_HOME_S
             if best is None or cost < best_cost:
                 best, best_cost = choice, cost
@@ -134,35 +137,18 @@
         mean_s = sum(engine.queue_s(now_s) for engine in engines) / len(engines)
         return self.recompute_weight + self.pressure_weight_per_s * mean_s
 
-    def homes(
-        self, request: PlacementRequest, fleet: Fleet, steps: list[Step], now_s: float
-    ) -> list[str]:
-        """Return the homes of the widest level, as many as its share of uses asks."""
-        key = request.chain[0] if request.chain else b"empty"
-        ranking = self.rankings.rank(key, request.names)
-        if not steps:
-            return ranking[:1]
-        heat = steps[0].node.current_heat(now_s)
-        total = max(fleet.index.root.current_heat(now_s), heat, 1.0)
-        count = 1 + int(heat / total * len(request.names))
-        return ranking[:count]
-
     def candidates(
-        self,
-        request: PlacementRequest,
-        fleet: Fleet,
-        steps: list[Step],
-        homes: list[str],
+        self, request: PlacementRequest, steps: list[Step], home: str
     ) -> list[str]:
         """Return the engines worth a prediction."""
         if len(request.ordered) <= ALL_ENGINES_UP_TO:
             return list(request.ordered)
-        found = dict.fromkeys(homes)
+        found = {home: None}
         for step in reversed(steps):
             for name in itertools.islice(step.node.holders, HOLDERS_TRIED):
                 if name in request.names:
                     found[name] = None
-            if len(found) >= HOLDERS_TRIED + MAX_HOMES:
+            if len(found) >= HOLDERS_TRIED:
                 break
         for _ in range(SAMPLES):
             found[self.generator.choice(request.ordered)] = None
--- a/rosemaryyoke/placement/prefixes.py
+++ b/rosemaryyoke/placement/prefixes.py
@@ -12,7 +12,6 @@
 
 MAX_BLOCKS = 200_000
 MAX_NODES = 30_000
-HEAT_HALF_LIFE_S = 60.0
 
 
 @define(eq=False)
@@ -33,18 +32,6 @@
     children: dict[bytes, "Node"] = field(factory=dict)
     holders: dict[str, Holding] = field(factory=dict)
     kept_blocks: int = 0
-    heat: float = 0.0
-    heat_at_s: float = 0.0
-
-    def warm(self, now_s: float) -> None:
-        """Count one use."""
-        self.heat = self.current_heat(now_s) + 1.0
-        self.heat_at_s = now_s
-
-    def current_heat(self, now_s: float) -> float:
-        """Return the number of uses, halved with each half-life that passed."""
-        passed_s = max(0.0, now_s - self.heat_at_s)
-        return self.heat * 0.5 ** (passed_s / HEAT_HALF_LIFE_S)
 
 
 @frozen
@@ -97,12 +84,11 @@
             node, start = child, start + shared
         return steps
 
-    def insert(self, chain: Chain, now_s: float) -> list[Node]:
+    def insert(self, chain: Chain) -> list[Node]:
         """Make the chain a way of whole nodes and return them, widest first."""
         path = []
         start = 0
         node = self.root
-        node.warm(now_s)
         for step in self.walk(chain):
             if step.shared < len(step.node.run):
                 self._split(step.node, step.shared)
@@ -112,7 +98,6 @@
         if start < len(chain):
             path.append(self._add(node, chain[start:]))
         for item in reversed(path):
-            item.warm(now_s)
             self.recent[id(item)] = item
             self.recent.move_to_end(id(item))
         self._evict()
@@ -126,7 +111,6 @@
 
     def _split(self, node: Node, length: int) -> None:
         lower = Node(node.run[length:], node, node.children)
-        lower.heat, lower.heat_at_s = node.heat, node.heat_at_s
         lower.kept_blocks = max(0, node.kept_blocks - length)
         for child in lower.children.values():
             child.parent = lower
--- a/rosemaryyoke/placement/service.py
+++ b/rosemaryyoke/placement/service.py
@@ -109,7 +109,7 @@
         with self.directory.lock:
             fleet = self.directory.fleet
             name = placed.choice.engine
-            fleet.answered(name, incarnation, placed.chain, now_s, fleet.imports)
+            fleet.answered(name, incarnation, placed.chain, fleet.imports)
             if name in fleet.engines:
                 fleet.engines[name].reported(waiting_s, stored, now_s)
 
