Add the time line and the binary

Change: make binary builds a shiv archive under the locked versions; timeline merges the events of all hosts by a hybrid logical clock into text, a trace and one HTML page.

--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,7 @@
 	$(BIN)/python -m pytest -m soak
 
 binary: setup
-	$(BIN)/shiv --quiet --console-script rosemaryyoke --output-file dist/rosemaryyoke .
+	mkdir -p dist
+	$(BIN)/shiv --quiet --compressed --console-script rosemaryyoke \
+		--output-file dist/rosemaryyoke --no-build-isolation \
+		--constraint requirements.txt .
--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -91,7 +91,10 @@
             message = "the key could not be claimed; the platform does not answer"
             return Err(Failure(503, "platform_unavailable", message, False, 1.0))
         token, entry = claim.ok_value
-        if entry.token != token:
+        mine = entry.token == token
+        kind = "claim.made" if mine else "claim.repeated"
+        self.recorder.record(kind, call.key, state=entry.state)
+        if not mine:
             return self._repeat(rules, call, key, entry)
         if time.monotonic() - claimed_s > SEND_WINDOW_S:
             self.claims.settle(key, token, RELEASED, EMPTY)
@@ -169,7 +172,10 @@
 
     def _send_once(self, call: ServiceCall, upstream: Upstream, request: str):
         self.recorder.record(
-            "service.sent", request, upstream=upstream.name, path=call.path
+            "service.sent",
+            call.key or request,
+            upstream=upstream.name,
+            path=call.path,
         )
         headers = {"X-Request-Id": request, "X-Client-Account": call.account}
         if call.content_type:
--- a/rosemaryyoke/cli/main.py
+++ b/rosemaryyoke/cli/main.py
@@ -7,7 +7,7 @@
 from rosemaryyoke import __version__
 from rosemaryyoke.cli.commands import EXIT_USAGE, commands
 
-MODULES = ("serve", "rules", "standin", "call", "status", "bench")
+MODULES = ("serve", "rules", "standin", "call", "status", "timeline", "bench")
 EPILOG = """exit codes:
   0  done
   1  a fault was found, or the call failed
--- /dev/null
+++ b/rosemaryyoke/cli/timeline.py
@@ -0,0 +1,65 @@
+"""The command that gathers the time line of events over all hosts."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, command
+from rosemaryyoke.cli.operator import (
+    add_host_arguments,
+    ask_host,
+    read_operator_key,
+)
+from rosemaryyoke.timeline import PlacedEvent, merge_events, page_html, trace_json
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of timeline."""
+    add_host_arguments(parser)
+    parser.add_argument("--html", type=Path, help="write a page with a picture")
+    parser.add_argument("--trace", type=Path, help="write JSON for trace viewers")
+    parser.add_argument("--request", default="", help="print only this request")
+
+
+def gather(host: str, key: str) -> Result[list[dict], str]:
+    """Return the events of every host that answers."""
+    status = ask_host(host, "/status", key)
+    if isinstance(status, Err):
+        return status
+    answers = []
+    for member in status.ok_value["hosts"]:
+        answer = ask_host(member["address"], "/events", key)
+        if isinstance(answer, Err):
+            print(f"left out: {answer.err_value}", file=sys.stderr)
+        else:
+            answers.append(answer.ok_value)
+    return Ok(answers)
+
+
+def format_event(event: PlacedEvent) -> str:
+    """Return an event as a line."""
+    detail = " ".join(f"{key}={value}" for key, value in event.detail.items())
+    at = f"{event.at_s:.6f}"
+    return f"{at} {event.process} {event.kind} {event.request} {detail}".rstrip()
+
+
+@command("timeline", "gather the events of all hosts in one order", add_arguments)
+def timeline(options: argparse.Namespace) -> int:
+    """Print the time line, or write it as a page or a trace."""
+    answers = gather(options.host, read_operator_key(options.key_file))
+    if isinstance(answers, Err):
+        print(answers.err_value, file=sys.stderr)
+        return EXIT_FAULT
+    events = merge_events(answers.ok_value)
+    if options.request:
+        events = [event for event in events if event.request == options.request]
+    if options.html:
+        options.html.write_text(page_html(events), encoding="utf-8")
+    if options.trace:
+        options.trace.write_bytes(trace_json(events))
+    if not (options.html or options.trace):
+        for event in events:
+            print(format_event(event))
+    return EXIT_OK
--- a/rosemaryyoke/core/recorder.py
+++ b/rosemaryyoke/core/recorder.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from rosemaryyoke.core.hlc import HybridClock, Timestamp
+from rosemaryyoke.core.kinds import event_kinds
 
 EVENTS_KEPT = 20_000
 
@@ -38,7 +39,8 @@
         self.record("process.stopped")
 
     def record(self, kind: str, request: str = "", **detail) -> Event:
-        """Add an event that happened now."""
+        """Add an event that happened now; its kind must be a filed one."""
+        event_kinds.get(kind)
         event = Event(self.clock.now(), kind, request, detail)
         with self.lock:
             self.events.append(event)
--- a/rosemaryyoke/entry/app.py
+++ b/rosemaryyoke/entry/app.py
@@ -93,6 +93,7 @@
             except RequestRefused as refusal:
                 failure = refusal.failure
                 self.metrics.count("refusals_total", code=failure.code)
+                self.recorder.record("request.refused", code=failure.code)
                 return failure_response(failure)
 
         return guarded
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -107,6 +107,9 @@
         """
         progress = Progress(next_index=position.received, sent=True)
         identifier = position.identifier
+        self.recorder.record(
+            "stream.resumed", identifier.request, received=position.received
+        )
         upstream = rules.upstreams.get(identifier.engine)
         if upstream is not None:
             attempt = _Attempt(self, completion, sink, progress, identifier)
--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -55,6 +55,7 @@
         revisions = self.kernel.get("revisions")
         revisions.subscribe(self.follow)
         self.members = self.kernel.get("members")
+        self.recorder = self.kernel.get("recorder")
         self.executor = self.kernel.get("pool").executor
         self.kernel.get("timer").every(POLL_PERIOD_S, self.poll)
 
@@ -111,6 +112,8 @@
             state = self.states.get(notice.name)
             if state is not None and state.upstream.address == notice.address:
                 state.leaving = notice.leaving
+        if notice.leaving:
+            self.recorder.record("upstream.leaving", upstream=notice.name)
 
     def poll(self) -> None:
         """Ask the next few upstreams for their load."""
