Measure membership at three sizes and join rings that started apart

Cause: at 120 nodes links were never quiet (4,261 bytes/s a host, 0.0115 cores). Found: each node held three connections to seeds for 5 s, the seeds ran into their bound of 128, refused handshakes were taken as failures, and suspicions flooded all. With one short exchange instead, hosts that started apart formed rings of their own for ever. Ruled out: heartbeats (278 and 417 bytes/s at 20 and 60 nodes, as computed).

--- a/rosemaryyoke/cli/bench.py
+++ b/rosemaryyoke/cli/bench.py
@@ -4,7 +4,7 @@
 
 from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, command
 
-NAMES = ("host", "placement", "decision")
+NAMES = ("host", "placement", "decision", "spread")
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/rosemaryyoke/membership/links.py
+++ b/rosemaryyoke/membership/links.py
@@ -27,7 +27,8 @@
 LINK_PERIOD_S = 0.5
 SEND_TIMEOUT_S = 1.0
 LINK_TASKS = 16
-RETRY_FAILED_S = 2.0
+RETRY_UNREACHED_S = 2.0
+OPEN_FAILURES_SUSPECTED = 2
 
 
 def start_of(member: Member) -> tuple[str, int]:
@@ -86,6 +87,7 @@
         self.outgoing: dict[str, Link] = {}
         self.links: dict[Channel, Link] = {}
         self.seen_notices: dict[str, UpstreamNotice] = {}
+        self.open_failures: dict[str, int] = {}
         self.suspected_at_s: dict[str, float] = {}
         self.flushing = False
         self.stopping = False
@@ -100,7 +102,7 @@
         server.handlers.register("heartbeat")(self.take_heartbeat)
         self.timer.after(0.0, self.call_seeds)
         self.timer.every(LINK_PERIOD_S, self.keep_links)
-        self.timer.every(RETRY_FAILED_S, self.call_failed)
+        self.timer.every(RETRY_UNREACHED_S, self.call_unreached)
         self.timer.every(HEARTBEAT_S, self.send_heartbeats)
 
     def stop(self) -> None:
@@ -128,34 +130,51 @@
         self._judge_suspects()
 
     def call_seeds(self) -> None:
-        """Exchange news once with each seed."""
+        """Exchange news with each seed."""
         for address in self.seeds:
-            self._open_once(address)
+            self._exchange_once(address)
 
-    def call_failed(self) -> None:
-        """Exchange news with a host held as failed, since it may be back.
+    def call_unreached(self) -> None:
+        """Exchange news with a seed not yet known and with a host held as failed.
 
-        After a cut between data centres each side holds the other as failed.
+        Hosts that started apart would else form rings of their own, and after a cut
+        between data centres each side would hold the other as failed for ever.
         """
-        failed = [m for m in self.table.all() if m.standing == FAILED]
+        members = self.table.all()
+        known = {member.peer_address for member in members}
+        unknown = [address for address in self.seeds if address not in known]
+        failed = [m.peer_address for m in members if m.standing == FAILED]
         if failed:
-            self._open_once(random.choice(failed).peer_address)
-        elif len(self.table.all()) == 1:
-            self.call_seeds()
+            self._exchange_once(random.choice(failed))
+        for address in random.sample(unknown, len(unknown)):
+            if self._exchange_once(address):
+                return
 
-    def _open_once(self, address: str) -> None:
+    def _exchange_once(self, address: str) -> bool:
+        """Tell a host of all members, hear of those it knows, and close."""
         try:
             channel = connect(address, self.key, self.recorder)
         except PeerError:
-            return
-        self.pool.submit(self._receive, "", self._add(channel))
+            return False
+        try:
+            channel.send(members_message(self.table.all()), SEND_TIMEOUT_S)
+            self._take_heard(read_members(channel.receive(SEND_TIMEOUT_S)), None)
+        except PeerError:
+            return False
+        finally:
+            channel.close()
+        return True
 
     def _open(self, member: Member) -> None:
         try:
             channel = connect(member.peer_address, self.key, self.recorder)
         except PeerError as error:
-            self.suspect(member.name, str(error))
+            failures = self.open_failures.get(member.name, 0) + 1
+            self.open_failures[member.name] = failures
+            if failures >= OPEN_FAILURES_SUSPECTED:
+                self.suspect(member.name, str(error))
             return
+        self.open_failures.pop(member.name, None)
         link = self._add(channel)
         with self.lock:
             self.outgoing[member.name] = link
@@ -221,9 +240,12 @@
     def take_members(self, channel: Channel, message) -> None:
         """Take in entries and pass on what is news."""
         link = self._link_of(channel)
-        for heard in read_members(message):
-            if heard.address:
-                link.known.add(start_of(heard))
+        heard = read_members(message)
+        link.known.update(start_of(item) for item in heard if item.address)
+        self._take_heard(heard, channel)
+
+    def _take_heard(self, members: list[Member], channel: Channel | None) -> None:
+        for heard in members:
             changed = self.table.merge(heard)
             if changed is None:
                 continue
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data: ports, rules, settings, and a system of processes."""
 
+import itertools
 import os
 import signal
 import socket
@@ -27,11 +28,25 @@
 ACCOUNTS = ("cedar", "tonos")
 
 
+FIRST_PORT = 10_000
+PORTS = 22_000
+next_port = itertools.count(os.getpid() * 101 % PORTS)
+
+
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on and no outgoing connection will take.
+
+    The system takes ports of outgoing connections from a range above these.
+    """
+    while True:
+        port = FIRST_PORT + next(next_port) % PORTS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def api_key(account: str) -> str:
