--- a/rosemaryyoke/bench/__init__.py
+++ b/rosemaryyoke/bench/__init__.py
@@ -6,6 +6,7 @@
     host,
     overload,
     placement,
+    slopes,
     spread,
 )
 from rosemaryyoke.bench.measure import Measure, bench
@@ -18,5 +19,6 @@
     "host",
     "overload",
     "placement",
+    "slopes",
     "spread",
 ]
--- a/rosemaryyoke/cli/bench.py
+++ b/rosemaryyoke/cli/bench.py
@@ -4,7 +4,7 @@
 
 from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, command
 
-NAMES = ("capacity", "decision", "host", "overload", "placement", "spread")
+NAMES = ("capacity", "decision", "host", "overload", "placement", "slopes", "spread")
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -1,5 +1,6 @@
 """The upstreams that rules name, their health and their load."""
 
+import math
 import threading
 import time
 
@@ -14,7 +15,8 @@
 from rosemaryyoke.upstreams.engine import EngineWire, LoadReport, engine_adapters
 
 POLL_PERIOD_S = 0.5
-POLLS_PER_PERIOD = 12
+ALL_POLLED_EACH_S = 1.0
+SMALL_FLEET = 16
 FIRST_COOLDOWN_S = 0.25
 MAX_COOLDOWN_S = 4.0
 
@@ -39,8 +41,15 @@
         return self.accepting and not self.leaving and now_s >= self.retry_at_s
 
 
+def polls_in_period(upstreams: int) -> int:
+    """Return how many upstreams are asked for their load in one period."""
+    if upstreams > SMALL_FLEET:
+        return 1
+    return math.ceil(upstreams * POLL_PERIOD_S / ALL_POLLED_EACH_S)
+
+
 class Directory:
-    """Hold the state of all upstreams and refresh it by polling a few at a time."""
+    """Hold the state of all upstreams and refresh it by polling one after another."""
 
     def __init__(self, kernel: Kernel):
         self.kernel = kernel
@@ -101,10 +110,9 @@
             state.retry_at_s = time.monotonic() + cooldown_s
 
     def refused(self, name: str) -> None:
-        """Give an upstream no new work until its next load report."""
-        with self.lock:
-            if name in self.states:
-                self.states[name].accepting = False
+        """Leave out an upstream that takes no work, and ask it why at once."""
+        self.failed(name)
+        self.executor.submit(self.poll_one, name)
 
     def take_notice(self, notice: UpstreamNotice) -> None:
         """Take in what the platform or another host says of an upstream."""
@@ -116,13 +124,17 @@
             self.recorder.record("upstream.leaving", upstream=notice.name)
 
     def poll(self) -> None:
-        """Ask the next few upstreams for their load."""
+        """Ask the next upstreams for their load.
+
+        In a small fleet each is asked every second. In a large one a host asks one at
+        a time: answers tell of the load, and other hosts tell of upstreams that leave.
+        """
         with self.lock:
             self.fleet.imports = bool(self.store_address())
             if not self.turn:
                 self.turn = sorted(self.states)
-            names = self.turn[:POLLS_PER_PERIOD]
-            del self.turn[:POLLS_PER_PERIOD]
+            names = self.turn[: polls_in_period(len(self.states))]
+            del self.turn[: len(names)]
         for name in names:
             self.executor.submit(self.poll_one, name)
 
