Go on with a stream only under the weights that it began with

Cause: read as a newcomer, a stream whose engine was lost in a roll-out went on from an engine with other weights, whose tokens need not follow the ones that were sent. Ruled out: engines with the same weights suffice to keep most streams whole; where none is left the stream ends with an explicit error, as the promise says. Before: of the three new tests two failed with the check taken out. After: all pass.

--- a/rosemaryyoke/peers/server.py
+++ b/rosemaryyoke/peers/server.py
@@ -15,8 +15,6 @@
 IDLE_TIMEOUT_S = 6.0
 SEND_TIMEOUT_S = 1.0
 
-Handler = Callable[["PeerServer", Channel, object], None]
-
 
 class PeerServer:
     """Serve what peers ask and tell.
--- a/rosemaryyoke/placement/service.py
+++ b/rosemaryyoke/placement/service.py
@@ -62,10 +62,16 @@
         account: str,
         text: str,
         excluded: set[str],
+        only_weights: str = "",
     ) -> Result[Placed, NoEngine]:
-        """Return an engine for a prompt, or why there is none."""
+        """Return an engine for a prompt, or why there is none.
+
+        ``only_weights`` names the version that a stream began with and must go on with.
+        """
         allowed = rules.engines_of(route)
         usable = self.directory.usable(allowed, excluded)
+        if only_weights:
+            usable = self.with_weights(usable, only_weights)
         if not usable:
             return Err(NoEngine("no engine of the model takes work", False, 1.0))
         wanted = rules.models[route.model].weights
@@ -89,6 +95,11 @@
         placed = Placed(upstream, weights, chain, choice, priority, standing, now_s)
         return Ok(placed)
 
+    def with_weights(self, usable: list[Upstream], weights: str) -> list[Upstream]:
+        """Return the engines that have a weights version loaded."""
+        engines = self.directory.fleet.engines
+        return [item for item in usable if engines[item.name].weights == weights]
+
     def weights_group(
         self, usable: list[Upstream], wanted: str, account: str, text: str
     ) -> tuple[str, list[Upstream]]:
--- a/rosemaryyoke/platform/leases.py
+++ b/rosemaryyoke/platform/leases.py
@@ -15,7 +15,7 @@
 from rosemaryyoke.platform.objects import ObjectApi, StoredObject
 
 LEASE_S = 6.0
-RENEW_S = LEASE_S / 3
+RENEW_AFTER_SHARE = 1 / 3
 
 
 def now_s() -> float:
@@ -56,7 +56,7 @@
         """Take or renew the lease; tell whether it is held."""
         with self.lock:
             if self.remaining_s() > 0:
-                if self.remaining_s() > self.duration_s - self.duration_s / 3:
+                if self.remaining_s() > self.duration_s * (1 - RENEW_AFTER_SHARE):
                     return True
                 return self._renew()
             return self._take()
--- a/rosemaryyoke/rules/parser.py
+++ b/rosemaryyoke/rules/parser.py
@@ -20,7 +20,6 @@
 
 WORD = re.compile(r"\S+")
 COMMENT = re.compile(r"(?:^|\s)#")
-MAX_FILE_BYTES = 64 * 1024 * 1024
 
 
 @frozen
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -49,6 +49,7 @@
 
     texts: list[str] = field(factory=list)
     next_index: int = 0
+    weights: str = ""
     opened: bool = False
     sent: bool = False
     finished: bool = False
@@ -105,8 +106,10 @@
         The engine that the stream came from is asked first. Where it has lost the
         stream, another engine produces it anew if that gives the same tokens.
         """
-        progress = Progress(next_index=position.received, sent=True)
         identifier = position.identifier
+        progress = Progress(
+            next_index=position.received, weights=identifier.weights, sent=True
+        )
         self.recorder.record(
             "stream.resumed", identifier.request, received=position.received
         )
@@ -164,8 +167,9 @@
         excluded: set[str],
     ) -> Result[Placed, NoEngine]:
         text = completion.prompt + "".join(progress.texts)
+        weights = progress.weights if progress.next_index else ""
         return self.placement.place(
-            rules, completion.route, completion.account, text, excluded
+            rules, completion.route, completion.account, text, excluded, weights
         )
 
     def _attempt(
@@ -311,6 +315,7 @@
         if self.identifier.incarnation not in ("", event.incarnation):
             raise StreamGap("the engine started anew")
         self.progress.sent = True
+        self.progress.weights = event.weights
         self.identifier = StreamIdentifier(
             self.identifier.engine,
             event.incarnation,
--- a/rosemaryyoke/streams/tests/builders.py
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -84,13 +84,15 @@
     """Place on engines in turn."""
 
     engines: list
+    weights: dict = field(factory=dict)
 
-    def place(self, rules, route, account, text, excluded):
-        """Return the first engine that is not excluded."""
+    def place(self, rules, route, account, text, excluded, only_weights):
+        """Return the first engine that is not excluded and has the weights."""
         for name in self.engines:
-            if name not in excluded:
+            weights = self.weights.get(name, "v1")
+            if name not in excluded and only_weights in ("", weights):
                 upstream = Upstream(name, "engine", "a", "d", "m")
-                return Ok(Placed(upstream, "v1", [], Choice(name)))
+                return Ok(Placed(upstream, weights, [], Choice(name)))
         return Err(NoEngine("none", False, 1.0))
 
     def answered(self, *_):
--- a/rosemaryyoke/streams/tests/test_relay.py
+++ b/rosemaryyoke/streams/tests/test_relay.py
@@ -100,3 +100,29 @@
     calls = relay.directory.engine_wire.calls
     assert calls <= requests * (1 + RETRY_SHARE) + MAX_SAVED_RETRIES
     assert calls > requests
+
+
+def run_with_other_weights(*scripts):
+    relay = make_relay(list(scripts), engines=("a", "b"))
+    relay.placement.weights = {"b": "v2"}
+    sink = ListSink()
+    relay.run(NO_RULES, make_completion(), sink)
+    return sink
+
+
+def test_relay_goes_on_under_the_same_weights_only():
+    sink = run_with_other_weights(["token", "cut"], ["cut"], ["cut"])
+    assert sink.failure.code == "engines_failed"
+    assert len(sink.texts) == 1
+
+
+def test_relay_not_begun_takes_other_weights():
+    assert whole(run_with_other_weights(["refuse"], []))
+
+
+def test_relay_resume_under_other_weights_fails_explicitly():
+    sink = ListSink(first=3)
+    position = StreamPosition(StreamIdentifier("gone", "i", "r", "v0"), 3)
+    make_relay([[]]).resume(NO_RULES, make_completion(), position, sink)
+    assert sink.failure is not None
+    assert sink.texts == []
--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -25,6 +25,12 @@
 ENGINE_IDLE_TIMEOUT_S = 5
 CANCEL_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 0.5
+STREAM_OPTIONS = {
+    "timeout_s": ENGINE_STREAM_TIMEOUT_S,
+    "connect_timeout_s": ENGINE_CONNECT_TIMEOUT_S,
+    "idle_timeout_s": ENGINE_IDLE_TIMEOUT_S,
+    "fresh": True,
+}
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 REFUSALS = frozenset({409, 429, 503})
@@ -171,15 +177,8 @@
         wait: Wait = wait_result,
     ) -> Result[None, UpstreamError]:
         """Send a request and hand over its events until the stream ends."""
-        call = json_call(
-            "POST",
-            f"http://{address}/v1/completions",
-            encode_request(request),
-            timeout_s=ENGINE_STREAM_TIMEOUT_S,
-            connect_timeout_s=ENGINE_CONNECT_TIMEOUT_S,
-            fresh=True,
-            idle_timeout_s=ENGINE_IDLE_TIMEOUT_S,
-        )
+        url = f"http://{address}/v1/completions"
+        call = json_call("POST", url, encode_request(request), **STREAM_OPTIONS)
         return self._receive(call, on_event, wait)
 
     def resume(
@@ -191,14 +190,8 @@
         wait: Wait = wait_result,
     ) -> Result[None, UpstreamError]:
         """Go on with a stream from an index."""
-        call = Call(
-            "GET",
-            f"http://{address}/v1/streams/{request}?after={after}",
-            timeout_s=ENGINE_STREAM_TIMEOUT_S,
-            connect_timeout_s=ENGINE_CONNECT_TIMEOUT_S,
-            fresh=True,
-            idle_timeout_s=ENGINE_IDLE_TIMEOUT_S,
-        )
+        url = f"http://{address}/v1/streams/{request}?after={after}"
+        call = Call("GET", url, **STREAM_OPTIONS)
         return self._receive(call, on_event, wait)
 
     def cancel(self, address: str, request: str) -> None:
--- a/rosemaryyoke/wire/errors.py
+++ b/rosemaryyoke/wire/errors.py
@@ -12,7 +12,6 @@
 
     message: str
     sent: bool
-    timed_out: bool = False
 
 
 class ReaderStopped(Exception):
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -155,6 +155,5 @@
 
 def wire_error(curl: pycurl.Curl, error: pycurl.error) -> WireError:
     """Return this layer's error for a call that failed."""
-    code, message = error.args[0], error.args[1]
     sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-    return WireError(message, sent, code == pycurl.E_OPERATION_TIMEDOUT)
+    return WireError(error.args[1], sent)
