--- a/rosemaryyoke/client/client.py
+++ b/rosemaryyoke/client/client.py
@@ -25,7 +25,8 @@
 STREAM_TIMEOUT_S = 600.0
 STREAM_IDLE_S = 20
 SERVICE_TIMEOUT_S = 40.0
-WAIT_IN_PROGRESS_S = 0.5
+
+Attempt = Callable[[str, int], Result]
 
 
 @frozen
@@ -106,18 +107,26 @@
             "temperature": temperature,
         }
         state = _Stream()
+
+        def attempt(address: str, number: int) -> Result[ChatAnswer, CallFailed]:
+            head = self._chat_once(address, body, state, on_text)
+            return head.map(lambda found: self._answer(state, found, address, number))
+
+        return self._try_hosts(attempt)
+
+    def _try_hosts(self, attempt: Attempt) -> Result:
+        """Return the first good answer; come back as hosts tell, up to a bound."""
         failure = CallFailed(0, "no_host", "no host answers")
         for number in range(MAX_TRIES):
-            address = self._address(number)
-            if isinstance(address, Err):
-                failure = address.err_value
+            addresses = self.finder.addresses()
+            if isinstance(addresses, Err):
+                failure = addresses.err_value
                 time.sleep(RETRY_S)
                 continue
-            outcome = self._chat_once(address.ok_value, body, state, on_text)
+            found = addresses.ok_value
+            outcome = attempt(found[number % len(found)], number)
             if isinstance(outcome, Ok):
-                return Ok(
-                    self._answer(state, outcome.ok_value, address.ok_value, number)
-                )
+                return outcome
             failure = outcome.err_value
             if failure.status and not failure.retry_after_s:
                 return outcome
@@ -182,25 +191,11 @@
         The same key is given at each try, and the first outcome is returned.
         """
         key = key or secrets.token_hex(16)
-        failure = CallFailed(0, "no_host", "no host answers")
-        for number in range(MAX_TRIES):
-            address = self._address(number)
-            if isinstance(address, Err):
-                failure = address.err_value
-                time.sleep(RETRY_S)
-                continue
-            outcome = self.service_once(
-                address.ok_value, method, name, path, value, key
+        return self._try_hosts(
+            lambda address, _: self.service_once(
+                address, method, name, path, value, key
             )
-            if isinstance(outcome, Ok):
-                return outcome
-            failure = outcome.err_value
-            if failure.status and not failure.retry_after_s:
-                return outcome
-            self.finder.forget()
-            in_progress = failure.code == "in_progress"
-            time.sleep(WAIT_IN_PROGRESS_S if in_progress else RETRY_S)
-        return Err(failure)
+        )
 
     def service_once(
         self, address: str, method: str, name: str, path: str, value: object, key: str
@@ -222,6 +217,3 @@
         if answer.ok:
             return Ok(answer)
         return Err(read_failure(answer.status, answer.body))
-
-    def _address(self, number: int) -> Result[str, CallFailed]:
-        return self.finder.addresses().map(lambda found: found[number % len(found)])
--- a/rosemaryyoke/entry/tests/test_whole_path.py
+++ b/rosemaryyoke/entry/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 import socket
 
+import orjson
 import pytest
 
 from rosemaryyoke.standins import expected_text
@@ -149,3 +150,16 @@
     system.client().chat("m", "hello", 2).unwrap()
     for name in system.host_names:
         assert api_key("cedar") not in (system.folder / f"{name}.log").read_text()
+
+
+def test_metrics_are_shown(system):
+    system.client(host="host0").chat("m", "hello", 2).unwrap()
+    url = f"http://{system.address('host0')}/metrics"
+    shown = send(Call("GET", url)).unwrap().body.decode()
+    assert "rosemaryyoke_time_to_first_token_seconds_count" in shown
+
+
+def test_logs_are_json_lines(system):
+    for name in system.host_names:
+        for line in (system.folder / f"{name}.log").read_text().splitlines():
+            assert {"time", "level", "process", "message"} <= set(orjson.loads(line))
--- a/rosemaryyoke/standins/platform.py
+++ b/rosemaryyoke/standins/platform.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform: objects with versions, watches, a list of hosts.
 
 Faults are set by ``POST /control/fault``: ``down``, ``slow_ms`` and ``lose_answers``,
-the share of changes whose answer is lost after they took effect.
+the share of changes whose answer is lost after they took effect, and ``list_lag_s``, by
+which the list of hosts lags.
 """
 
 import random
@@ -9,13 +10,14 @@
 import time
 from collections import Counter
 
-from attrs import asdict, define, field
+from attrs import asdict, define, field, frozen
 from werkzeug.wrappers import Response
 
 from rosemaryyoke.platform.objects import Change, ListedHost
 from rosemaryyoke.wire import Application, Exchange, error_response, json_response
 
 MAX_OBJECT_BYTES = 1024 * 1024
+GONE = "gone"
 
 
 @define
@@ -25,6 +27,7 @@
     down: bool = False
     slow_ms: int = 0
     lose_answers: float = 0.0
+    list_lag_s: float = 0.0
 
 
 @define
@@ -33,6 +36,14 @@
     body: bytes
 
 
+@frozen
+class ListChange:
+    """An entry of the list of hosts, and from when on it shows."""
+
+    visible_s: float
+    host: ListedHost
+
+
 @define
 class PlatformStandin:
     """State of the platform and its HTTP application."""
@@ -41,6 +52,7 @@
     objects: dict[str, _Stored] = field(factory=dict)
     deleted: dict[str, int] = field(factory=dict)
     hosts: dict[str, ListedHost] = field(factory=dict)
+    list_changes: list[ListChange] = field(factory=list)
     counts: Counter = field(factory=Counter)
     fault: Fault = field(factory=Fault)
     version: int = 0
@@ -158,17 +170,26 @@
         """Return the list of live and leaving hosts."""
         self.enter("hosts")
         with self.changed:
+            self._show_changes()
             return json_response({"hosts": [asdict(h) for h in self.hosts.values()]})
 
+    def _show_changes(self) -> None:
+        """Put the changes on the list that are due."""
+        now = time.monotonic()
+        due = [change for change in self.list_changes if change.visible_s <= now]
+        self.list_changes = [c for c in self.list_changes if c.visible_s > now]
+        for change in due:
+            if change.host.state == GONE:
+                self.hosts.pop(change.host.name, None)
+            else:
+                self.hosts[change.host.name] = change.host
+
     def set_hosts(self, exchange: Exchange) -> Response:
         """Take in entries of the list of hosts; state ``gone`` drops one."""
+        visible_s = time.monotonic() + self.fault.list_lag_s
         with self.changed:
             for item in exchange.json()["hosts"]:
-                host = ListedHost(**item)
-                if host.state == "gone":
-                    self.hosts.pop(host.name, None)
-                else:
-                    self.hosts[host.name] = host
+                self.list_changes.append(ListChange(visible_s, ListedHost(**item)))
         return json_response({})
 
     def set_fault(self, exchange: Exchange) -> Response:
