Count a renewal with a lost answer from the call that may have taken effect

Cause: read as a newcomer, a holder whose renewal was answered by nothing found it at the next try and counted the lease's duration from that try, while others counted from the write: both could hold it for up to a tick and more (1.9 s in the test). Ruled out: the take-over, where a lost answer leaves the lease unheld. Change: the start of the first unanswered renewal is kept. A test that failed first and a state machine of two holders, 400 histories of 30 steps.

--- a/rosemaryyoke/platform/leases.py
+++ b/rosemaryyoke/platform/leases.py
@@ -28,7 +28,8 @@
     """One lease, as one process sees it.
 
     ``held_since_s`` is when this process took the lease from another holder; the lease
-    before it had ended by then.
+    before it had ended by then. ``in_doubt_since_s`` is when the first renewal began
+    that may have taken effect unanswered: others count the duration from there.
     """
 
     api: ObjectApi
@@ -39,6 +40,7 @@
     version: int = 0
     held_until_s: float = 0.0
     held_since_s: float = 0.0
+    in_doubt_since_s: float = 0.0
     seen_version: int = -1
     seen_at_s: float = 0.0
     lock: threading.Lock = field(factory=threading.Lock)
@@ -65,8 +67,9 @@
         began_s = now_s()
         written = self.api.put(self.name, self._body(), self.version)
         if isinstance(written, Err):
+            self.in_doubt_since_s = self.in_doubt_since_s or began_s
             if written.err_value.conflict:
-                self._read_back(began_s)
+                self._read_back(self.in_doubt_since_s)
             return self.remaining_s() > 0
         self._hold(written.ok_value, began_s)
         return True
@@ -110,6 +113,7 @@
 
     def _hold(self, version: int, began_s: float) -> None:
         self.version = version
+        self.in_doubt_since_s = 0.0
         self.held_until_s = began_s + self.duration_s
 
     def _body(self) -> bytes:
