Forget idle accounts and stale demand; measure the send window through sleeps

Change: idle accounts are dropped from 4,096 on, debtors are kept; stale demand is dropped; the window uses the leases' clock. Before: no bound.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -20,6 +20,7 @@
 from rosemaryyoke.calls.claims import Claims
 from rosemaryyoke.calls.retry import RetryBudget
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.platform.leases import now_s
 from rosemaryyoke.rules.model import SERVICE_KIND, PlainService, RuleSet, Upstream
 from rosemaryyoke.streams.sinks import Failure
 from rosemaryyoke.wire import Answer, Call, send
@@ -85,7 +86,7 @@
         self, rules: RuleSet, call: ServiceCall
     ) -> Result[Outcome, Failure]:
         key = call.claim_key()
-        claimed_s = time.monotonic()
+        began_s = now_s()
         claim = self.claims.claim(key)
         if isinstance(claim, Err):
             message = "the key could not be claimed; the platform does not answer"
@@ -96,7 +97,7 @@
         self.recorder.record(kind, call.key, state=entry.state)
         if not mine:
             return self._repeat(rules, call, key, entry)
-        if time.monotonic() - claimed_s > SEND_WINDOW_S:
+        if now_s() - began_s > SEND_WINDOW_S:
             self.claims.settle(key, token, RELEASED, EMPTY)
             message = "the host was paused before it sent the call"
             return Err(Failure(503, "too_late", message, True, 1.0))
--- a/rosemaryyoke/limits/bucket.py
+++ b/rosemaryyoke/limits/bucket.py
@@ -35,6 +35,15 @@
         missing = min(amount, self.capacity) - self.level
         return max(0.0, missing / self.rate_per_s)
 
+    def is_idle(self, now_s: float, after_s: float) -> bool:
+        """Tell whether the bucket is full, or was never used, after a while."""
+        if self.level is None:
+            return True
+        if now_s - self.filled_at_s < after_s:
+            return False
+        self.fill(now_s)
+        return self.level >= self.capacity
+
     def take(self, amount: float) -> None:
         """Take an amount; the level may fall below nothing."""
         if self.level is not None:
--- a/rosemaryyoke/limits/service.py
+++ b/rosemaryyoke/limits/service.py
@@ -11,6 +11,8 @@
 from rosemaryyoke.rules.model import Limit
 
 CONCURRENCY_RETRY_S = 0.25
+MAX_USES = 4_096
+IDLE_S = 60.0
 
 
 @frozen
@@ -29,6 +31,11 @@
     tokens: TokenBucket
     running: int = 0
 
+    def is_idle(self, now_s: float) -> bool:
+        """Tell whether the account asked for nothing for a while and owes nothing."""
+        buckets = (self.requests, self.tokens)
+        return all(bucket.is_idle(now_s, IDLE_S) for bucket in buckets)
+
 
 class Limits:
     """Admit requests by rate, tokens and concurrency of their account.
@@ -86,8 +93,21 @@
     def _use(self, limit: Limit, account: str, share: float) -> AccountUse:
         use = self.uses.get(account)
         if use is None:
+            if len(self.uses) >= MAX_USES:
+                self._forget_idle()
             use = AccountUse(TokenBucket(0.0), TokenBucket(0.0))
             self.uses[account] = use
         use.requests.rate_per_s = limit.requests_per_s * share
         use.tokens.rate_per_s = limit.tokens_per_s * share
         return use
+
+    def _forget_idle(self) -> None:
+        """Drop accounts that have nothing running and whose debts are paid."""
+        now_s = time.monotonic()
+        idle = [
+            account
+            for account, use in self.uses.items()
+            if not use.running and use.is_idle(now_s)
+        ]
+        for account in idle:
+            del self.uses[account]
--- a/rosemaryyoke/limits/shares.py
+++ b/rosemaryyoke/limits/shares.py
@@ -58,6 +58,11 @@
     mine: Demand = field(factory=Demand)
     others: dict[str, Heard] = field(factory=dict)
 
+    def forget_stale(self, now_s: float) -> None:
+        """Drop what other hosts said long ago."""
+        for host in [h for h, v in self.others.items() if now_s - v.at_s > FRESH_S]:
+            del self.others[host]
+
     def share(self, homes: int, now_s: float) -> float:
         """Return this host's part of the limit, between 0 and 1."""
         fresh = [h for h in self.others.values() if now_s - h.at_s < FRESH_S]
@@ -111,6 +116,7 @@
         near = []
         with self.lock:
             for account, entry in list(self.accounts.items()):
+                entry.forget_stale(now_s)
                 rate = entry.mine.rate_per_s(now_s)
                 limit = rules.find_limit(account).requests_per_s
                 share = entry.share(self.members.home_count(account), now_s)
--- a/rosemaryyoke/limits/tests/test_limits.py
+++ b/rosemaryyoke/limits/tests/test_limits.py
@@ -1,7 +1,7 @@
 from hypothesis import given, settings, strategies as st
 
 from rosemaryyoke.core import Kernel
-from rosemaryyoke.limits import Limits, TokenBucket
+from rosemaryyoke.limits import Limits, TokenBucket, service
 from rosemaryyoke.limits.shares import AccountShare, Heard
 from rosemaryyoke.rules import Limit
 
@@ -83,3 +83,22 @@
 
 def test_share_is_equal_where_nothing_is_heard():
     assert AccountShare().share(2, 0.0) == 0.5
+
+
+def test_idle_accounts_are_forgotten_and_debtors_kept(monkeypatch):
+    monkeypatch.setattr(service, "MAX_USES", 2)
+    monkeypatch.setattr(service.time, "monotonic", lambda: 1_000.0)
+    limits = Limits(Kernel())
+    limits.admit_share(Limit("debtor", tokens_per_s=1.0), "debtor", 9_999, 1.0, 0.0)
+    limits.admit_share(Limit("idle", requests_per_s=9.0), "idle", 1, 1.0, 0.0)
+    for account in ("debtor", "idle"):
+        limits.release(account)
+    limits.admit_share(Limit("new"), "new", 1, 1.0, 1_000.0)
+    assert set(limits.uses) == {"debtor", "new"}
+
+
+def test_stale_demand_is_forgotten():
+    share = AccountShare()
+    share.others["gone"] = Heard(50.0, 0.0)
+    share.forget_stale(100.0)
+    assert share.others == {}
