--- a/rosemaryyoke/cli/status.py
+++ b/rosemaryyoke/cli/status.py
@@ -14,6 +14,14 @@
 )
 
 HOST_COLUMNS = ("name", "address", "data_centre", "state", "revision")
+LEASE_COLUMNS = ("name", "fencing", "remaining_s")
+LIMIT_COLUMNS = (
+    "account",
+    "requests_per_s",
+    "tokens_per_s",
+    "concurrency",
+    "running_here",
+)
 UPSTREAM_COLUMNS = ("name", "kind", "address", "accepting", "leaving", "weights")
 
 
@@ -46,8 +54,17 @@
     if options.json:
         print(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
         return EXIT_OK
-    print(f"revision {value['revision']} in force on {value['host']}\n")
-    print(format_table(HOST_COLUMNS, value["hosts"]))
-    print()
-    print(format_table(UPSTREAM_COLUMNS, value["upstreams"]))
+    print_tables(value)
     return EXIT_OK
+
+
+def print_tables(value: dict) -> None:
+    """Print what a host knows, a table for each subject."""
+    print(f"revision {value['revision']} in force on {value['host']}\n")
+    tables = (
+        (HOST_COLUMNS, value["hosts"]),
+        (UPSTREAM_COLUMNS, value["upstreams"]),
+        (LEASE_COLUMNS, value["leases"]),
+        (LIMIT_COLUMNS, value["limits"]),
+    )
+    print("\n\n".join(format_table(*table) for table in tables if table[1]))
--- a/rosemaryyoke/cli/tests/test_commands.py
+++ b/rosemaryyoke/cli/tests/test_commands.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 
 from rosemaryyoke.cli.main import build_parser, main
@@ -57,3 +59,13 @@
     lost = system.command("apply", str(rules), *platform, *host, "--after", "1")
     assert lost.returncode == 1
     assert "is in force, not 1" in lost.stderr
+
+
+def test_status_shows_hosts_upstreams_and_limits(system):
+    system.publish(system.rules_text() + "limit account=* concurrency=77 # Ana, x\n")
+    arguments = ("--host", system.address("host0"), "--key-file", str(system.key_file))
+    deadline = time.monotonic() + 30
+    while "77" not in (shown := system.command("status", *arguments)).stdout:
+        assert time.monotonic() < deadline, shown.stdout + shown.stderr
+    for name in (*system.host_names, "engine0", "records0", "running_here"):
+        assert name in shown.stdout
--- a/rosemaryyoke/entry/app.py
+++ b/rosemaryyoke/entry/app.py
@@ -61,6 +61,7 @@
         self.metrics = self.kernel.get("metrics")
         self.recorder = self.kernel.get("recorder")
         self.directory = self.kernel.get("directory")
+        self.orders = self.kernel.get("orders")
 
     def stop(self) -> None:
         """Do nothing; the server ends the handlers."""
@@ -281,9 +282,19 @@
                 "revision": self.revisions.revision,
                 "hosts": [show_member(member) for member in self.members.all()],
                 "upstreams": upstreams,
+                "leases": self.orders.held_leases(),
+                "limits": self.show_limits(),
             }
         )
 
+    def show_limits(self) -> list[dict]:
+        """Return the limits of accounts and what this host's part of each runs."""
+        rules = self.revisions.rules
+        return [
+            {**asdict(limit), "running_here": self.limits.running(limit.account)}
+            for limit in rules.limits.values()
+        ]
+
     def take_offer(self, exchange: Exchange) -> Response:
         """Take rules from an operator whose publishing the platform accepted."""
         self.operator(exchange)
--- a/rosemaryyoke/limits/service.py
+++ b/rosemaryyoke/limits/service.py
@@ -83,6 +83,12 @@
             use.running += 1
             return Ok(None)
 
+    def running(self, account: str) -> int:
+        """Return how many requests of an account run on this host."""
+        with self.lock:
+            use = self.uses.get(account)
+            return use.running if use else 0
+
     def release(self, account: str) -> None:
         """Note that a request of an account ended."""
         with self.lock:
--- a/rosemaryyoke/upstreams/orders.py
+++ b/rosemaryyoke/upstreams/orders.py
@@ -57,6 +57,18 @@
     def stop(self) -> None:
         """Do nothing; leases run out by themselves."""
 
+    def held_leases(self) -> list[dict]:
+        """Return the leases that this host holds, as operators see them."""
+        return [
+            {
+                "name": rollout.lease.name,
+                "fencing": rollout.lease.fencing,
+                "remaining_s": round(rollout.lease.remaining_s(), 1),
+            }
+            for rollout in list(self.rollouts.values())
+            if rollout.lease.remaining_s() > 0
+        ]
+
     def tick(self) -> None:
         """Advance the roll-out of each model that this host may order."""
         rules = self.revisions.rules
