--- a/rosemaryyoke/limits/fairness.py
+++ b/rosemaryyoke/limits/fairness.py
@@ -2,27 +2,17 @@
 
 from attrs import define, field
 
+from rosemaryyoke.limits.decay import DecayedSum
+
 HALF_LIFE_S = 10.0
 SMALL_SHARE = 1.0
 FORGOTTEN_S = 0.001
 SWEEP_EVERY = 1_024
 
 
-@define
-class Use:
-    """Prefill seconds of an account, halved with each half-life."""
-
-    amount_s: float = 0.0
-    at_s: float = 0.0
-
-    def current(self, now_s: float) -> float:
-        """Return the amount as it counts now."""
-        return self.amount_s * 0.5 ** (max(0.0, now_s - self.at_s) / HALF_LIFE_S)
-
-    def add(self, amount_s: float, now_s: float) -> None:
-        """Add to the amount."""
-        self.amount_s = self.current(now_s) + amount_s
-        self.at_s = now_s
+def make_use() -> DecayedSum:
+    """Return prefill seconds that nothing was added to yet."""
+    return DecayedSum(HALF_LIFE_S)
 
 
 @define
@@ -33,13 +23,13 @@
     that is held to its share would look small and then large in turn.
     """
 
-    demands: dict[str, Use] = field(factory=dict)
-    admitted: Use = field(factory=Use)
+    demands: dict[str, DecayedSum] = field(factory=dict)
+    admitted: DecayedSum = field(factory=make_use)
     asked: int = 0
 
     def ask(self, account: str, prefill_s: float, now_s: float) -> None:
         """Count prefill that an account asks for."""
-        self.demands.setdefault(account, Use()).add(prefill_s, now_s)
+        self.demands.setdefault(account, make_use()).add(prefill_s, now_s)
         self.asked += 1
         if self.asked % SWEEP_EVERY == 0:
             self._forget_idle(now_s)
--- a/rosemaryyoke/limits/shares.py
+++ b/rosemaryyoke/limits/shares.py
@@ -11,11 +11,11 @@
 from attrs import define, field
 
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.limits.decay import DecayedSum
 from rosemaryyoke.membership import Member
 from rosemaryyoke.peers import Message, PeerError
 
 DEMAND_HALF_LIFE_S = 2.0
-LN_2 = 0.6931
 EXCHANGE_PERIOD_S = 0.5
 NEAR_SHARE = 0.3
 LEAST_SHARE = 0.02
@@ -23,24 +23,9 @@
 ASK_TIMEOUT_S = 0.5
 
 
-@define
-class Demand:
-    """Requests a second, as an exponentially decayed count."""
-
-    count: float = 0.0
-    at_s: float = 0.0
-
-    def add(self, now_s: float) -> None:
-        """Count one request."""
-        self.count = self._decayed(now_s) + 1.0
-        self.at_s = now_s
-
-    def rate_per_s(self, now_s: float) -> float:
-        """Return the requests a second of late."""
-        return self._decayed(now_s) * LN_2 / DEMAND_HALF_LIFE_S
-
-    def _decayed(self, now_s: float) -> float:
-        return self.count * 0.5 ** (max(0.0, now_s - self.at_s) / DEMAND_HALF_LIFE_S)
+def make_demand() -> DecayedSum:
+    """Return requests that none was added to yet."""
+    return DecayedSum(DEMAND_HALF_LIFE_S)
 
 
 @define
@@ -55,7 +40,7 @@
 class AccountShare:
     """An account's demand here and at its other home hosts."""
 
-    mine: Demand = field(factory=Demand)
+    mine: DecayedSum = field(factory=make_demand)
     others: dict[str, Heard] = field(factory=dict)
 
     def forget_stale(self, now_s: float) -> None:
@@ -100,7 +85,7 @@
         homes = self.members.home_count(account)
         with self.lock:
             entry = self.accounts.setdefault(account, AccountShare())
-            entry.mine.add(now_s)
+            entry.mine.add(1.0, now_s)
             return entry.share(homes, now_s)
 
     def exchange(self) -> None:
--- a/rosemaryyoke/limits/tests/test_limits.py
+++ b/rosemaryyoke/limits/tests/test_limits.py
@@ -62,7 +62,7 @@
             while owed[index] >= 1.0:
                 owed[index] -= 1.0
                 limits, share = hosts[index]
-                share.mine.add(now)
+                share.mine.add(1.0, now)
                 got = limits.admit_share(limit, "a", 1, share.share(2, now), now)
                 if got.is_ok():
                     limits.release("a")
