Move the object API, leases and updates to a package of the product

Cause: rosemaryyoke/platform is to hold the adapter of the users' platform, which only translates; leases and conditional updates decide. Change: git mv to rosemaryyoke/objects, imports follow; no behaviour changes. Conclusion: tests of the package and of core pass; the folder is free for the adapter.

--- a/rosemaryyoke/calls/claim_codec.py
+++ b/rosemaryyoke/calls/claim_codec.py
@@ -3,8 +3,8 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.calls.claim_entries import Change, Claim, Entry, Outcome, Settle
+from rosemaryyoke.objects import PlatformError
 from rosemaryyoke.peers import Message, PeerError
-from rosemaryyoke.platform import PlatformError
 
 
 def change_message(change: Change):
--- a/rosemaryyoke/calls/claim_entries.py
+++ b/rosemaryyoke/calls/claim_entries.py
@@ -8,7 +8,7 @@
 import orjson
 from attrs import define, field, frozen
 
-from rosemaryyoke.platform import StoredObject
+from rosemaryyoke.objects import StoredObject
 
 RETENTION_S = 3_600.0
 
--- a/rosemaryyoke/calls/claim_shards.py
+++ b/rosemaryyoke/calls/claim_shards.py
@@ -14,7 +14,7 @@
     read_entries,
     write_entries,
 )
-from rosemaryyoke.platform import (
+from rosemaryyoke.objects import (
     Abandoned,
     ObjectApi,
     PlatformError,
--- a/rosemaryyoke/calls/claims.py
+++ b/rosemaryyoke/calls/claims.py
@@ -29,8 +29,8 @@
 )
 from rosemaryyoke.calls.claim_shards import Shard
 from rosemaryyoke.core import Kernel, make_pool
+from rosemaryyoke.objects import ObjectApi, PlatformError
 from rosemaryyoke.peers import Channel, PeerError
-from rosemaryyoke.platform import ObjectApi, PlatformError
 
 SHARDS = 8
 MAX_OUTCOME_BYTES = 16 * 1024
--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -20,7 +20,7 @@
 from rosemaryyoke.calls.claims import Claims
 from rosemaryyoke.calls.retry import RetryBudget
 from rosemaryyoke.core import Kernel
-from rosemaryyoke.platform.leases import now_s
+from rosemaryyoke.objects.leases import now_s
 from rosemaryyoke.rules.model import SERVICE_KIND, PlainService, RuleSet, Upstream
 from rosemaryyoke.streams.sinks import Failure
 from rosemaryyoke.wire import Answer, Call, send
--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -20,9 +20,9 @@
 from rosemaryyoke.limits import Limits
 from rosemaryyoke.limits.shares import Shares
 from rosemaryyoke.membership import Members
+from rosemaryyoke.objects import platform_adapters
 from rosemaryyoke.peers import Peers
 from rosemaryyoke.placement.service import Placement
-from rosemaryyoke.platform import platform_adapters
 from rosemaryyoke.settings import Settings
 from rosemaryyoke.spread import RevisionExchange, Revisions
 from rosemaryyoke.streams import Relay
--- a/rosemaryyoke/membership/members.py
+++ b/rosemaryyoke/membership/members.py
@@ -9,8 +9,8 @@
 from rosemaryyoke.membership.codec import UpstreamNotice
 from rosemaryyoke.membership.links import Links
 from rosemaryyoke.membership.table import FAILED, Member, MemberTable
+from rosemaryyoke.objects import LEAVING, ListedHost, ObjectApi
 from rosemaryyoke.placement.rendezvous import RankingCache, rank
-from rosemaryyoke.platform import LEAVING, ListedHost, ObjectApi
 from rosemaryyoke.settings import Settings
 
 LIST_PERIOD_S = 1.0
--- a/rosemaryyoke/platform/__init__.py
+++ b/rosemaryyoke/objects/__init__.py
@@ -1,8 +1,8 @@
-"""The platform's object API: messages, adapters, conditional updates."""
+"""The object API that keeps what must last: messages, leases, conditional updates."""
 
-from rosemaryyoke.platform.adapters import HttpObjectApi, platform_adapters
-from rosemaryyoke.platform.leases import Lease
-from rosemaryyoke.platform.objects import (
+from rosemaryyoke.objects.adapters import HttpObjectApi, platform_adapters
+from rosemaryyoke.objects.leases import Lease
+from rosemaryyoke.objects.objects import (
     LEAVING,
     LIVE,
     Change,
@@ -12,7 +12,7 @@
     PlatformError,
     StoredObject,
 )
-from rosemaryyoke.platform.updates import Abandoned, update_object
+from rosemaryyoke.objects.updates import Abandoned, update_object
 
 __all__ = [
     "Abandoned",
--- a/rosemaryyoke/platform/adapters.py
+++ b/rosemaryyoke/objects/adapters.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.core import Registry
-from rosemaryyoke.platform.objects import (
+from rosemaryyoke.objects.objects import (
     Change,
     Changes,
     ListedHost,
--- a/rosemaryyoke/platform/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 from result import Err
 
-from rosemaryyoke.platform.objects import ObjectApi, StoredObject
+from rosemaryyoke.objects.objects import ObjectApi, StoredObject
 
 LEASE_S = 6.0
 RENEW_AFTER_SHARE = 1 / 3
--- a/rosemaryyoke/platform/tests/test_leases.py
+++ b/rosemaryyoke/objects/tests/test_leases.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
-from rosemaryyoke.platform import Lease, PlatformError, StoredObject, leases
+from rosemaryyoke.objects import Lease, PlatformError, StoredObject, leases
 
 DURATION_S = 6.0
 
--- a/rosemaryyoke/platform/updates.py
+++ b/rosemaryyoke/objects/updates.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from rosemaryyoke.platform.objects import ObjectApi, PlatformError, StoredObject
+from rosemaryyoke.objects.objects import ObjectApi, PlatformError, StoredObject
 
 FIRST_BACKOFF_S = 0.005
 MAX_BACKOFF_S = 0.5
--- a/rosemaryyoke/spread/manifest.py
+++ b/rosemaryyoke/spread/manifest.py
@@ -3,7 +3,7 @@
 import orjson
 from attrs import frozen
 
-from rosemaryyoke.platform import StoredObject
+from rosemaryyoke.objects import StoredObject
 from rosemaryyoke.rules import Chunk, make_chunk
 
 MANIFEST_NAME = "rules/current"
--- a/rosemaryyoke/spread/publish.py
+++ b/rosemaryyoke/spread/publish.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from rosemaryyoke.platform import (
+from rosemaryyoke.objects import (
     Abandoned,
     ObjectApi,
     PlatformError,
--- a/rosemaryyoke/spread/revisions.py
+++ b/rosemaryyoke/spread/revisions.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.core import Kernel
-from rosemaryyoke.platform import ObjectApi
+from rosemaryyoke.objects import ObjectApi
 from rosemaryyoke.rules import (
     ParsedText,
     RuleSet,
--- a/rosemaryyoke/standins/platform.py
+++ b/rosemaryyoke/standins/platform.py
@@ -13,7 +13,7 @@
 from attrs import asdict, define, field, frozen
 from werkzeug.wrappers import Response
 
-from rosemaryyoke.platform.objects import Change, ListedHost
+from rosemaryyoke.objects.objects import Change, ListedHost
 from rosemaryyoke.wire import Application, Exchange, error_response, json_response
 
 MAX_OBJECT_BYTES = 1024 * 1024
--- a/rosemaryyoke/upstreams/orders.py
+++ b/rosemaryyoke/upstreams/orders.py
@@ -13,9 +13,9 @@
 from result import Err
 
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.objects import Lease, ObjectApi
+from rosemaryyoke.objects.leases import now_s
 from rosemaryyoke.placement.rendezvous import rank
-from rosemaryyoke.platform import Lease, ObjectApi
-from rosemaryyoke.platform.leases import now_s
 from rosemaryyoke.rules.model import ENGINE_KIND, Model, RuleSet
 from rosemaryyoke.upstreams.directory import UpstreamState
 from rosemaryyoke.upstreams.engine import LoadOrder
