--- /dev/null
+++ b/rosemaryyoke/catalog/__init__.py
@@ -0,0 +1,36 @@
+"""Declarations and upstreams that routed exchanges need."""
+
+from rosemaryyoke.catalog.catalog import Catalog
+from rosemaryyoke.catalog.follower import CatalogSource, Follower
+from rosemaryyoke.catalog.model import (
+    SAFE,
+    STREAM,
+    UNSAFE,
+    ClientAccount,
+    Configuration,
+    ConnectionLimits,
+    EngineTraits,
+    ExchangeRoute,
+    ServiceTraits,
+    Target,
+    Upstream,
+    WantedWeights,
+)
+
+__all__ = [
+    "Catalog",
+    "CatalogSource",
+    "ClientAccount",
+    "Configuration",
+    "ConnectionLimits",
+    "EngineTraits",
+    "ExchangeRoute",
+    "Follower",
+    "SAFE",
+    "STREAM",
+    "ServiceTraits",
+    "Target",
+    "UNSAFE",
+    "Upstream",
+    "WantedWeights",
+]
--- /dev/null
+++ b/rosemaryyoke/catalog/catalog.py
@@ -0,0 +1,96 @@
+"""What this host knows of the declarations and of the upstreams."""
+
+import threading
+import time
+from typing import Callable
+
+from absl import logging
+from attrs import define, field
+
+from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+
+FRESH_S = 1.5  # a store that answers is asked at least this often
+
+
+@define(eq=False)
+class Catalog:
+    """The newest configuration, upstreams and wanted weights.
+
+    Nothing goes back: an older configuration or an older version of weights is dropped.
+    """
+
+    configuration: Configuration | None = None
+    upstreams: dict[str, Upstream] = field(factory=dict)
+    wanted: dict[str, int] = field(factory=dict)
+    configuration_source: bytes = b""
+    upstreams_seen: bool = False
+    confirmed_s: float = 0.0
+    changed: threading.Condition = field(factory=threading.Condition)
+    listeners: list[Callable[[], None]] = field(factory=list)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call back after each change of upstreams or of wanted weights."""
+        self.listeners.append(listener)
+
+    def take_configuration(self, newer: Configuration, source: bytes) -> bool:
+        """Put a configuration in force if it is newer; tell whether it was."""
+        with self.changed:
+            current = self.configuration
+            if current is not None and newer.version <= current.version:
+                return False
+            self.configuration = newer
+            self.configuration_source = source
+            self.changed.notify_all()
+        logging.info("configuration in force version=%d", newer.version)
+        self._tell()
+        return True
+
+    def take_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+        """Replace the list of upstreams."""
+        with self.changed:
+            before, self.upstreams = self.upstreams, upstreams
+            self.upstreams_seen = True
+            self.changed.notify_all()
+        log_differences(before, upstreams)
+        self._tell()
+
+    def take_wanted(self, wanted: WantedWeights) -> None:
+        """Take in a named version of a model's weights."""
+        with self.changed:
+            if wanted.version <= self.wanted.get(wanted.model, 0):
+                return
+            self.wanted[wanted.model] = wanted.version
+        logging.info("weights named model=%s version=%d", wanted.model, wanted.version)
+        self._tell()
+
+    def confirm(self) -> None:
+        """Note that the store just confirmed the configuration in force."""
+        self.confirmed_s = time.monotonic()
+
+    def is_fresh(self) -> bool:
+        """Tell whether an unknown route or key may be refused for good."""
+        return time.monotonic() - self.confirmed_s < FRESH_S
+
+    def wait_known(self, timeout_s: float) -> bool:
+        """Wait until a configuration and upstreams are known."""
+        with self.changed:
+            return self.changed.wait_for(self.is_known, timeout_s)
+
+    def is_known(self) -> bool:
+        """Tell whether a configuration and upstreams are known."""
+        return self.configuration is not None and self.upstreams_seen
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+
+def log_differences(before: dict[str, Upstream], after: dict[str, Upstream]) -> None:
+    """Log each upstream that came, went or began to drain."""
+    for name in after.keys() - before.keys():
+        logging.info("upstream came name=%s service=%s", name, after[name].service)
+    for name in before.keys() - after.keys():
+        logging.info("upstream gone name=%s service=%s", name, before[name].service)
+    for name in after.keys() & before.keys():
+        if after[name].draining and not before[name].draining:
+            logging.info("upstream draining name=%s", name)
--- /dev/null
+++ b/rosemaryyoke/catalog/follower.py
@@ -0,0 +1,245 @@
+"""Follow the store's declarations and registrations, each kind on a task of its own."""
+
+import random
+import threading
+import time
+from typing import Callable, Protocol
+
+from absl import logging
+from attrs import define, field
+from result import Err, Ok, Result
+
+from rosemaryyoke.catalog.catalog import Catalog
+from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+from rosemaryyoke.objects.feed import FeedChanges, FeedError, Listing, ObjectFeed
+from rosemaryyoke.objects.objects import StoredObject
+
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+IDLE_WATCH_S = 25.0  # under the 30 s that a watch may wait
+BUSY_WATCH_S = 2.0
+UPSTREAMS_PAUSE_S = 0.7  # a drain is to be in force 2 s after its acknowledgement
+LAPSED_GRACE_S = 2.2  # live upstreams register again within 2 s of the store's return
+OUTAGE_S = 1.0
+
+
+class CatalogSource(Protocol):
+    """Kinds of the store that the catalog follows, and how to read them."""
+
+    feed: ObjectFeed
+    configuration_kind: str
+    upstreams_kind: str
+    weights_kind: str
+
+    def decode_configuration(self, stored: StoredObject) -> Result[Configuration, str]:
+        """Return the configuration of an object, or what is wrong with it."""
+
+    def decode_upstream(self, stored: StoredObject) -> Result[Upstream, str]:
+        """Return the upstream of an object, or what is wrong with it."""
+
+    def decode_wanted(self, stored: StoredObject) -> Result[WantedWeights, str]:
+        """Return the wanted weights of an object, or what is wrong with them."""
+
+
+@define(eq=False)
+class KindFollower:
+    """Lists one kind, then watches it from the position reached."""
+
+    feed: ObjectFeed
+    kind: str
+    wait_s: float
+    pause_s: float
+    on_listing: Callable[[Listing], None]
+    on_changes: Callable[[FeedChanges], None]
+    on_answer: Callable[[float], None] = lambda outage_s: None
+    position: int | None = None
+    failed_since_s: float | None = None
+    backoff_s: float = FIRST_BACKOFF_S
+    stopping: threading.Event = field(factory=threading.Event)
+
+    def run(self) -> None:
+        """Follow until stopped."""
+        while not self.stopping.is_set():
+            outcome = self.step()
+            if isinstance(outcome, Err) and not outcome.err_value.history_gone:
+                self._back_off(outcome.err_value)
+            elif self.pause_s:
+                self.stopping.wait(self.pause_s)
+
+    def step(self) -> Result[object, FeedError]:
+        """Make one call and take in its result."""
+        if self.position is None:
+            outcome = self.feed.list(self.kind)
+        else:
+            outcome = self.feed.watch(self.kind, self.position, self.wait_s)
+        if isinstance(outcome, Err):
+            if outcome.err_value.history_gone:
+                self.position = None
+            return outcome
+        self._answered()
+        value = outcome.ok_value
+        if self.position is None:
+            self.on_listing(value)
+        elif value.changes:
+            self.on_changes(value)
+        self.position = value.position
+        return outcome
+
+    def _answered(self) -> None:
+        outage_s = 0.0
+        if self.failed_since_s is not None:
+            outage_s = time.monotonic() - self.failed_since_s
+            logging.info("store answers again kind=%s", self.kind)
+        self.failed_since_s = None
+        self.backoff_s = FIRST_BACKOFF_S
+        self.on_answer(outage_s)
+
+    def _back_off(self, error: FeedError) -> None:
+        if self.failed_since_s is None:
+            self.failed_since_s = time.monotonic()
+            logging.warning("store fails kind=%s error=%s", self.kind, error.message)
+        self.stopping.wait(self.backoff_s * random.uniform(0.5, 1.0))
+        self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
+
+
+class Follower:
+    """Feeds the catalog from the store."""
+
+    def __init__(self, source: CatalogSource, catalog: Catalog):
+        self.source = source
+        self.catalog = catalog
+        self.upstreams: dict[str, Upstream] = {}
+        self.lapsed: dict[str, float] = {}
+        self.grace_until_s = 0.0
+        feed = source.feed
+        self.followers = [
+            KindFollower(
+                feed,
+                source.configuration_kind,
+                IDLE_WATCH_S,
+                0.0,
+                self.list_configuration,
+                self.change_configuration,
+            ),
+            KindFollower(
+                feed,
+                source.upstreams_kind,
+                BUSY_WATCH_S,
+                UPSTREAMS_PAUSE_S,
+                self.list_upstreams,
+                self.change_upstreams,
+                self.store_answered,
+            ),
+            KindFollower(
+                feed,
+                source.weights_kind,
+                IDLE_WATCH_S,
+                0.0,
+                self.list_wanted,
+                self.change_wanted,
+            ),
+        ]
+
+    def start(self) -> None:
+        """Start a task for each kind."""
+        for follower in self.followers:
+            name = f"follow-{follower.kind}"
+            threading.Thread(target=follower.run, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """End the tasks after their current call."""
+        for follower in self.followers:
+            follower.stopping.set()
+
+    def store_answered(self, outage_s: float) -> None:
+        """Keep upstreams that lapsed in an outage until they could register again."""
+        self.catalog.confirm()
+        now_s = time.monotonic()
+        if outage_s > OUTAGE_S:
+            self.grace_until_s = now_s + LAPSED_GRACE_S
+        if self.lapsed and now_s >= self.grace_until_s:
+            for name in self.lapsed:
+                self.upstreams.pop(name, None)
+            self.lapsed.clear()
+            self.catalog.take_upstreams(dict(self.upstreams))
+
+    def list_configuration(self, listing: Listing) -> None:
+        """Take in the configuration of a listing."""
+        for stored in listing.objects:
+            self._take_configuration(stored)
+
+    def change_configuration(self, changes: FeedChanges) -> None:
+        """Take in changed configurations."""
+        for change in changes.changes:
+            if not change.removed:
+                self._take_configuration(change.object)
+
+    def _take_configuration(self, stored: StoredObject) -> None:
+        decoded = self.source.decode_configuration(stored)
+        if isinstance(decoded, Err):
+            logging.error("configuration is malformed: %s", decoded.err_value)
+            return
+        self.catalog.take_configuration(decoded.ok_value, stored.body)
+
+    def list_upstreams(self, listing: Listing) -> None:
+        """Replace the upstreams, but for those that may have lapsed in an outage."""
+        listed = {}
+        for stored in listing.objects:
+            upstream = self._decode_upstream(stored)
+            if upstream is not None:
+                listed[upstream.name] = upstream
+        for name in self.upstreams.keys() - listed.keys():
+            if self._in_grace():
+                listed[name] = self.upstreams[name]
+                self.lapsed[name] = time.monotonic()
+        self.upstreams = listed
+        self.catalog.take_upstreams(dict(listed))
+
+    def change_upstreams(self, changes: FeedChanges) -> None:
+        """Take in upstreams that changed or left."""
+        for change in changes.changes:
+            self._change_upstream(change.object, change.removed)
+        self.catalog.take_upstreams(dict(self.upstreams))
+
+    def _change_upstream(self, stored: StoredObject, removed: bool) -> None:
+        if removed:
+            if self._in_grace():
+                self.lapsed[stored.name] = time.monotonic()
+            else:
+                self.upstreams.pop(stored.name, None)
+            return
+        self.lapsed.pop(stored.name, None)
+        upstream = self._decode_upstream(stored)
+        if upstream is None:
+            self.upstreams.pop(stored.name, None)
+        else:
+            self.upstreams[upstream.name] = upstream
+
+    def _decode_upstream(self, stored: StoredObject) -> Upstream | None:
+        decoded = self.source.decode_upstream(stored)
+        if isinstance(decoded, Ok):
+            return decoded.ok_value
+        if stored.name in self.upstreams:
+            logging.warning("upstream %s: %s", stored.name, decoded.err_value)
+        return None
+
+    def _in_grace(self) -> bool:
+        return time.monotonic() < self.grace_until_s
+
+    def list_wanted(self, listing: Listing) -> None:
+        """Take in all named weights."""
+        for stored in listing.objects:
+            self._take_wanted(stored)
+
+    def change_wanted(self, changes: FeedChanges) -> None:
+        """Take in newly named weights."""
+        for change in changes.changes:
+            if not change.removed:
+                self._take_wanted(change.object)
+
+    def _take_wanted(self, stored: StoredObject) -> None:
+        decoded = self.source.decode_wanted(stored)
+        if isinstance(decoded, Err):
+            logging.error("named weights are malformed: %s", decoded.err_value)
+            return
+        self.catalog.take_wanted(decoded.ok_value)
--- a/rosemaryyoke/cli/main.py
+++ b/rosemaryyoke/cli/main.py
@@ -7,7 +7,7 @@
 from rosemaryyoke import __version__
 from rosemaryyoke.cli.commands import EXIT_USAGE, commands
 
-MODULES = ("serve", "rules", "standin", "call", "status", "timeline", "bench")
+MODULES = ("serve", "route", "rules", "standin", "call", "status", "timeline", "bench")
 EPILOG = """exit codes:
   0  done
   1  a fault was found, or the call failed
@@ -33,9 +33,15 @@
     return parser
 
 
+def needed_modules(arguments: list[str]) -> tuple[str, ...]:
+    """Return the modules to import; a host that routes needs only its own."""
+    return ("route",) if arguments[:1] == ["route"] else MODULES
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command and return its exit code."""
-    for module in MODULES:
+    arguments = sys.argv[1:] if arguments is None else arguments
+    for module in needed_modules(arguments):
         importlib.import_module(f"rosemaryyoke.cli.{module}")
     parser = build_parser()
     options = parser.parse_args(arguments)
--- /dev/null
+++ b/rosemaryyoke/cli/route.py
@@ -0,0 +1,42 @@
+"""The command that runs a host on a platform that brings its own settings."""
+
+import argparse
+import importlib
+import os
+import sys
+from pathlib import Path
+
+from result import Err
+
+from rosemaryyoke.cli.commands import EXIT_USAGE, command
+from rosemaryyoke.cli.serve import run_to_exit
+from rosemaryyoke.core.logs import set_up_logs
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of route."""
+    parser.add_argument(
+        "--settings", type=Path, help="settings file; by default the platform's own"
+    )
+    parser.add_argument("--log-level", default="info", help="debug to error")
+
+
+@command("route", "run a host on the users' platform until SIGTERM", add_arguments)
+def route(options: argparse.Namespace) -> int:
+    """Run a host."""
+    settings_file = importlib.import_module("rosemaryyoke.platform.settings_file")
+    path = options.settings or settings_file.settings_path()
+    if path is None:
+        print("settings: no file is named", file=sys.stderr)
+        return EXIT_USAGE
+    settings = settings_file.load_routing_settings(path)
+    if isinstance(settings, Err):
+        print(settings.err_value, file=sys.stderr)
+        return EXIT_USAGE
+    set_up_logs(settings.ok_value.name, options.log_level)
+    from rosemaryyoke.exchanges.host import RoutingHost
+    from rosemaryyoke.platform.adapter import make_adapter
+
+    adapter = make_adapter(settings.ok_value)
+    run_to_exit(RoutingHost(settings.ok_value, adapter))
+    return os.EX_OK
--- a/rosemaryyoke/cli/rules.py
+++ b/rosemaryyoke/cli/rules.py
@@ -15,7 +15,7 @@
     read_operator_key,
     tell_host,
 )
-from rosemaryyoke.objects import HttpObjectApi
+from rosemaryyoke.objects.adapters import HttpObjectApi
 from rosemaryyoke.rules import parse_rules
 from rosemaryyoke.spread.manifest import (
     CHUNK_PREFIX,
--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -20,7 +20,7 @@
 from rosemaryyoke.limits import Limits
 from rosemaryyoke.limits.shares import Shares
 from rosemaryyoke.membership import Members
-from rosemaryyoke.objects import platform_adapters
+from rosemaryyoke.objects.adapters import platform_adapters
 from rosemaryyoke.peers import Peers
 from rosemaryyoke.placement.service import Placement
 from rosemaryyoke.settings import Settings
--- /dev/null
+++ b/rosemaryyoke/exchanges/caller.py
@@ -0,0 +1,110 @@
+"""The caller's side of an exchange: its connection and the answers written to it."""
+
+import select
+import socket
+import time
+
+import orjson
+from attrs import define, field
+
+from rosemaryyoke.http1 import Headers
+from rosemaryyoke.http1.messages import LAST_CHUNK, chunk, encode_headers
+from rosemaryyoke.http1.sockets import HANGUP, MILLISECONDS
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+WRITE_TIMEOUT_S = 20.0
+
+
+class CallerGone(Exception):
+    """The caller closed its connection or takes no more of its answer."""
+
+
+@define(eq=False)
+class CallerConnection:
+    """A caller's connection; one answer is written at a time."""
+
+    socket: socket.socket
+    peer: str = ""
+    keep_alive: bool = True
+    streaming: bool = False
+    answered: bool = False
+    request_id: bytes = b""
+    write_until_s: float = field(default=0.0)
+
+    def begin_request(self, keep_alive: bool) -> None:
+        """Forget the answer before."""
+        self.keep_alive = keep_alive
+        self.streaming = False
+        self.answered = False
+
+    def answer(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        first_line = b"HTTP/1.1 %d %s" % (status, reason or REASONS.get(status, b"-"))
+        framing = [(b"Content-Length", b"%d" % len(body)), self._connection_header()]
+        self.answered = True
+        self.write(encode_headers(first_line, [*headers, *framing]) + body)
+
+    def refuse(
+        self, status: int, code: str, message: str, retry_after_s: float | None = None
+    ) -> None:
+        """Write an error of this host's own."""
+        error = {"code": code, "message": message}
+        headers = [(b"Content-Type", b"application/json")]
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+        if self.request_id:
+            headers.append((b"Request-Id", self.request_id))
+        self.answer(status, b"", headers, orjson.dumps({"error": error}))
+
+    def begin_stream(self, status: int, reason: bytes, headers: Headers) -> bytes:
+        """Return the head of a streamed answer; what is written next begins with it."""
+        first_line = b"HTTP/1.1 %d %s" % (status, reason)
+        framing = [(b"Transfer-Encoding", b"chunked"), self._connection_header()]
+        return encode_headers(first_line, [*headers, *framing])
+
+    def write_events(self, head: bytes, events: bytes) -> None:
+        """Write a streamed answer's head, if any, and a part of its body."""
+        self.streaming = True
+        self.write(head + chunk(events))
+
+    def end_stream(self, head: bytes) -> None:
+        """Write the end of a streamed answer."""
+        self.answered = True
+        self.write(head + LAST_CHUNK)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, waiting for a slow caller; raise ``CallerGone``."""
+        limit_s = self.write_until_s or time.monotonic() + WRITE_TIMEOUT_S
+        rest = memoryview(data)
+        while rest:
+            try:
+                rest = rest[self.socket.send(rest, socket.MSG_DONTWAIT) :]
+            except BlockingIOError:
+                self._wait_writable(limit_s)
+            except OSError as error:
+                raise CallerGone(str(error)) from error
+
+    def _wait_writable(self, limit_s: float) -> None:
+        poller = select.poll()
+        poller.register(self.socket, select.POLLOUT | select.POLLRDHUP)
+        wait_s = max(0.0, limit_s - time.monotonic())
+        events = poller.poll(wait_s * MILLISECONDS)
+        if not events or events[0][1] & HANGUP:
+            raise CallerGone("the caller takes no more")
+
+    def _connection_header(self) -> tuple[bytes, bytes]:
+        return (b"Connection", b"keep-alive" if self.keep_alive else b"close")
--- /dev/null
+++ b/rosemaryyoke/exchanges/connections.py
@@ -0,0 +1,102 @@
+"""Connections to upstreams that are kept between requests."""
+
+import re
+import socket
+import threading
+import time
+from collections import deque
+
+from attrs import define, field
+
+from rosemaryyoke.catalog import Upstream
+from rosemaryyoke.http1 import AnswerMessage
+from rosemaryyoke.http1.messages import find_header
+from rosemaryyoke.http1.sockets import close, connect, is_quiet
+
+UNACKNOWLEDGED_S = 0.7  # a dead engine is noticed before a caller gives up
+IDLE_S = 8.0
+KEEP_ALIVE_MARGIN_S = 0.8
+MAX_IDLE = 24  # connections to one upstream
+TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d+)")
+
+
+@define(eq=False)
+class UpstreamConnection:
+    """A connection to one incarnation of an upstream."""
+
+    socket: socket.socket
+    upstream: str
+    reused: bool = False
+    idle_until_s: float = 0.0
+
+
+@define(eq=False)
+class ConnectionPool:
+    """Idle connections by upstream, the one used last is taken first."""
+
+    idle: dict[str, deque[UpstreamConnection]] = field(factory=dict)
+    lock: threading.Lock = field(factory=threading.Lock)
+    opened: int = 0
+
+    def take(self, upstream: Upstream, timeout_s: float) -> UpstreamConnection:
+        """Return an idle connection or a new one; raise ``OSError``."""
+        connection = self._take_idle(upstream.name)
+        if connection is not None:
+            return connection
+        self.opened += 1
+        opened = connect(upstream.address, timeout_s, UNACKNOWLEDGED_S)
+        return UpstreamConnection(opened, upstream.name)
+
+    def _take_idle(self, name: str) -> UpstreamConnection | None:
+        while True:
+            with self.lock:
+                waiting = self.idle.get(name)
+                if not waiting:
+                    return None
+                connection = waiting.pop()
+            if time.monotonic() < connection.idle_until_s:
+                if is_quiet(connection.socket):
+                    connection.reused = True
+                    return connection
+            close(connection.socket)
+
+    def give_back(self, connection: UpstreamConnection, answer: AnswerMessage) -> None:
+        """Keep a connection whose answer was read whole, if its upstream keeps it."""
+        if not answer.keep_alive:
+            close(connection.socket)
+            return
+        connection.idle_until_s = time.monotonic() + keep_alive_s(answer)
+        with self.lock:
+            waiting = self.idle.setdefault(connection.upstream, deque())
+            waiting.append(connection)
+            surplus = waiting.popleft() if len(waiting) > MAX_IDLE else None
+        if surplus is not None:
+            close(surplus.socket)
+
+    def forget(self, names: set[str]) -> None:
+        """Close the idle connections of upstreams that are gone."""
+        with self.lock:
+            gone = [self.idle.pop(name) for name in names if name in self.idle]
+        for connections in gone:
+            for connection in connections:
+                close(connection.socket)
+
+    def close_expired(self) -> None:
+        """Close connections that were idle for too long."""
+        now_s = time.monotonic()
+        expired = []
+        with self.lock:
+            for waiting in self.idle.values():
+                while waiting and waiting[0].idle_until_s < now_s:
+                    expired.append(waiting.popleft())
+        for connection in expired:
+            close(connection.socket)
+
+
+def keep_alive_s(answer: AnswerMessage) -> float:
+    """Return for how long a connection may be reused after an answer."""
+    value = find_header(answer.headers, b"keep-alive")
+    match = TIMEOUT_PARAMETER.search(value) if value else None
+    if match is None:
+        return IDLE_S
+    return max(0.0, int(match.group(1)) - KEEP_ALIVE_MARGIN_S)
--- /dev/null
+++ b/rosemaryyoke/exchanges/events.py
@@ -0,0 +1,63 @@
+"""Events of a streamed answer, relayed whole.
+
+Source: the WHATWG HTML standard, "Server-sent events".
+"""
+
+from attrs import define
+
+from rosemaryyoke.exchanges.caller import CallerConnection
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+
+
+@define(eq=False)
+class EventRelay:
+    """Cuts an upstream's stream into events and writes them to the caller.
+
+    Only whole events are written, so that another upstream may go on after the last.
+    """
+
+    caller: CallerConnection
+    head: bytes = b""
+    rest: bytes = b""
+    last_id: bytes | None = None
+    events: int = 0
+    begun: bool = False
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes and write the events that they complete."""
+        self.rest += data
+        end = self.rest.rfind(EVENT_END)
+        if end < 0:
+            return
+        whole = self.rest[: end + len(EVENT_END)]
+        self.rest = self.rest[len(whole) :]
+        self._note(whole)
+        self.caller.write_events(self._take_head(), whole)
+
+    def finish(self) -> None:
+        """Write what is left and the end of the answer."""
+        head = self._take_head()
+        if self.rest:
+            self.caller.write_events(head, self.rest)
+            head = b""
+        self.caller.end_stream(head)
+
+    def drop_partial(self) -> None:
+        """Forget the beginning of an event that its upstream did not finish."""
+        self.rest = b""
+
+    def _take_head(self) -> bytes:
+        head, self.head = self.head, b""
+        self.begun = True
+        return head
+
+    def _note(self, whole: bytes) -> None:
+        for event in whole.split(EVENT_END):
+            if not event:
+                continue
+            self.events += 1
+            for line in event.split(b"\n"):
+                if line.startswith(ID_FIELD):
+                    self.last_id = line[len(ID_FIELD) :].strip()
--- /dev/null
+++ b/rosemaryyoke/exchanges/host.py
@@ -0,0 +1,265 @@
+"""Put the services of a routing host together and run them."""
+
+import signal
+import threading
+import time
+
+from absl import logging
+from attrs import define
+
+from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
+from rosemaryyoke.core import Kernel, Metrics, PoolService, TimerService, set_stack_size
+from rosemaryyoke.exchanges.connections import ConnectionPool
+from rosemaryyoke.exchanges.directory import (
+    Directory,
+    DirectoryDialect,
+    metrics_handler,
+)
+from rosemaryyoke.exchanges.forward import Forwarder
+from rosemaryyoke.exchanges.messages import Dialect
+from rosemaryyoke.exchanges.server import ConnectionServer, ReadingLimits
+from rosemaryyoke.exchanges.settings import RoutingSettings
+from rosemaryyoke.fleet import Fleet, RetryBudget
+from rosemaryyoke.hosts import Beacon, Beacons, HostTable
+from rosemaryyoke.hosts.registration import Registration
+from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
+from rosemaryyoke.http1 import Address, MessageLimits
+from rosemaryyoke.objects import ObjectApi
+from rosemaryyoke.placement.rendezvous import rank
+from rosemaryyoke.rollout import Engines
+from rosemaryyoke.rollout.rollout import TICK_S, Rollout
+
+ANSWER_LIFETIME_S = 2.0
+STALE_ANSWERS = 3  # some callers keep an answer for this many lifetimes
+STOP_MARGIN_S = 1.2  # of the grace, for answers that are under way
+EXIT_MARGIN_S = 0.3
+SIDE_CONNECTIONS = 64
+TRANSFER_PERIOD_S = 0.5
+POOL_SWEEP_S = 1.0
+KNOWN_TOLD = 16
+
+
+@define(eq=False)
+class Adapter:
+    """What a deployment brings: its store, its wire and its engines' calls."""
+
+    api: ObjectApi
+    source: CatalogSource
+    dialect: Dialect
+    directory: DirectoryDialect
+    engines: Engines
+
+
+class RoutingHost:
+    """One host that routes exchanges."""
+
+    def __init__(self, settings: RoutingSettings, adapter: Adapter):
+        set_stack_size()
+        self.settings = settings
+        self.adapter = adapter
+        self.boot = time.time_ns()
+        self.leaving = False
+        self.stopping = threading.Event()
+        self.kernel = Kernel()
+        self.build()
+
+    def build(self) -> None:
+        """File the services, in starting order."""
+        settings, adapter, add = self.settings, self.adapter, self.kernel.add
+        self.metrics = Metrics()
+        self.catalog = Catalog()
+        self.fleet = Fleet(self.catalog)
+        self.catalog.subscribe(self.fleet.follow)
+        self.catalog.subscribe(self.forget_connections)
+        self.table = HostTable(settings.peers)
+        self.table.add_candidates(settings.seeds, time.monotonic())
+        self.budget = RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self.connections = ConnectionPool()
+        self.beacons = Beacons(self.table, self.fleet, self.make_beacon)
+        pool = PoolService()
+        self.timer = TimerService(pool.executor)
+        self.rollout = Rollout(
+            f"{settings.name}-{self.boot:x}",
+            settings.lease_s,
+            adapter.api,
+            adapter.engines,
+            self.catalog,
+            self.fleet,
+            pool.executor,
+            self.is_candidate,
+            self.beacons.send_now,
+        )
+        self.transfer = StateTransfer(adapter.source, self.catalog, self.table)
+        self.registration = Registration(
+            adapter.api,
+            adapter.source.feed,
+            self.table,
+            settings.name,
+            settings.peers,
+        )
+        add("metrics", self.metrics)
+        add("pool", pool)
+        add("timer", self.timer)
+        add("follower", Follower(adapter.source, self.catalog))
+        add("beacons", self.beacons)
+        add("peers", self.peers_server())
+        add("readiness", self.readiness_server())
+        add("directory", self.directory_server())
+        add("callers", self.callers_server())
+        if settings.metrics_port:
+            add("metrics_server", self.metrics_server())
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then stop gracefully."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        signal.signal(signal.SIGHUP, lambda *_: None)
+        self.kernel.start()
+        self.timer.every(TICK_S, self.rollout.tick)
+        self.timer.every(TRANSFER_PERIOD_S, self.transfer.fetch)
+        self.timer.every(TRANSFER_PERIOD_S, self.registration.tick)
+        self.timer.every(POOL_SWEEP_S, self.connections.close_expired)
+        self.timer.every(POOL_SWEEP_S, self.count_hosts)
+        logging.info("host started name=%s", self.settings.name)
+        while not self.stopping.wait(1.0):
+            pass
+        self.shut_down()
+
+    def shut_down(self) -> None:
+        """Leave, serve callers that still hold our address, then end."""
+        began_s = time.monotonic()
+        logging.info("host leaves name=%s", self.settings.name)
+        self.leaving = True
+        self.rollout.stopping = True
+        self.beacons.send_now()
+        callers = self.kernel.get("callers")
+        callers.close_after_answers()
+        stale_s = STALE_ANSWERS * ANSWER_LIFETIME_S + EXIT_MARGIN_S
+        grace_s = self.settings.grace_s
+        time.sleep(min(stale_s, grace_s - STOP_MARGIN_S))
+        callers.stop()
+        callers.close_idle()
+        until_s = began_s + grace_s - EXIT_MARGIN_S
+        if not callers.wait_idle(until_s):
+            logging.warning("requests cut at the stop count=%d", callers.answering)
+        logging.info("host stopped name=%s", self.settings.name)
+
+    def is_ready(self) -> bool:
+        """Tell whether this host takes callers."""
+        return self.catalog.is_known() and not self.leaving
+
+    def make_beacon(self, sequence: int) -> Beacon:
+        """Return what this host tells the others."""
+        settings = self.settings
+        known = [peer.beacon.peers for peer in self.table.live(time.monotonic())]
+        configuration = self.catalog.configuration
+        return Beacon(
+            settings.name,
+            self.boot,
+            sequence,
+            settings.callers,
+            settings.peers,
+            settings.data_centre,
+            self.is_ready(),
+            self.leaving,
+            self.catalog.is_fresh(),
+            configuration.version if configuration else 0,
+            tuple(self.fleet.own_loads()),
+            tuple(known[:KNOWN_TOLD]),
+            self.rollout.loading(),
+        )
+
+    def addresses_for(self, data_centre: str) -> list[Address]:
+        """Return the callers' addresses for a data centre."""
+        now_s = time.monotonic()
+        return self.table.addresses_for(data_centre, self.make_beacon(0), now_s)
+
+    def is_candidate(self, model: str) -> bool:
+        """Tell whether this host is the one to order a model's engines."""
+        if self.leaving or not self.catalog.is_fresh():
+            return False
+        live = self.table.live(time.monotonic())
+        names = [
+            peer.beacon.host
+            for peer in live
+            if peer.beacon.ready and peer.beacon.store_answers
+        ]
+        key = f"orders/{model}".encode()
+        return rank(key, [*names, self.settings.name], 1)[0] == self.settings.name
+
+    def count_hosts(self) -> None:
+        """Divide the retry budget among the hosts that live."""
+        self.budget.hosts = 1 + len(self.table.live(time.monotonic()))
+
+    def forget_connections(self) -> None:
+        """Close idle connections to upstreams that are gone."""
+        gone = self.connections.idle.keys() - self.catalog.upstreams.keys()
+        if gone:
+            self.connections.forget(set(gone))
+
+    def reading_limits(self) -> ReadingLimits:
+        """Return what callers may send under the configuration in force."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return ReadingLimits()
+        limits = configuration.limits
+        return ReadingLimits(
+            MessageLimits(limits.head_bytes, limits.body_bytes),
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    def callers_server(self) -> ConnectionServer:
+        """Return the server of callers' requests."""
+        forwarder = Forwarder(
+            self.settings.data_centre,
+            self.catalog,
+            self.fleet,
+            self.adapter.dialect,
+            self.connections,
+            self.budget,
+            self.metrics,
+        )
+        return ConnectionServer(
+            self.settings.callers,
+            forwarder.handle,
+            self.settings.max_connections,
+            limits=self.reading_limits,
+        )
+
+    def directory(self) -> Directory:
+        """Return the handlers of lookups and readiness."""
+        lifetime_s = min(ANSWER_LIFETIME_S, self.settings.answer_lifetime_max_s)
+        return Directory(
+            self.adapter.directory, self.addresses_for, self.is_ready, lifetime_s
+        )
+
+    def directory_server(self) -> ConnectionServer:
+        """Return the server of callers' lookups."""
+        handler = self.directory().answer_query
+        return self.side_server(self.settings.directory, handler, "directory")
+
+    def readiness_server(self) -> ConnectionServer:
+        """Return the server of the platform's checks."""
+        handler = self.directory().answer_readiness
+        return self.side_server(self.settings.readiness, handler, "readiness")
+
+    def peers_server(self) -> ConnectionServer:
+        """Return the server of other hosts' questions."""
+
+        def handler(message, caller) -> None:
+            answer_state(self.catalog, message, caller)
+
+        return self.side_server(self.settings.peers, handler, "peers")
+
+    def metrics_server(self) -> ConnectionServer:
+        """Return the server of the metrics."""
+        address = Address(self.settings.callers.ip, self.settings.metrics_port)
+        handler = metrics_handler(self.metrics.render)
+        return self.side_server(address, handler, "metrics")
+
+    def side_server(self, address: Address, handler, name: str) -> ConnectionServer:
+        """Return a small server beside that of callers' requests."""
+        return ConnectionServer(address, handler, SIDE_CONNECTIONS, name)
--- /dev/null
+++ b/rosemaryyoke/exchanges/messages.py
@@ -0,0 +1,87 @@
+"""Typed messages of a routed exchange, and the dialect that reads and writes them."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from rosemaryyoke.http1 import Address, Headers
+
+
+class MalformedAsk(Exception):
+    """A request whose routing headers cannot be read."""
+
+
+@frozen
+class PromptPart:
+    """A part of a prompt that other requests may share, in tokens."""
+
+    name: str
+    tokens: int
+
+
+@frozen
+class Ask:
+    """What a caller's headers say of its request.
+
+    ``deadline_s`` is how long the caller waits. Only the last of ``parts`` belongs to
+    this request or its session alone.
+    """
+
+    request_id: bytes = b""
+    key: str | None = None
+    deadline_s: float | None = None
+    model: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
+    last_event: bytes | None = None
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the size of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+
+@frozen
+class Directive:
+    """What this host tells an upstream beside the caller's own request.
+
+    ``weights`` is the version of the model that the upstream must still serve.
+    ``salt`` names who may share the cache entries.
+    """
+
+    instance: str
+    deadline_s: float
+    account: str | None = None
+    hides_key: bool = True
+    weights: int | None = None
+    priority: int | None = None
+    salt: bytes | None = None
+    fetch_from: Address | None = None
+    save_to: Address | None = None
+    last_event: bytes | None = None
+
+
+@frozen
+class AnswerFacts:
+    """What an answer's status and headers say.
+
+    ``not_run`` promises that the upstream has not run the request and never will.
+    """
+
+    request_id: bytes | None
+    sealed: bool
+    not_run: bool
+    weights: int | None = None
+
+
+class Dialect(Protocol):
+    """Reads callers' and upstreams' headers, and writes what upstreams are told."""
+
+    def read_ask(self, headers: Headers) -> Ask:
+        """Return what a caller asks; raise ``MalformedAsk``."""
+
+    def forward_headers(self, headers: Headers, directive: Directive) -> Headers:
+        """Return the headers of a request as an upstream gets them."""
+
+    def read_facts(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an answer's head says."""
--- /dev/null
+++ b/rosemaryyoke/exchanges/settings.py
@@ -0,0 +1,34 @@
+"""Settings of a host that routes exchanges; what differs from host to host."""
+
+from attrs import frozen
+
+from rosemaryyoke.http1 import Address
+
+DEFAULT_CONNECTIONS = 600
+
+
+@frozen
+class RoutingSettings:
+    """Addresses, place and the bounds that the operators agreed on.
+
+    ``retry_ratio`` and ``retry_slack`` bound the repeats of all hosts together in
+    ``retry_window_s``. ``grace_s`` is how long a stop may take.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    callers: Address
+    readiness: Address
+    directory: Address
+    peers: Address
+    store: Address
+    seeds: tuple[Address, ...] = ()
+    metrics_port: int = 0
+    grace_s: float = 8.0
+    lease_s: float = 3.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 10.0
+    retry_window_s: float = 10.0
+    answer_lifetime_max_s: float = 5.0
+    max_connections: int = DEFAULT_CONNECTIONS
--- /dev/null
+++ b/rosemaryyoke/fleet/__init__.py
@@ -0,0 +1,23 @@
+"""Upstreams as a host sees them: load, health, beliefs and placement."""
+
+from rosemaryyoke.fleet.budget import RetryBudget
+from rosemaryyoke.fleet.fleet import Fleet, OwnLoad
+from rosemaryyoke.fleet.placement import (
+    Chooser,
+    NoUpstream,
+    Placement,
+    PlacementRequest,
+)
+from rosemaryyoke.fleet.state import UpstreamState, Work
+
+__all__ = [
+    "Chooser",
+    "Fleet",
+    "NoUpstream",
+    "OwnLoad",
+    "Placement",
+    "PlacementRequest",
+    "RetryBudget",
+    "UpstreamState",
+    "Work",
+]
--- /dev/null
+++ b/rosemaryyoke/fleet/fleet.py
@@ -0,0 +1,107 @@
+"""All upstreams as a host sees them."""
+
+import threading
+import time
+
+from attrs import define, field, frozen
+
+from rosemaryyoke.catalog import Catalog, Upstream
+from rosemaryyoke.fleet.state import RemoteLoad, UpstreamState, Work
+
+LIST_LAG_S = 2.0  # registrations show new weights at the next heartbeat
+
+
+@frozen
+class OwnLoad:
+    """What this host has under way at an upstream, as it tells other hosts."""
+
+    upstream: str
+    running: int
+    prefill_tokens: int
+    tokens: int
+
+
+@define(eq=False)
+class Fleet:
+    """Upstreams by name; every change is made under the lock."""
+
+    catalog: Catalog
+    states: dict[str, UpstreamState] = field(factory=dict)
+    lock: threading.RLock = field(factory=threading.RLock)
+
+    def follow(self) -> None:
+        """Take in the catalog's upstreams."""
+        configuration = self.catalog.configuration
+        upstreams = self.catalog.upstreams
+        services = configuration.services if configuration else {}
+        with self.lock:
+            for name in self.states.keys() - upstreams.keys():
+                del self.states[name]
+            for upstream in upstreams.values():
+                service = services.get(upstream.service)
+                self._take(upstream, service.engine if service else None)
+
+    def _take(self, upstream: Upstream, traits) -> None:
+        state = self.states.get(upstream.name)
+        if state is None or state.upstream.address != upstream.address:
+            self.states[upstream.name] = UpstreamState(upstream, traits)
+            return
+        if state.traits != traits:
+            state.traits = traits
+            state.__attrs_post_init__()
+        state.upstream = upstream
+        now_s = time.monotonic()
+        for model, version in upstream.weights.items():
+            known = state.weights.get(model, 0)
+            if version > known or now_s - state.weights_seen_s > LIST_LAG_S:
+                state.take_weights(model, version, state.weights_seen_s)
+
+    def of_service(self, service: str) -> list[UpstreamState]:
+        """Return the states of a service's upstreams."""
+        return [
+            state for state in self.states.values() if state.upstream.service == service
+        ]
+
+    def begin(self, state: UpstreamState, tokens: int, prefill_tokens: int) -> Work:
+        """Note that a request is sent to an upstream."""
+        work = Work(tokens, prefill_tokens, time.monotonic())
+        with self.lock:
+            state.under_way.add(work)
+        return work
+
+    def prefilled(self, work: Work) -> None:
+        """Note that a request's prompt is read."""
+        work.prefill_tokens = 0
+
+    def end(self, state: UpstreamState, work: Work) -> None:
+        """Note that a request is no longer under way."""
+        with self.lock:
+            state.under_way.discard(work)
+
+    def own_loads(self) -> list[OwnLoad]:
+        """Return what this host has under way at each upstream."""
+        with self.lock:
+            return [
+                OwnLoad(
+                    name,
+                    len(state.under_way),
+                    sum(work.prefill_tokens for work in state.under_way),
+                    sum(work.tokens for work in state.under_way),
+                )
+                for name, state in self.states.items()
+                if state.under_way
+            ]
+
+    def take_loads(self, host: str, loads: list[OwnLoad]) -> None:
+        """Take in what another host has under way."""
+        now_s = time.monotonic()
+        told = {load.upstream: load for load in loads}
+        with self.lock:
+            for name, state in self.states.items():
+                load = told.get(name)
+                if load is None:
+                    state.remote.pop(host, None)
+                    continue
+                state.remote[host] = RemoteLoad(
+                    load.running, load.prefill_tokens, load.tokens, now_s
+                )
--- /dev/null
+++ b/rosemaryyoke/fleet/placement.py
@@ -0,0 +1,164 @@
+"""Choose the upstream of a request by what it is predicted to cost.
+
+A cost is in seconds of prefill. Every host computes the same home for a shared part of
+a prompt (rendezvous hashing), so that hosts which know nothing of each other's requests
+still send equal prefixes to one engine.
+"""
+
+import random
+from typing import Sequence
+
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from rosemaryyoke.exchanges.messages import Ask
+from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S, UpstreamState
+from rosemaryyoke.placement.rendezvous import RankingCache
+
+HOME_LEAST_TOKENS = 512  # a shorter shared part is read faster than it is looked for
+HOME_BELIEF = 0.7  # chance that the home holds a part that this host has not sent it
+AWAY_S_PER_MB = 0.6  # crossing between data centres, against prefill
+OLD_WEIGHTS_S = 0.15
+LOADING_S = 2.0
+ERROR_S = 0.4  # a failed answer, against prefill
+MEMORY_S = 0.5  # waiting until running requests free their memory
+STEP_S_PER_RUN = 0.004
+SLOT_WAIT_S = 0.1
+HOMES_CACHED = 1
+REFUSE_AT_SHARE = 0.9  # of the time that is left
+
+
+@frozen
+class Placement:
+    """An upstream for a request, and what was predicted."""
+
+    state: UpstreamState
+    salt: bytes
+    hit_tokens: int
+    wait_s: float
+    cost_s: float
+
+
+@frozen
+class NoUpstream:
+    """Why no upstream is to be had, and when to come back."""
+
+    message: str
+    retry_after_s: float
+
+
+@frozen
+class PlacementRequest:
+    """What is to be placed: the ask, its size on the wire and its surroundings."""
+
+    ask: Ask
+    salt: bytes
+    body_bytes: int
+    data_centre: str
+    left_s: float
+    wanted_weights: int = 0
+
+
+@define(eq=False)
+class Chooser:
+    """Predicts the cost of each upstream and takes the least."""
+
+    rankings: RankingCache = field(factory=lambda: RankingCache(HOMES_CACHED))
+
+    def choose(
+        self,
+        request: PlacementRequest,
+        states: Sequence[UpstreamState],
+        excluded: set[str],
+        now_s: float,
+    ) -> Result[Placement, NoUpstream]:
+        """Return the upstream of the least predicted cost, or why there is none."""
+        usable = [
+            state
+            for state in states
+            if state.upstream.name not in excluded and state.usable(now_s)
+        ]
+        if not usable:
+            usable = self.least_suspect(states, excluded)
+        if not usable:
+            return Err(NoUpstream("no upstream takes work", 0.5))
+        home = self.home(request, usable)
+        placements = [self.predict(request, state, home, now_s) for state in usable]
+        best = min(placements, key=lambda item: (item.cost_s, random.random()))
+        if best.wait_s > REFUSE_AT_SHARE * request.left_s:
+            return Err(NoUpstream("every queue is too long", best.wait_s / 2))
+        return Ok(best)
+
+    def least_suspect(
+        self, states: Sequence[UpstreamState], excluded: set[str]
+    ) -> list[UpstreamState]:
+        """Return the suspect upstream that is due first, if all are suspect."""
+        suspects = [
+            state
+            for state in states
+            if not state.upstream.draining and state.upstream.name not in excluded
+        ]
+        return sorted(suspects, key=lambda state: state.suspect_until_s)[:1]
+
+    def home(self, request: PlacementRequest, usable: list[UpstreamState]) -> str:
+        """Return the home of the deepest part worth one, or an empty name."""
+        shared = request.ask.parts[:-1]
+        part = max(shared, key=lambda item: item.tokens, default=None)
+        if part is None or part.tokens < HOME_LEAST_TOKENS:
+            return ""
+        names = frozenset(state.upstream.name for state in usable)
+        return self.rankings.rank(shared[-1].name.encode(), names)[0]
+
+    def predict(
+        self, request: PlacementRequest, state: UpstreamState, home: str, now_s: float
+    ) -> Placement:
+        """Return an upstream's placement with its predicted cost."""
+        hit = 0
+        wait_s = self.slot_wait_s(state, now_s)
+        cost_s = self.surcharge_s(request, state, now_s)
+        if state.traits is not None and request.ask.parts:
+            hit = state.belief.held_tokens(request.salt, request.ask.parts)
+            expected = hit
+            if state.upstream.name == home:
+                shared = sum(part.tokens for part in request.ask.parts[:-1])
+                expected = max(hit, HOME_BELIEF * shared)
+            missed = request.ask.prompt_tokens - expected
+            wait_s += state.waiting_prefill(now_s) / PREFILL_TOKENS_PER_S
+            cost_s += missed / PREFILL_TOKENS_PER_S
+            cost_s += self.memory_wait_s(request, state, now_s)
+        return Placement(state, request.salt, hit, wait_s, cost_s + wait_s)
+
+    def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
+        """Return the wait for a slot, and the slowing by requests beside."""
+        running = state.running(now_s)
+        slots = max(1, state.upstream.slots)
+        wait_s = STEP_S_PER_RUN * running
+        if running >= slots:
+            wait_s += SLOT_WAIT_S * (running - slots + 1) / slots
+        elif state.traits is None:
+            wait_s += SLOT_WAIT_S * running / slots / 2
+        return wait_s
+
+    def memory_wait_s(
+        self, request: PlacementRequest, state: UpstreamState, now_s: float
+    ) -> float:
+        """Return what it costs that running requests fill the upstream's memory."""
+        need = request.ask.prompt_tokens + request.ask.output_tokens
+        used = state.used_tokens(now_s)
+        free_share = 1.0 - (used + need) / max(1, state.traits.cache_tokens)
+        return 0.0 if free_share >= 0.2 else MEMORY_S * (0.2 - free_share)
+
+    def surcharge_s(
+        self, request: PlacementRequest, state: UpstreamState, now_s: float
+    ) -> float:
+        """Return the cost of distance, of failed answers and of old weights."""
+        cost_s = ERROR_S * state.error_share
+        if state.upstream.data_centre != request.data_centre:
+            cost_s += AWAY_S_PER_MB * request.body_bytes / 1e6
+        if request.wanted_weights:
+            served = state.weights.get(request.ask.model, 0)
+            if served < request.wanted_weights:
+                cost_s += OLD_WEIGHTS_S
+        if state.loading(now_s):
+            cost_s += LOADING_S
+        return cost_s
--- /dev/null
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -0,0 +1,26 @@
+@0xd2b0f0e6a4c3915f;
+
+# What a host tells the others a few times a second, in one datagram.
+struct Beacon {
+  host @0 :Text;
+  boot @1 :UInt64;
+  sequence @2 :UInt64;
+  callers @3 :Text;
+  peers @4 :Text;
+  dataCentre @5 :Text;
+  ready @6 :Bool;
+  leaving @7 :Bool;
+  storeAnswers @8 :Bool;
+  configuration @9 :UInt64;
+  loads @10 :List(Load);
+  known @11 :List(Text);
+  loading @12 :List(Text);
+}
+
+# Requests under way at an upstream; sizes in tokens.
+struct Load {
+  upstream @0 :Text;
+  running @1 :UInt32;
+  prefill @2 :UInt32;
+  tokens @3 :UInt32;
+}
--- /dev/null
+++ b/rosemaryyoke/http1/client.py
@@ -0,0 +1,137 @@
+"""Small calls: one request, one whole answer, on a connection that is kept."""
+
+import socket
+import time
+
+import orjson
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from rosemaryyoke.http1.errors import CallError
+from rosemaryyoke.http1.messages import (
+    AnswerMessage,
+    AnswerReader,
+    Headers,
+    encode_headers,
+)
+from rosemaryyoke.http1.sockets import (
+    READ_BYTES,
+    Address,
+    close,
+    connect,
+    is_quiet,
+    wait_readable,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+UNACKNOWLEDGED_S = 1.0
+SUCCESS = range(200, 300)
+
+
+@frozen
+class Reply:
+    """The whole answer of a call."""
+
+    status: int
+    body: bytes
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the status says success."""
+        return self.status in SUCCESS
+
+    def json(self) -> object:
+        """Return the body read as JSON; raise ``ValueError`` where it is not."""
+        return orjson.loads(self.body)
+
+
+@define(eq=False)
+class Caller:
+    """Calls to one address, one at a time, from one task."""
+
+    address: Address
+    connection: socket.socket | None = field(default=None)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        timeout_s: float = 1.0,
+        headers: Headers = (),
+    ) -> Result[Reply, CallError]:
+        """Send a request and return its answer."""
+        deadline_s = time.monotonic() + timeout_s
+        try:
+            self._open(min(CONNECT_TIMEOUT_S, timeout_s))
+        except OSError as error:
+            return Err(CallError(f"no connection: {error}", sent=False))
+        try:
+            self.connection.settimeout(timeout_s)
+            self.connection.sendall(self._encode(method, target, body, headers))
+            message = self._receive(deadline_s)
+        except OSError as error:
+            self.close()
+            return Err(CallError(str(error), sent=True))
+        if message is None:
+            self.close()
+            return Err(CallError("no whole answer in time", sent=True))
+        if not message.keep_alive:
+            self.close()
+        return Ok(Reply(message.status, message.body))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            close(self.connection)
+            self.connection = None
+
+    def _open(self, timeout_s: float) -> None:
+        if self.connection is not None and not is_quiet(self.connection):
+            self.close()
+        if self.connection is None:
+            self.connection = connect(self.address, timeout_s, UNACKNOWLEDGED_S)
+
+    def _encode(
+        self, method: str, target: str, body: bytes | None, extra: Headers
+    ) -> bytes:
+        headers = [(b"Host", str(self.address).encode()), *extra]
+        if body is not None:
+            headers.append((b"Content-Type", b"application/json"))
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        first_line = f"{method} {target} HTTP/1.1".encode()
+        return encode_headers(first_line, headers) + (body or b"")
+
+    def _receive(self, deadline_s: float) -> AnswerMessage | None:
+        reader = AnswerReader()
+        while not (reader.messages and reader.messages[0].complete):
+            if reader.malformed:
+                return None
+            if not wait_readable(self.connection, deadline_s - time.monotonic()):
+                return None
+            data = self.connection.recv(READ_BYTES)
+            if data:
+                reader.feed(data)
+                continue
+            reader.feed_end()
+            if not (reader.messages and reader.messages[0].complete):
+                return None
+        if len(reader.messages) > 1 or reader.malformed:
+            self.close()
+        return reader.messages[0]
+
+
+def call_once(
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes | None = None,
+    timeout_s: float = 1.0,
+    headers: Headers = (),
+) -> Result[Reply, CallError]:
+    """Send a request on a connection of its own."""
+    caller = Caller(address)
+    try:
+        return caller.call(method, target, body, timeout_s, headers)
+    finally:
+        caller.close()
--- /dev/null
+++ b/rosemaryyoke/http1/messages.py
@@ -0,0 +1,266 @@
+"""Strict reading of HTTP/1.1 messages, on the llhttp parser.
+
+Source: RFC 9112, "HTTP/1.1", sections 2 to 6.
+"""
+
+from collections import deque
+
+import httptools
+from attrs import define, field, frozen
+
+from rosemaryyoke.http1.errors import MalformedMessage, MessageTooLarge
+
+Header = tuple[bytes, bytes]
+Headers = list[Header]
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+BODILESS = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header of a lower-case name, or none."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection."""
+    listed = find_header(headers, b"connection")
+    dropped = CONNECTION_HEADERS
+    if listed is not None:
+        dropped = dropped | {item.strip().lower() for item in listed.split(b",")}
+    return [(key, value) for key, value in headers if key.lower() not in dropped]
+
+
+def encode_headers(first_line: bytes, headers: Headers) -> bytes:
+    """Return the bytes of a message's head."""
+    lines = [first_line]
+    lines.extend(key + b": " + value for key, value in headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+@define
+class RequestMessage:
+    """A request as it was read: its body is whole once it is handed over."""
+
+    target: bytes = b""
+    method: bytes = b""
+    headers: Headers = field(factory=list)
+    parts: list[bytes] = field(factory=list)
+    keep_alive: bool = True
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self.parts)
+
+
+@frozen
+class MessageLimits:
+    """How large a message's head and body may be, in bytes."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 8 * 1024 * 1024
+
+
+class RequestReader:
+    """Cut the bytes of a connection into requests."""
+
+    def __init__(self, limits: MessageLimits):
+        self.limits = limits
+        self.requests: deque[RequestMessage] = deque()
+        self.message: RequestMessage | None = None
+        self.in_body = False
+        self.expects_continue = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.fed_bytes = 0
+        self.parser = httptools.HttpRequestParser(self)
+
+    @property
+    def began(self) -> bool:
+        """Tell whether a part of a request was read."""
+        return self.message is not None or self.fed_bytes > 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; raise ``MalformedMessage`` or ``MessageTooLarge``."""
+        self.fed_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, MessageTooLarge):
+                raise error.__context__ from None
+            raise MalformedMessage(str(error)) from error
+        except httptools.HttpParserError as error:
+            raise MalformedMessage(str(error)) from error
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedMessage("an upgrade is not offered") from error
+        if not self.in_body and self.fed_bytes > self.limits.head_bytes:
+            if not self.requests:
+                raise MessageTooLarge(431, "the head is too large")
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.message = RequestMessage()
+        self.in_body = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take in a part of the target."""
+        self._count_head(len(url))
+        self.message.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        self._count_head(len(name) + len(value))
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            self.expects_continue = True
+            return
+        self.message.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """End the head."""
+        self.in_body = True
+        self.message.method = self.parser.get_method()
+        self.message.keep_alive = self.parser.should_keep_alive()
+        length = find_header(self.message.headers, b"content-length")
+        if length is not None and int(length) > self.limits.body_bytes:
+            raise MessageTooLarge(413, "the body is too large")
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body."""
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.body_bytes:
+            raise MessageTooLarge(413, "the body is too large")
+        self.message.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the request."""
+        self.requests.append(self.message)
+        self.message = None
+        self.in_body = False
+        self.expects_continue = False
+        self.fed_bytes = 0
+
+    def _count_head(self, size: int) -> None:
+        self.head_bytes += size
+        if self.head_bytes > self.limits.head_bytes:
+            raise MessageTooLarge(431, "the head is too large")
+
+
+@define(eq=False)
+class AnswerMessage:
+    """An answer as it is read."""
+
+    status: int = 0
+    reason: bytes = b""
+    headers: Headers = field(factory=list)
+    parts: list[bytes] = field(factory=list)
+    head_read: bool = False
+    complete: bool = False
+    keep_alive: bool = False
+
+    @property
+    def body(self) -> bytes:
+        """Return what was read of the body."""
+        return b"".join(self.parts)
+
+    def take_parts(self) -> bytes:
+        """Return the body read since the last call."""
+        data = b"".join(self.parts)
+        self.parts.clear()
+        return data
+
+    @property
+    def framed(self) -> bool:
+        """Tell whether the body's end is told by the message itself."""
+        if self.status in BODILESS:
+            return True
+        names = {key.lower() for key, _ in self.headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
+
+class AnswerReader:
+    """Cut the bytes of an upstream's connection into answers.
+
+    ``malformed`` tells that bytes came that are no answer; answers completed before
+    them stand.
+    """
+
+    def __init__(self) -> None:
+        self.messages: list[AnswerMessage] = []
+        self.malformed = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes."""
+        if self.malformed:
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.malformed = True
+
+    def feed_end(self) -> None:
+        """Take in a clean end of the connection, which ends an unframed answer."""
+        if not self.messages or self.malformed:
+            return
+        last = self.messages[-1]
+        if last.head_read and not last.complete and not last.framed:
+            last.complete = True
+            last.keep_alive = False
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self.messages.append(AnswerMessage())
+
+    def on_status(self, reason: bytes) -> None:
+        """Take in the reason phrase."""
+        self.messages[-1].reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        self.messages[-1].headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """End the head."""
+        message = self.messages[-1]
+        message.status = self.parser.get_status_code()
+        message.keep_alive = self.parser.should_keep_alive()
+        message.head_read = True
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body."""
+        self.messages[-1].parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """End an answer; drop one that is only provisional."""
+        message = self.messages[-1]
+        if message.status < FIRST_FINAL_STATUS:
+            self.messages.pop()
+        else:
+            message.complete = True
--- /dev/null
+++ b/rosemaryyoke/http1/sockets.py
@@ -0,0 +1,86 @@
+"""Sockets whose dead peers are noticed soon."""
+
+import select
+import socket
+
+from attrs import frozen
+
+MILLISECONDS = 1_000
+KEEPALIVE_IDLE_S = 1  # the least that Linux takes
+KEEPALIVE_PROBES = 2  # a single lost probe ends no connection
+READ_BYTES = 65_536
+HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+@frozen
+class Address:
+    """An IPv4 address and port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address of a text as 10.0.0.1:80; raise ``ValueError``."""
+        ip, _, port = text.rpartition(":")
+        socket.inet_aton(ip)
+        return cls(ip, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+def tune(connection: socket.socket, unacknowledged_s: float) -> None:
+    """Send at once, and end a connection whose peer is silent at the TCP level."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    limit_ms = int(unacknowledged_s * MILLISECONDS)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
+def connect(
+    address: Address, timeout_s: float, unacknowledged_s: float
+) -> socket.socket:
+    """Return a connected socket; raise ``OSError`` where none is had in time."""
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connection.settimeout(timeout_s)
+        connection.connect((address.ip, address.port))
+        tune(connection, unacknowledged_s)
+        connection.settimeout(None)
+    except OSError:
+        connection.close()
+        raise
+    return connection
+
+
+def listen(address: Address, backlog: int) -> socket.socket:
+    """Return a listening socket."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.ip, address.port))
+    listener.listen(backlog)
+    return listener
+
+
+def wait_readable(connection: socket.socket, timeout_s: float) -> bool:
+    """Wait until the connection has bytes or ended; tell whether it has."""
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return bool(poller.poll(max(0.0, timeout_s) * MILLISECONDS))
+
+
+def is_quiet(connection: socket.socket) -> bool:
+    """Tell whether an idle connection is open and holds no stray bytes."""
+    return not wait_readable(connection, 0.0)
+
+
+def close(connection: socket.socket) -> None:
+    """Close a socket, whatever state it is in."""
+    try:
+        connection.close()
+    except OSError:
+        pass
--- a/rosemaryyoke/objects/__init__.py
+++ b/rosemaryyoke/objects/__init__.py
@@ -1,6 +1,5 @@
 """The object API that keeps what must last: messages, leases, conditional updates."""
 
-from rosemaryyoke.objects.adapters import HttpObjectApi, platform_adapters
 from rosemaryyoke.objects.leases import Lease
 from rosemaryyoke.objects.objects import (
     LEAVING,
@@ -18,7 +17,6 @@
     "Abandoned",
     "Change",
     "Changes",
-    "HttpObjectApi",
     "LEAVING",
     "LIVE",
     "Lease",
@@ -26,6 +24,5 @@
     "ObjectApi",
     "PlatformError",
     "StoredObject",
-    "platform_adapters",
     "update_object",
 ]
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -28,7 +28,8 @@
     """One lease, as one process sees it.
 
     ``held_since_s`` is when this process took the lease from another holder; the lease
-    before it had ended by then. ``in_doubt_since_s`` is when the first renewal began
+    before it had ended by then. ``renew_after_s`` is when a renewal is due, by default a
+    third of the duration. ``in_doubt_since_s`` is when the first renewal began
     that may have taken effect unanswered: others count the duration from there.
     """
 
@@ -36,6 +37,7 @@
     name: str
     holder: str
     duration_s: float = LEASE_S
+    renew_after_s: float = 0.0
     token: str = field(factory=lambda: secrets.token_hex(12))
     version: int = 0
     held_until_s: float = 0.0
@@ -58,7 +60,10 @@
         """Take or renew the lease; tell whether it is held."""
         with self.lock:
             if self.remaining_s() > 0:
-                if self.remaining_s() > self.duration_s * (1 - RENEW_AFTER_SHARE):
+                renew_after_s = (
+                    self.renew_after_s or self.duration_s * RENEW_AFTER_SHARE
+                )
+                if self.remaining_s() > self.duration_s - renew_after_s:
                     return True
                 return self._renew()
             return self._take()
@@ -92,8 +97,11 @@
         return True
 
     def _free(self, stored: StoredObject | None, at_s: float) -> bool:
-        """Tell whether the lease was left unrenewed for its whole duration."""
-        if stored is None:
+        """Tell whether the lease was left unrenewed for its whole duration.
+
+        A version that this process wrote last was taken by nobody since.
+        """
+        if stored is None or stored.version == self.version:
             return True
         if stored.version != self.seen_version:
             self.seen_version = stored.version
--- /dev/null
+++ b/rosemaryyoke/platform/adapter.py
@@ -0,0 +1,21 @@
+"""The platform's parts, put together for a routing host."""
+
+from rosemaryyoke.exchanges.host import Adapter
+from rosemaryyoke.exchanges.settings import RoutingSettings
+from rosemaryyoke.platform.documents import PlatformSource
+from rosemaryyoke.platform.entry import PlatformDirectory
+from rosemaryyoke.platform.headers import PlatformDialect
+from rosemaryyoke.platform.store import PlatformStore
+from rosemaryyoke.platform.upstream_calls import PlatformEngines
+
+
+def make_adapter(settings: RoutingSettings) -> Adapter:
+    """Return the adapter of the platform that the settings name."""
+    store = PlatformStore(settings.store)
+    return Adapter(
+        store,
+        PlatformSource(store),
+        PlatformDialect(),
+        PlatformDirectory(),
+        PlatformEngines(),
+    )
--- /dev/null
+++ b/rosemaryyoke/platform/entry.py
@@ -0,0 +1,38 @@
+"""The platform's questions for addresses and readiness."""
+
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+from attrs import field, frozen
+
+from rosemaryyoke.exchanges.directory import AddressQuery
+from rosemaryyoke.http1 import Address, Headers
+
+QUERY_PATH = "/lookup"
+READINESS_PATH = "/readiness"
+
+
+@frozen
+class PlatformDirectory:
+    """Lookups by name, region and zone; the zone is the product's data centre."""
+
+    answer_headers: Headers = field(
+        factory=lambda: [(b"Content-Type", b"application/json")]
+    )
+
+    def read_query(self, target: bytes) -> AddressQuery | None:
+        """Return the question of a target, or none where it is another."""
+        parts = urlsplit(target.decode("latin-1"))
+        if parts.path != QUERY_PATH:
+            return None
+        return AddressQuery(parse_qs(parts.query).get("zone", [""])[0])
+
+    def write_answer(self, addresses: list[Address], lifetime_s: float) -> bytes:
+        """Return the body of an answer."""
+        return orjson.dumps(
+            {"addresses": [str(item) for item in addresses], "ttlS": lifetime_s}
+        )
+
+    def asks_readiness(self, target: bytes) -> bool:
+        """Tell whether a target asks if this host is ready."""
+        return target.decode("latin-1") == READINESS_PATH
--- /dev/null
+++ b/rosemaryyoke/platform/store.py
@@ -0,0 +1,177 @@
+"""The platform's metadata store: its calls, formats and errors."""
+
+import threading
+from urllib.parse import quote
+
+import orjson
+from attrs import define, field
+from result import Err, Ok, Result
+
+from rosemaryyoke.http1 import Address, Caller, CallError, Reply
+from rosemaryyoke.objects.feed import (
+    FeedChange,
+    FeedChanges,
+    FeedError,
+    Listing,
+)
+from rosemaryyoke.objects.objects import PlatformError, StoredObject
+
+CALL_TIMEOUT_S = 2.0
+WATCH_SLACK_S = 2.0
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+REFUSALS = frozenset({429, 503})
+MAX_PAGES = 1_000
+MILLISECONDS = 1_000
+
+
+@define(eq=False)
+class PlatformStore:
+    """Objects by kind and name; a name of the product is ``kind/name``.
+
+    The wire's ``revision`` of an object is the product's version.
+    """
+
+    address: Address
+    local: threading.local = field(factory=threading.local)
+
+    def get(self, name: str) -> Result[StoredObject | None, PlatformError]:
+        """Return an object, or none where there is none."""
+        reply = self._call("GET", f"/objects/{quote(name)}")
+        if isinstance(reply, Err):
+            return Err(_unanswered(reply.err_value))
+        if reply.ok_value.status == HTTP_NOT_FOUND:
+            return Ok(None)
+        if not reply.ok_value.ok:
+            return Err(_refused(reply.ok_value))
+        return _read(reply.ok_value).map_err(PlatformError)
+
+    def put(
+        self, name: str, body: bytes, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Write an object if its version is the expected one; 0 creates it."""
+        kind, _, own_name = name.partition("/")
+        metadata: dict[str, object] = {"name": own_name}
+        method, target = "POST", f"/objects/{quote(kind)}"
+        if expected_version:
+            metadata["revision"] = expected_version
+            method, target = "PUT", f"/objects/{quote(name)}"
+        document = {"metadata": metadata, "spec": orjson.loads(body)}
+        reply = self._call(method, target, orjson.dumps(document))
+        if isinstance(reply, Err):
+            return Err(_unanswered(reply.err_value))
+        if not reply.ok_value.ok:
+            return Err(_refused(reply.ok_value))
+        return _read(reply.ok_value).map(_version).map_err(_doubtful)
+
+    def delete(self, name: str, expected_version: int) -> Result[None, PlatformError]:
+        """Delete an object if its version is the expected one."""
+        target = f"/objects/{quote(name)}?revision={expected_version}"
+        reply = self._call("DELETE", target)
+        if isinstance(reply, Err):
+            return Err(_unanswered(reply.err_value))
+        if not reply.ok_value.ok:
+            return Err(_refused(reply.ok_value))
+        return Ok(None)
+
+    def list(self, kind: str) -> Result[Listing, FeedError]:
+        """Return all objects of a kind, page after page.
+
+        The first page's position is the listing's: what changes meanwhile is watched.
+        """
+        objects: list[StoredObject] = []
+        position, after = None, ""
+        for _ in range(MAX_PAGES):
+            reply = self._call("GET", f"/objects/{quote(kind)}{after}")
+            page = _page(reply)
+            if isinstance(page, Err):
+                return page
+            value = page.ok_value
+            try:
+                objects.extend(_stored(item) for item in value["items"])
+                position = value["storeRevision"] if position is None else position
+            except (KeyError, TypeError) as error:
+                return Err(FeedError(f"malformed listing: {error!r}"))
+            if not value.get("hasMore"):
+                return Ok(Listing(position, objects))
+            after = f"?after={quote(objects[-1].name)}"
+        return Err(FeedError("the listing does not end"))
+
+    def watch(
+        self, kind: str, position: int, wait_s: float
+    ) -> Result[FeedChanges, FeedError]:
+        """Wait for changes of a kind after a position, ``wait_s`` seconds at most."""
+        wait_ms = int(wait_s * MILLISECONDS)
+        target = f"/objects/{quote(kind)}?watch={position}&waitMs={wait_ms}"
+        page = _page(self._call("GET", target, timeout_s=wait_s + WATCH_SLACK_S))
+        if isinstance(page, Err):
+            return page
+        try:
+            changes = [
+                FeedChange(_stored(event["object"]), bool(event.get("deleted")))
+                for event in page.ok_value["events"]
+            ]
+            return Ok(FeedChanges(page.ok_value["storeRevision"], changes))
+        except (KeyError, TypeError) as error:
+            return Err(FeedError(f"malformed changes: {error!r}"))
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[Reply, CallError]:
+        caller = getattr(self.local, "caller", None)
+        if caller is None:
+            caller = self.local.caller = Caller(self.address)
+        return caller.call(method, target, body, timeout_s)
+
+
+def _stored(item: dict) -> StoredObject:
+    metadata = item["metadata"]
+    spec = orjson.dumps(item.get("spec"))
+    return StoredObject(metadata["name"], metadata["revision"], spec)
+
+
+def _read(reply: Reply) -> Result[StoredObject, str]:
+    try:
+        return Ok(_stored(reply.json()))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(f"malformed object: {error!r}")
+
+
+def _version(stored: StoredObject) -> int:
+    return stored.version
+
+
+def _doubtful(message: str) -> PlatformError:
+    return PlatformError(message, maybe_done=True)
+
+
+def _unanswered(error: CallError) -> PlatformError:
+    return PlatformError(error.message, maybe_done=error.sent)
+
+
+def _refused(reply: Reply) -> PlatformError:
+    conflict = reply.status in (HTTP_CONFLICT, HTTP_NOT_FOUND)
+    maybe_done = reply.status >= 500 and reply.status not in REFUSALS
+    return PlatformError(f"status {reply.status}", conflict, maybe_done)
+
+
+def _page(reply: Result[Reply, CallError]) -> Result[dict, FeedError]:
+    if isinstance(reply, Err):
+        return Err(FeedError(reply.err_value.message))
+    answer = reply.ok_value
+    if answer.status == HTTP_GONE:
+        return Err(FeedError("the history is gone", history_gone=True))
+    if not answer.ok:
+        return Err(FeedError(f"status {answer.status}"))
+    try:
+        value = answer.json()
+    except ValueError as error:
+        return Err(FeedError(f"malformed answer: {error}"))
+    if not isinstance(value, dict):
+        return Err(FeedError("malformed answer: not an object"))
+    return Ok(value)
--- /dev/null
+++ b/rosemaryyoke/platform/upstream_calls.py
@@ -0,0 +1,64 @@
+"""Calls of model engines: their state, and orders to load weights."""
+
+import orjson
+from attrs import frozen
+from result import Err, Ok, Result
+
+from rosemaryyoke.http1 import Address, call_once
+from rosemaryyoke.platform import names
+from rosemaryyoke.rollout.messages import (
+    EngineReport,
+    OrderOutcome,
+    WeightsOrder,
+)
+
+REPORT_TIMEOUT_S = 1.0
+ACCEPTED = 202
+ALREADY_HOLDS = 200
+BUSY = 409
+
+
+@frozen
+class PlatformEngines:
+    """The platform's calls to an engine."""
+
+    def report(self, address: Address) -> Result[EngineReport, str]:
+        """Ask an engine for its state, which lags some hundred milliseconds."""
+        reply = call_once(address, "GET", "/report", timeout_s=REPORT_TIMEOUT_S)
+        if isinstance(reply, Err):
+            return Err(reply.err_value.message)
+        if not reply.ok_value.ok:
+            return Err(f"status {reply.ok_value.status}")
+        try:
+            value = reply.ok_value.json()
+            weights = {item["name"]: item["version"] for item in value["models"]}
+            return Ok(EngineReport(weights, bool(value["busy"]), value["seq"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return Err(f"malformed report: {error!r}")
+
+    def order(self, order: WeightsOrder) -> OrderOutcome:
+        """Send an order; one without an answer may be carried out later."""
+        document = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "swapMode": "queue",
+            "holder": order.holder,
+            "fencingToken": order.fencing,
+            "expect": order.expected_orders,
+        }
+        reply = call_once(
+            order.address,
+            "POST",
+            "/order",
+            orjson.dumps(document),
+            timeout_s=order.timeout_s,
+            headers=[(names.INSTANCE, order.upstream.encode())],
+        )
+        if isinstance(reply, Err):
+            error = reply.err_value
+            return OrderOutcome.UNKNOWN if error.sent else OrderOutcome.NOT_SENT
+        status = reply.ok_value.status
+        if status in (ACCEPTED, ALREADY_HOLDS):
+            return OrderOutcome.ACCEPTED
+        return OrderOutcome.BUSY if status == BUSY else OrderOutcome.REFUSED
--- /dev/null
+++ b/rosemaryyoke/rollout/__init__.py
@@ -0,0 +1,10 @@
+"""Weights roll-outs: which engine loads what, and who may order it."""
+
+from rosemaryyoke.rollout.messages import (
+    EngineReport,
+    Engines,
+    OrderOutcome,
+    WeightsOrder,
+)
+
+__all__ = ["EngineReport", "Engines", "OrderOutcome", "WeightsOrder"]
--- /dev/null
+++ b/rosemaryyoke/rollout/rollout.py
@@ -0,0 +1,221 @@
+"""Bring engines to the weights that operators named, by orders under one lease.
+
+Engines may not check fencing numbers, so that orders of two holders must also lie apart
+in time: a holder orders only in the first part of its lease, and the next one begins
+when the whole of it has passed.
+"""
+
+import threading
+import time
+from concurrent.futures import Executor
+from typing import Callable
+
+from absl import logging
+from attrs import define, field
+from result import Err
+
+from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.fleet import Fleet, UpstreamState
+from rosemaryyoke.objects import Lease, ObjectApi
+from rosemaryyoke.rollout.messages import (
+    EngineReport,
+    Engines,
+    OrderOutcome,
+    WeightsOrder,
+)
+
+TICK_S = 0.25
+ORDER_WINDOW_S = 1.6
+RENEW_AFTER_S = 0.6
+ORDER_TIMEOUT_S = 0.8
+ORDER_MARGIN_S = 0.2
+LOADING_S = 10.0  # until an order without a result is looked at anew
+POLL_S = 0.5
+LOADING_SHARE = 3  # one engine in so many loads at a time
+
+
+@define(eq=False)
+class ModelRollout:
+    """A model's lease, and the engines that were ordered by this host."""
+
+    lease: Lease
+    ordered: dict[str, float] = field(factory=dict)
+    asked: dict[str, float] = field(factory=dict)
+
+
+@define(eq=False)
+class Rollout:
+    """Compares engines with the named weights, and orders what is behind."""
+
+    holder: str
+    lease_s: float
+    api: ObjectApi
+    engines: Engines
+    catalog: Catalog
+    fleet: Fleet
+    executor: Executor
+    is_candidate: Callable[[str], bool]
+    announce: Callable[[], None] = lambda: None
+    models: dict[str, ModelRollout] = field(factory=dict)
+    running: threading.Lock = field(factory=threading.Lock)
+    stopping: bool = False
+
+    def tick(self) -> None:
+        """Advance each model whose engines are behind."""
+        for model, version in list(self.catalog.wanted.items()):
+            behind = self.behind(model, version)
+            if behind and not self.stopping and self.is_candidate(model):
+                self.advance(model, version, behind)
+
+    def loading(self) -> tuple[str, ...]:
+        """Return the engines that this host ordered and that are not done yet."""
+        now_s = time.monotonic()
+        return tuple(
+            name
+            for rollout in list(self.models.values())
+            for name, until_s in list(rollout.ordered.items())
+            if now_s < until_s
+        )
+
+    def serving(self, model: str) -> list[UpstreamState]:
+        """Return the engines that serve a model."""
+        with self.fleet.lock:
+            return [
+                state
+                for state in self.fleet.states.values()
+                if model in state.weights and not state.upstream.draining
+            ]
+
+    def behind(self, model: str, version: int) -> list[UpstreamState]:
+        """Return the engines with an older version than the named one."""
+        engines = self.serving(model)
+        return [state for state in engines if state.weights[model] < version]
+
+    def advance(self, model: str, version: int, behind: list[UpstreamState]) -> None:
+        """Hold the lease, and order as many engines as may load at a time."""
+        rollout = self.models.get(model)
+        if rollout is None:
+            rollout = self.models[model] = ModelRollout(self.make_lease(model))
+        if not rollout.lease.acquire():
+            return
+        self.settle(rollout, {state.upstream.name for state in behind})
+        for state in self.next_engines(rollout, model, behind):
+            name = state.upstream.name
+            rollout.ordered[name] = time.monotonic() + LOADING_S
+            self.executor.submit(self.order, rollout, state, model, version)
+        self.poll_ordered(rollout, model, behind)
+
+    def make_lease(self, model: str) -> Lease:
+        """Return the lease on a model's orders."""
+        duration_s = self.lease_s + ORDER_WINDOW_S + ORDER_TIMEOUT_S
+        return Lease(
+            self.api,
+            f"leases/{model}",
+            self.holder,
+            duration_s=duration_s,
+            renew_after_s=RENEW_AFTER_S,
+        )
+
+    def settle(self, rollout: ModelRollout, behind: set[str]) -> None:
+        """Forget the orders of engines that are no longer behind."""
+        for name in list(rollout.ordered):
+            if name not in behind:
+                rollout.ordered.pop(name, None)
+
+    def next_engines(
+        self, rollout: ModelRollout, model: str, behind: list[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Return the engines to order now, the least busy first."""
+        now_s = time.monotonic()
+        loading = [until for until in rollout.ordered.values() if now_s < until]
+        at_once = max(1, len(self.serving(model)) // LOADING_SHARE)
+        free = at_once - len(loading)
+        ready = [
+            state
+            for state in behind
+            if now_s >= rollout.ordered.get(state.upstream.name, 0.0)
+            and state.usable(now_s)
+        ]
+        ready.sort(key=lambda state: state.running(now_s))
+        return ready[: max(0, free)]
+
+    def order(
+        self, rollout: ModelRollout, state: UpstreamState, model: str, version: int
+    ) -> None:
+        """Order one engine, if the lease still leaves time for it."""
+        name, address = state.upstream.name, state.upstream.address
+        report = self.engines.report(address)
+        if isinstance(report, Err):
+            logging.warning("engine %s: %s", name, report.err_value)
+            rollout.ordered[name] = time.monotonic() + POLL_S
+            return
+        if self.take_report(rollout, state, model, report.ok_value):
+            return
+        if report.ok_value.loading:
+            rollout.ordered[name] = time.monotonic() + POLL_S
+            return
+        lease = rollout.lease
+        if lease.remaining_s() < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
+            rollout.ordered.pop(name, None)
+            return
+        with self.fleet.lock:
+            state.loading_until_s = time.monotonic() + LOADING_S
+        self.announce()
+        outcome = self.engines.order(
+            WeightsOrder(
+                name,
+                address,
+                model,
+                version,
+                self.holder,
+                lease.fencing,
+                report.ok_value.orders,
+                ORDER_TIMEOUT_S,
+            )
+        )
+        logging.info(
+            "order engine=%s model=%s version=%d fencing=%d outcome=%s",
+            name,
+            model,
+            version,
+            lease.fencing,
+            outcome.value,
+        )
+        if outcome is not OrderOutcome.ACCEPTED:
+            rollout.ordered[name] = time.monotonic() + 2 * POLL_S
+            with self.fleet.lock:
+                state.loading_until_s = time.monotonic() + 2 * POLL_S
+
+    def poll_ordered(
+        self, rollout: ModelRollout, model: str, behind: list[UpstreamState]
+    ) -> None:
+        """Ask the engines that load whether they are done."""
+        now_s = time.monotonic()
+        for state in behind:
+            name = state.upstream.name
+            due = now_s - rollout.asked.get(name, 0.0) >= POLL_S
+            if name in rollout.ordered and state.loading(now_s) and due:
+                rollout.asked[name] = now_s
+                self.executor.submit(self.poll, rollout, state, model)
+
+    def poll(self, rollout: ModelRollout, state: UpstreamState, model: str) -> None:
+        """Ask one engine for its version."""
+        report = self.engines.report(state.upstream.address)
+        if not isinstance(report, Err):
+            self.take_report(rollout, state, model, report.ok_value)
+
+    def take_report(
+        self,
+        rollout: ModelRollout,
+        state: UpstreamState,
+        model: str,
+        report: EngineReport,
+    ) -> bool:
+        """Take in a report; tell whether the engine serves the named version."""
+        served = report.weights.get(model, 0)
+        with self.fleet.lock:
+            state.take_weights(model, served, time.monotonic())
+        done = served >= self.catalog.wanted.get(model, 0)
+        if done:
+            rollout.ordered.pop(state.upstream.name, None)
+        return done
--- a/rosemaryyoke/spread/tests/test_configuration.py
+++ b/rosemaryyoke/spread/tests/test_configuration.py
@@ -8,7 +8,7 @@
 from result import Ok
 
 from rosemaryyoke.core.hlc import MICROSECONDS_PER_SECOND
-from rosemaryyoke.objects import HttpObjectApi
+from rosemaryyoke.objects.adapters import HttpObjectApi
 from rosemaryyoke.spread import publish_rules
 from rosemaryyoke.testing.builders import System
 from rosemaryyoke.testing.chaos import PLATFORM_WELL
--- a/rosemaryyoke/standins/tests/test_platform.py
+++ b/rosemaryyoke/standins/tests/test_platform.py
@@ -1,4 +1,4 @@
-from rosemaryyoke.objects import HttpObjectApi
+from rosemaryyoke.objects.adapters import HttpObjectApi
 from rosemaryyoke.standins import PlatformStandin
 from rosemaryyoke.testing.builders import free_port
 from rosemaryyoke.wire import HttpServer, json_call, send
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -16,7 +16,7 @@
 
 from rosemaryyoke.cli.operator import ask_host
 from rosemaryyoke.client import Client
-from rosemaryyoke.objects import HttpObjectApi
+from rosemaryyoke.objects.adapters import HttpObjectApi
 from rosemaryyoke.rules import digest_key
 from rosemaryyoke.settings import operator_key
 from rosemaryyoke.spread import Published, publish_rules
