Renew a lease with a body that differs, forget orders by version, follow the store by long watches

Cause: the platform's store ignores a write that changes nothing, so a renewed lease looked unrenewed and a second holder ordered 90 ms after the first; orders of an earlier version blocked the next for 10 s; heartbeats that change nothing make no event. Ruled out: a clock difference between holders (both use the boot-time clock).

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -1,7 +1,6 @@
 """What this host knows of the declarations and of the upstreams."""
 
 import threading
-import time
 from typing import Callable
 
 from absl import logging
@@ -9,8 +8,6 @@
 
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 
-FRESH_S = 1.5  # a store that answers is asked at least this often
-
 
 @define(eq=False)
 class Catalog:
@@ -24,7 +21,7 @@
     wanted: dict[str, int] = field(factory=dict)
     configuration_source: bytes = b""
     upstreams_seen: bool = False
-    confirmed_s: float = 0.0
+    failing: set[str] = field(factory=set)
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
 
@@ -63,13 +60,17 @@
         logging.info("weights named model=%s version=%d", wanted.model, wanted.version)
         self._tell()
 
-    def confirm(self) -> None:
-        """Note that the store just confirmed the configuration in force."""
-        self.confirmed_s = time.monotonic()
+    def note_store(self, kind: str, answers: bool) -> None:
+        """Note whether the store answers the task that follows a kind."""
+        with self.changed:
+            if answers:
+                self.failing.discard(kind)
+            else:
+                self.failing.add(kind)
 
     def is_fresh(self) -> bool:
         """Tell whether an unknown route or key may be refused for good."""
-        return time.monotonic() - self.confirmed_s < FRESH_S
+        return self.is_known() and not self.failing
 
     def wait_known(self, timeout_s: float) -> bool:
         """Wait until a configuration and upstreams are known."""
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -17,8 +17,7 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 IDLE_WATCH_S = 25.0  # under the 30 s that a watch may wait
-BUSY_WATCH_S = 2.0
-UPSTREAMS_PAUSE_S = 0.7  # a drain is to be in force 2 s after its acknowledgement
+UPSTREAMS_PAUSE_S = 0.3  # a drain is to be in force 2 s after its acknowledgement
 LAPSED_GRACE_S = 2.2  # live upstreams register again within 2 s of the store's return
 OUTAGE_S = 1.0
 
@@ -52,6 +51,7 @@
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[FeedChanges], None]
     on_answer: Callable[[float], None] = lambda outage_s: None
+    on_store: Callable[[str, bool], None] = lambda kind, answers: None
     position: int | None = None
     failed_since_s: float | None = None
     backoff_s: float = FIRST_BACKOFF_S
@@ -92,12 +92,14 @@
             logging.info("store answers again kind=%s", self.kind)
         self.failed_since_s = None
         self.backoff_s = FIRST_BACKOFF_S
+        self.on_store(self.kind, True)
         self.on_answer(outage_s)
 
     def _back_off(self, error: FeedError) -> None:
         if self.failed_since_s is None:
             self.failed_since_s = time.monotonic()
             logging.warning("store fails kind=%s error=%s", self.kind, error.message)
+        self.on_store(self.kind, False)
         self.stopping.wait(self.backoff_s * random.uniform(0.5, 1.0))
         self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
 
@@ -120,15 +122,17 @@
                 0.0,
                 self.list_configuration,
                 self.change_configuration,
+                on_store=catalog.note_store,
             ),
             KindFollower(
                 feed,
                 source.upstreams_kind,
-                BUSY_WATCH_S,
+                IDLE_WATCH_S,
                 UPSTREAMS_PAUSE_S,
                 self.list_upstreams,
                 self.change_upstreams,
                 self.store_answered,
+                catalog.note_store,
             ),
             KindFollower(
                 feed,
@@ -137,6 +141,7 @@
                 0.0,
                 self.list_wanted,
                 self.change_wanted,
+                on_store=catalog.note_store,
             ),
         ]
 
@@ -153,7 +158,6 @@
 
     def store_answered(self, outage_s: float) -> None:
         """Keep upstreams that lapsed in an outage until they could register again."""
-        self.catalog.confirm()
         now_s = time.monotonic()
         if outage_s > OUTAGE_S:
             self.grace_until_s = now_s + LAPSED_GRACE_S
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -36,7 +36,7 @@
     PlacementRequest,
     RetryBudget,
 )
-from rosemaryyoke.http1 import RequestMessage
+from rosemaryyoke.http1 import Address, RequestMessage
 from rosemaryyoke.http1.messages import encode_headers, end_to_end, find_header
 
 HTTP_SERVER_ERROR = 500
@@ -44,6 +44,7 @@
 RETRY_JITTER = (0.6, 1.4)
 LEAST_RETRY_S = 0.05
 STALL_S = 1.0  # between events of a stream that another upstream may go on with
+STORE_LEAST_TOKENS = 256  # a shorter shared part is read faster than it is fetched
 MAX_SENDS = 4  # to upstreams, those that refused included
 ANSWER_MARGIN_S = 0.02  # an answer at the time limit has to be written yet
 
@@ -277,6 +278,7 @@
         salt = None
         if state.traits is not None:
             salt = b"%s:%d" % (placement.salt, weights or 0)
+        store = self.cache_store(exchange) if salt else None
         directive = Directive(
             instance=state.upstream.name,
             deadline_s=exchange.deadline_s - time.monotonic(),
@@ -285,6 +287,8 @@
             weights=weights,
             priority=priority(exchange) if state.traits is not None else None,
             salt=salt,
+            fetch_from=store,
+            save_to=store,
             last_event=exchange.resumed_from or ask.last_event,
         )
         message = exchange.message
@@ -294,6 +298,14 @@
         first_line = b"%s %s HTTP/1.1" % (message.method, message.target)
         return salt or b"", encode_headers(first_line, headers) + exchange.body
 
+    def cache_store(self, exchange: Exchange) -> Address | None:
+        """Return the KV cache store for a prompt whose shared parts are worth it."""
+        shared = sum(part.tokens for part in exchange.ask.parts[:-1])
+        if shared < STORE_LEAST_TOKENS:
+            return None
+        store = exchange.configuration.find_store()
+        return store.store if store is not None else None
+
     def take_outcome(
         self,
         exchange: Exchange,
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -37,6 +37,7 @@
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_S = 1.0
 KNOWN_TOLD = 16
+ORDER_CANDIDATES = 2  # one takes over where the other fails
 
 
 @define(eq=False)
@@ -88,7 +89,7 @@
             self.catalog,
             self.fleet,
             pool.executor,
-            self.is_candidate,
+            self.order_standing,
             self.beacons.send_now,
         )
         self.transfer = StateTransfer(adapter.source, self.catalog, self.table)
@@ -176,10 +177,10 @@
         now_s = time.monotonic()
         return self.table.addresses_for(data_centre, self.make_beacon(0), now_s)
 
-    def is_candidate(self, model: str) -> bool:
-        """Tell whether this host is the one to order a model's engines."""
+    def order_standing(self, model: str) -> int | None:
+        """Return this host's place among those that may order a model's engines."""
         if self.leaving or not self.catalog.is_fresh():
-            return False
+            return None
         live = self.table.live(time.monotonic())
         names = [
             peer.beacon.host
@@ -187,7 +188,9 @@
             if peer.beacon.ready and peer.beacon.store_answers
         ]
         key = f"orders/{model}".encode()
-        return rank(key, [*names, self.settings.name], 1)[0] == self.settings.name
+        ranked = rank(key, [*names, self.settings.name], ORDER_CANDIDATES)
+        own = self.settings.name
+        return ranked.index(own) if own in ranked else None
 
     def count_hosts(self) -> None:
         """Divide the retry budget among the hosts that live."""
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -18,7 +18,7 @@
 HOME_LEAST_TOKENS = 512  # a shorter shared part is read faster than it is looked for
 HOME_BELIEF = 0.7  # chance that the home holds a part that this host has not sent it
 AWAY_S_PER_MB = 0.6  # crossing between data centres, against prefill
-OLD_WEIGHTS_S = 0.15
+OLD_WEIGHTS_S = 0.25
 LOADING_S = 2.0
 ERROR_S = 0.4  # a failed answer, against prefill
 MEMORY_S = 0.5  # waiting until running requests free their memory
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -43,6 +43,7 @@
     held_until_s: float = 0.0
     held_since_s: float = 0.0
     in_doubt_since_s: float = 0.0
+    writes: int = 0
     seen_version: int = -1
     seen_at_s: float = 0.0
     lock: threading.Lock = field(factory=threading.Lock)
@@ -125,4 +126,8 @@
         self.held_until_s = began_s + self.duration_s
 
     def _body(self) -> bytes:
-        return orjson.dumps({"holder": self.holder, "token": self.token})
+        """Return a body unlike the one before; a store may ignore an equal one."""
+        self.writes += 1
+        return orjson.dumps(
+            {"holder": self.holder, "token": self.token, "writes": self.writes}
+        )
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -30,8 +30,18 @@
 ORDER_TIMEOUT_S = 0.8
 ORDER_MARGIN_S = 0.2
 LOADING_S = 10.0  # until an order without a result is looked at anew
-POLL_S = 0.5
-LOADING_SHARE = 3  # one engine in so many loads at a time
+POLL_S = 0.4
+OBSERVE_S = 1.0
+LOADING_SHARE = 2  # one engine of so many loads at a time
+
+
+@define
+class Ordered:
+    """A version that an engine was ordered to load, and when to look at it anew."""
+
+    version: int
+    until_s: float
+    asked_s: float = 0.0
 
 
 @define(eq=False)
@@ -39,8 +49,14 @@
     """A model's lease, and the engines that were ordered by this host."""
 
     lease: Lease
-    ordered: dict[str, float] = field(factory=dict)
-    asked: dict[str, float] = field(factory=dict)
+    ordered: dict[str, Ordered] = field(factory=dict)
+    observed_s: float = 0.0
+
+    def postpone(self, name: str, delay_s: float) -> None:
+        """Look at an engine's order anew after a while."""
+        ordered = self.ordered.get(name)
+        if ordered is not None:
+            ordered.until_s = time.monotonic() + delay_s
 
 
 @define(eq=False)
@@ -54,7 +70,7 @@
     catalog: Catalog
     fleet: Fleet
     executor: Executor
-    is_candidate: Callable[[str], bool]
+    standing: Callable[[str], int | None]
     announce: Callable[[], None] = lambda: None
     models: dict[str, ModelRollout] = field(factory=dict)
     running: threading.Lock = field(factory=threading.Lock)
@@ -64,17 +80,23 @@
         """Advance each model whose engines are behind."""
         for model, version in list(self.catalog.wanted.items()):
             behind = self.behind(model, version)
-            if behind and not self.stopping and self.is_candidate(model):
+            if behind and not self.stopping and self.may_order(model):
                 self.advance(model, version, behind)
 
+    def may_order(self, model: str) -> bool:
+        """Tell whether this host holds the model's lease, or may come to take it."""
+        rollout = self.models.get(model)
+        held = rollout is not None and rollout.lease.remaining_s() > 0
+        return held or self.standing(model) is not None
+
     def loading(self) -> tuple[str, ...]:
         """Return the engines that this host ordered and that are not done yet."""
         now_s = time.monotonic()
         return tuple(
             name
             for rollout in list(self.models.values())
-            for name, until_s in list(rollout.ordered.items())
-            if now_s < until_s
+            for name, ordered in list(rollout.ordered.items())
+            if now_s < ordered.until_s
         )
 
     def serving(self, model: str) -> list[UpstreamState]:
@@ -96,12 +118,12 @@
         rollout = self.models.get(model)
         if rollout is None:
             rollout = self.models[model] = ModelRollout(self.make_lease(model))
-        if not rollout.lease.acquire():
+        if not self.acquire(rollout, model):
             return
-        self.settle(rollout, {state.upstream.name for state in behind})
+        self.settle(rollout, model)
         for state in self.next_engines(rollout, model, behind):
-            name = state.upstream.name
-            rollout.ordered[name] = time.monotonic() + LOADING_S
+            until_s = time.monotonic() + LOADING_S
+            rollout.ordered[state.upstream.name] = Ordered(version, until_s)
             self.executor.submit(self.order, rollout, state, model, version)
         self.poll_ordered(rollout, model, behind)
 
@@ -116,24 +138,35 @@
             renew_after_s=RENEW_AFTER_S,
         )
 
-    def settle(self, rollout: ModelRollout, behind: set[str]) -> None:
-        """Forget the orders of engines that are no longer behind."""
-        for name in list(rollout.ordered):
-            if name not in behind:
-                rollout.ordered.pop(name, None)
+    def acquire(self, rollout: ModelRollout, model: str) -> bool:
+        """Take or renew the lease; a mere successor looks at it now and then."""
+        now_s = time.monotonic()
+        first = rollout.lease.remaining_s() > 0 or self.standing(model) == 0
+        if not first and now_s - rollout.observed_s < OBSERVE_S:
+            return False
+        rollout.observed_s = now_s
+        return rollout.lease.acquire()
+
+    def settle(self, rollout: ModelRollout, model: str) -> None:
+        """Forget the orders that are carried out, and those of engines that left."""
+        with self.fleet.lock:
+            for name, ordered in list(rollout.ordered.items()):
+                state = self.fleet.states.get(name)
+                if state is None or state.weights.get(model, 0) >= ordered.version:
+                    rollout.ordered.pop(name, None)
 
     def next_engines(
         self, rollout: ModelRollout, model: str, behind: list[UpstreamState]
     ) -> list[UpstreamState]:
         """Return the engines to order now, the least busy first."""
         now_s = time.monotonic()
-        loading = [until for until in rollout.ordered.values() if now_s < until]
+        loading = [item for item in rollout.ordered.values() if now_s < item.until_s]
         at_once = max(1, len(self.serving(model)) // LOADING_SHARE)
         free = at_once - len(loading)
         ready = [
             state
             for state in behind
-            if now_s >= rollout.ordered.get(state.upstream.name, 0.0)
+            if is_due(rollout.ordered.get(state.upstream.name), now_s)
             and state.usable(now_s)
         ]
         ready.sort(key=lambda state: state.running(now_s))
@@ -147,12 +180,12 @@
         report = self.engines.report(address)
         if isinstance(report, Err):
             logging.warning("engine %s: %s", name, report.err_value)
-            rollout.ordered[name] = time.monotonic() + POLL_S
+            rollout.postpone(name, POLL_S)
             return
         if self.take_report(rollout, state, model, report.ok_value):
             return
         if report.ok_value.loading:
-            rollout.ordered[name] = time.monotonic() + POLL_S
+            rollout.postpone(name, POLL_S)
             return
         lease = rollout.lease
         if lease.remaining_s() < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
@@ -182,7 +215,7 @@
             outcome.value,
         )
         if outcome is not OrderOutcome.ACCEPTED:
-            rollout.ordered[name] = time.monotonic() + 2 * POLL_S
+            rollout.postpone(name, 2 * POLL_S)
             with self.fleet.lock:
                 state.loading_until_s = time.monotonic() + 2 * POLL_S
 
@@ -193,9 +226,11 @@
         now_s = time.monotonic()
         for state in behind:
             name = state.upstream.name
-            due = now_s - rollout.asked.get(name, 0.0) >= POLL_S
-            if name in rollout.ordered and state.loading(now_s) and due:
-                rollout.asked[name] = now_s
+            ordered = rollout.ordered.get(name)
+            if ordered is None or not state.loading(now_s):
+                continue
+            if now_s - ordered.asked_s >= POLL_S:
+                ordered.asked_s = now_s
                 self.executor.submit(self.poll, rollout, state, model)
 
     def poll(self, rollout: ModelRollout, state: UpstreamState, model: str) -> None:
@@ -215,7 +250,9 @@
         served = report.weights.get(model, 0)
         with self.fleet.lock:
             state.take_weights(model, served, time.monotonic())
-        done = served >= self.catalog.wanted.get(model, 0)
-        if done:
-            rollout.ordered.pop(state.upstream.name, None)
-        return done
+        return served >= self.catalog.wanted.get(model, 0)
+
+
+def is_due(ordered: Ordered | None, now_s: float) -> bool:
+    """Tell whether an engine has no order that may still be under way."""
+    return ordered is None or now_s >= ordered.until_s
