--- a/rosemaryyoke/fleet/belief.py
+++ b/rosemaryyoke/fleet/belief.py
@@ -14,8 +14,8 @@
 class CacheBelief:
     """Prompt parts that an upstream read, least recently used first.
 
-    ``capacity`` is in tokens; parts of other hosts' requests share the upstream's cache,
-    so less than the whole of it is believed to be filled from here.
+    ``capacity`` is in tokens; parts of other hosts' requests share the upstream's
+    cache, so less than the whole of it is believed to be filled from here.
     """
 
     capacity: int
@@ -32,7 +32,7 @@
         return total
 
     def add(self, salt: bytes, parts: Sequence[PromptPart]) -> None:
-        """Note that the upstream has read a prompt; its beginning counts as used last."""
+        """Note that the upstream has read a prompt; its beginning is used last."""
         for part in reversed(parts):
             key = (salt, part.name)
             if key in self.held:
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -28,8 +28,8 @@
     """One lease, as one process sees it.
 
     ``held_since_s`` is when this process took the lease from another holder; the lease
-    before it had ended by then. ``renew_after_s`` is when a renewal is due, by default a
-    third of the duration. ``in_doubt_since_s`` is when the first renewal began
+    before it had ended by then. ``renew_after_s`` is when a renewal is due, by default
+    a third of the duration. ``in_doubt_since_s`` is when the first renewal began
     that may have taken effect unanswered: others count the duration from there.
     """
 
--- a/rosemaryyoke/platform/upstream_calls.py
+++ b/rosemaryyoke/platform/upstream_calls.py
@@ -9,6 +9,7 @@
 from rosemaryyoke.rollout.messages import (
     EngineReport,
     OrderOutcome,
+    RunningRequests,
     WeightsOrder,
 )
 
@@ -16,6 +17,10 @@
 ACCEPTED = 202
 ALREADY_HOLDS = 200
 BUSY = 409
+SWAP_MODES = {
+    RunningRequests.FINISH_FIRST: "queue",
+    RunningRequests.GO_ON: "in_place",
+}
 
 
 @frozen
@@ -42,7 +47,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "swapMode": "queue",
+            "swapMode": SWAP_MODES[order.running],
             "holder": order.holder,
             "fencingToken": order.fencing,
             "expect": order.expected_orders,
--- a/rosemaryyoke/rollout/__init__.py
+++ b/rosemaryyoke/rollout/__init__.py
@@ -4,7 +4,8 @@
     EngineReport,
     Engines,
     OrderOutcome,
+    RunningRequests,
     WeightsOrder,
 )
 
-__all__ = ["EngineReport", "Engines", "OrderOutcome", "WeightsOrder"]
+__all__ = ["EngineReport", "Engines", "OrderOutcome", "RunningRequests", "WeightsOrder"]
--- a/rosemaryyoke/rollout/messages.py
+++ b/rosemaryyoke/rollout/messages.py
@@ -18,6 +18,13 @@
     orders: int
 
 
+class RunningRequests(enum.Enum):
+    """What becomes of the requests that run while an engine loads weights."""
+
+    FINISH_FIRST = "finish first"
+    GO_ON = "go on under the new version"
+
+
 @frozen
 class WeightsOrder:
     """An order to load a version; refused unless ``expected_orders`` were accepted."""
@@ -30,6 +37,7 @@
     fencing: int
     expected_orders: int
     timeout_s: float
+    running: RunningRequests = RunningRequests.GO_ON
 
 
 class OrderOutcome(enum.Enum):
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -32,7 +32,7 @@
 LOADING_S = 10.0  # until an order without a result is looked at anew
 POLL_S = 0.4
 OBSERVE_S = 1.0
-LOADING_SHARE = 2  # one engine of so many loads at a time
+LOADING_SHARE = 3  # one engine of so many loads at a time
 
 
 @define
