--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -29,9 +29,9 @@
 from rosemaryyoke.rollout import Engines
 from rosemaryyoke.rollout.rollout import TICK_S, Rollout
 
-ANSWER_LIFETIME_S = 2.0
+ANSWER_LIFETIME_S = 1.0
 STALE_ANSWERS = 3  # some callers keep an answer for this many lifetimes
-STOP_MARGIN_S = 1.2  # of the grace, for answers that are under way
+STOP_SERVING_SHARE = 0.42  # of the grace; later requests could not end within it
 EXIT_MARGIN_S = 0.3
 SIDE_CONNECTIONS = 64
 TRANSFER_PERIOD_S = 0.5
@@ -139,11 +139,10 @@
         callers.close_after_answers()
         stale_s = STALE_ANSWERS * ANSWER_LIFETIME_S + EXIT_MARGIN_S
         grace_s = self.settings.grace_s
-        time.sleep(min(stale_s, grace_s - STOP_MARGIN_S))
-        callers.stop()
+        time.sleep(min(stale_s, STOP_SERVING_SHARE * grace_s))
+        callers.refuse_requests()
         callers.close_idle()
-        until_s = began_s + grace_s - EXIT_MARGIN_S
-        if not callers.wait_idle(until_s):
+        if not callers.wait_idle(began_s + grace_s - EXIT_MARGIN_S):
             logging.warning("requests cut at the stop count=%d", callers.answering)
         logging.info("host stopped name=%s", self.settings.name)
 
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -24,6 +24,7 @@
 BACKLOG = 512
 UNACKNOWLEDGED_S = 10.0
 DRAIN_S = 0.5
+LEAVING_RETRY_S = 0.02  # another host takes the request at once
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 OVERLOADED = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
@@ -81,6 +82,10 @@
         """Let every answer from now on be the last on its connection."""
         self.closing = True
 
+    def refuse_requests(self) -> None:
+        """Refuse every request that is read from now on."""
+        self.refusing = True
+
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         with self.lock:
@@ -156,6 +161,9 @@
         with self.lock:
             self.answering += 1
         try:
+            if self.refusing:
+                caller.refuse(503, "leaving", "this host is leaving", LEAVING_RETRY_S)
+                return
             self.handler(message, caller)
         except (CallerGone, OSError):
             raise
