Send nothing to engines whose weights were replaced too long ago

Change: the catalog keeps since when each version is named; placement leaves out engines that are outdated for longer than the bound less a margin.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -1,13 +1,24 @@
 """What this host knows of the declarations and of the upstreams."""
 
 import threading
+import time
 from typing import Callable
 
 from absl import logging
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 
+VERSIONS_KEPT = 16
+
+
+@frozen
+class NamedVersion:
+    """A version of a model's weights, and since when it is named."""
+
+    version: int
+    since_s: float
+
 
 @define(eq=False)
 class Catalog:
@@ -19,6 +30,7 @@
     configuration: Configuration | None = None
     upstreams: dict[str, Upstream] = field(factory=dict)
     wanted: dict[str, int] = field(factory=dict)
+    named: dict[str, list[NamedVersion]] = field(factory=dict)
     configuration_source: bytes = b""
     upstreams_seen: bool = False
     failing: set[str] = field(factory=set)
@@ -51,15 +63,25 @@
         log_differences(before, upstreams)
         self._tell()
 
-    def take_wanted(self, wanted: WantedWeights) -> None:
-        """Take in a named version of a model's weights."""
+    def take_wanted(self, wanted: WantedWeights, age_s: float = 0.0) -> None:
+        """Take in a version of a model's weights that was named ``age_s`` ago."""
         with self.changed:
             if wanted.version <= self.wanted.get(wanted.model, 0):
                 return
             self.wanted[wanted.model] = wanted.version
+            named = NamedVersion(wanted.version, time.monotonic() - age_s)
+            versions = self.named.setdefault(wanted.model, [])
+            self.named[wanted.model] = [*versions, named][-VERSIONS_KEPT:]
         logging.info("weights named model=%s version=%d", wanted.model, wanted.version)
         self._tell()
 
+    def outdated_s(self, model: str, version: int, now_s: float) -> float:
+        """Return for how long a newer version than this one has been named."""
+        for named in self.named.get(model, ()):
+            if named.version > version:
+                return now_s - named.since_s
+        return 0.0
+
     def note_store(self, kind: str, answers: bool) -> None:
         """Note whether the store answers the task that follows a kind."""
         with self.changed:
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -105,9 +105,19 @@
 
 
 class Follower:
-    """Feeds the catalog from the store."""
-
-    def __init__(self, source: CatalogSource, catalog: Catalog):
+    """Feeds the catalog from the store.
+
+    A listing does not tell when weights were named; they count as
+    ``listed_weights_age_s`` old.
+    """
+
+    def __init__(
+        self,
+        source: CatalogSource,
+        catalog: Catalog,
+        listed_weights_age_s: float = 0.0,
+    ):
+        self.listed_weights_age_s = listed_weights_age_s
         self.source = source
         self.catalog = catalog
         self.upstreams: dict[str, Upstream] = {}
@@ -233,7 +243,7 @@
     def list_wanted(self, listing: Listing) -> None:
         """Take in all named weights."""
         for stored in listing.objects:
-            self._take_wanted(stored)
+            self._take_wanted(stored, self.listed_weights_age_s)
 
     def change_wanted(self, changes: FeedChanges) -> None:
         """Take in newly named weights."""
@@ -241,9 +251,9 @@
             if not change.removed:
                 self._take_wanted(change.object)
 
-    def _take_wanted(self, stored: StoredObject) -> None:
+    def _take_wanted(self, stored: StoredObject, age_s: float = 0.0) -> None:
         decoded = self.source.decode_wanted(stored)
         if isinstance(decoded, Err):
             logging.error("named weights are malformed: %s", decoded.err_value)
             return
-        self.catalog.take_wanted(decoded.ok_value)
+        self.catalog.take_wanted(decoded.ok_value, age_s)
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -46,6 +46,7 @@
 STALL_S = 1.0  # between events of a stream that another upstream may go on with
 STORE_LEAST_TOKENS = 256  # a shorter shared part is read faster than it is fetched
 MAX_SENDS = 4  # to upstreams, those that refused included
+WEIGHTS_MARGIN_S = 1.5  # a request begins some time after it was placed
 ANSWER_MARGIN_S = 0.02  # an answer at the time limit has to be written yet
 
 
@@ -105,6 +106,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     metrics: object
+    weights_bound_s: float
     chooser: Chooser = field(factory=Chooser)
 
     def handle(self, message: RequestMessage, caller: CallerConnection) -> None:
@@ -204,7 +206,7 @@
             raise Refused(self.time_is_up(exchange))
         request = self.placement_request(exchange, now_s)
         with self.fleet.lock:
-            states = self.states(exchange)
+            states = self.current(exchange, self.states(exchange), now_s)
             chosen = self.chooser.choose(request, states, exchange.excluded, now_s)
         if isinstance(chosen, Err):
             raise Refused(self.no_upstream(exchange, chosen.err_value))
@@ -231,6 +233,17 @@
         target = random.choices(targets, weights)[0]
         return self.fleet.of_service(target.service)
 
+    def current(self, exchange: Exchange, states: list, now_s: float) -> list:
+        """Return the upstreams whose weights may still be used."""
+        model = exchange.ask.model
+        bound_s = self.weights_bound_s - WEIGHTS_MARGIN_S
+        return [
+            state
+            for state in states
+            if model not in state.weights
+            or self.catalog.outdated_s(model, state.weights[model], now_s) < bound_s
+        ]
+
     def attempt(self, exchange: Exchange, placement: Placement) -> Outcome:
         """Send the exchange to an upstream and take in what came of it."""
         state = placement.state
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -37,6 +37,7 @@
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_S = 1.0
 KNOWN_TOLD = 16
+LISTED_WEIGHTS_GRACE_S = 4.0  # for engines to load what a host finds named at its start
 ORDER_CANDIDATES = 2  # one takes over where the other fails
 
 
@@ -103,7 +104,7 @@
         add("metrics", self.metrics)
         add("pool", pool)
         add("timer", self.timer)
-        add("follower", Follower(adapter.source, self.catalog))
+        add("follower", self.make_follower())
         add("beacons", self.beacons)
         add("peers", self.peers_server())
         add("readiness", self.readiness_server())
@@ -112,6 +113,11 @@
         if settings.metrics_port:
             add("metrics_server", self.metrics_server())
 
+    def make_follower(self) -> Follower:
+        """Return the tasks that follow the store."""
+        age_s = max(0.0, self.settings.weights_bound_s - LISTED_WEIGHTS_GRACE_S)
+        return Follower(self.adapter.source, self.catalog, age_s)
+
     def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
         signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
@@ -223,6 +229,7 @@
             self.connections,
             self.budget,
             self.metrics,
+            self.settings.weights_bound_s,
         )
         return ConnectionServer(
             self.settings.callers,
--- a/rosemaryyoke/exchanges/settings.py
+++ b/rosemaryyoke/exchanges/settings.py
@@ -11,8 +11,9 @@
 class RoutingSettings:
     """Addresses, place and the bounds that the operators agreed on.
 
-    ``retry_ratio`` and ``retry_slack`` bound the repeats of all hosts together in
-    ``retry_window_s``. ``grace_s`` is how long a stop may take.
+    ``weights_bound_s`` is for how long a request may begin on weights after newer ones
+    were named. ``retry_ratio`` and ``retry_slack`` bound the repeats of all hosts
+    together in ``retry_window_s``. ``grace_s`` is how long a stop may take.
     """
 
     name: str
@@ -27,6 +28,7 @@
     metrics_port: int = 0
     grace_s: float = 8.0
     lease_s: float = 3.0
+    weights_bound_s: float = 15.0
     retry_ratio: float = 0.2
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
--- a/rosemaryyoke/platform/settings_file.py
+++ b/rosemaryyoke/platform/settings_file.py
@@ -47,6 +47,7 @@
         metrics_port=value["internalPorts"][0],
         grace_s=float(bounds["graceS"]),
         lease_s=bounds["leaseMs"] / MILLISECONDS,
+        weights_bound_s=bounds["versionMs"] / MILLISECONDS,
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_slack=float(bounds["retryBudgetSlack"]),
         retry_window_s=float(bounds["budgetWindowS"]),
