--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -301,7 +301,7 @@
             priority=priority(exchange) if state.traits is not None else None,
             salt=salt,
             fetch_from=store,
-            save_to=store,
+            save_to=store if placement.misses_shared else None,
             last_event=exchange.resumed_from or ask.last_event,
         )
         message = exchange.message
@@ -313,8 +313,7 @@
 
     def cache_store(self, exchange: Exchange) -> Address | None:
         """Return the KV cache store for a prompt whose shared parts are worth it."""
-        shared = sum(part.tokens for part in exchange.ask.parts[:-1])
-        if shared < STORE_LEAST_TOKENS:
+        if exchange.ask.shared_tokens < STORE_LEAST_TOKENS:
             return None
         store = exchange.configuration.find_store()
         return store.store if store is not None else None
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -35,6 +35,11 @@
     output_tokens: int = 0
     last_event: bytes | None = None
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the size of the parts that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def prompt_tokens(self) -> int:
         """Return the size of the whole prompt."""
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -16,7 +16,8 @@
 from rosemaryyoke.placement.rendezvous import RankingCache
 
 HOME_LEAST_TOKENS = 512  # a shorter shared part is read faster than it is looked for
-HOME_BELIEF = 0.7  # chance that the home holds a part that this host has not sent it
+MISS_WEIGHT = 2.0
+HOME_BELIEF = 0.8  # chance that the home holds a part that this host has not sent it
 AWAY_S_PER_MB = 0.6  # crossing between data centres, against prefill
 OLD_WEIGHTS_S = 0.25
 LOADING_S = 2.0
@@ -37,6 +38,7 @@
     hit_tokens: int
     wait_s: float
     cost_s: float
+    misses_shared: bool = False
 
 
 @frozen
@@ -113,20 +115,21 @@
         self, request: PlacementRequest, state: UpstreamState, home: str, now_s: float
     ) -> Placement:
         """Return an upstream's placement with its predicted cost."""
-        hit = 0
+        hit, misses_shared = 0, False
         wait_s = self.slot_wait_s(state, now_s)
         cost_s = self.surcharge_s(request, state, now_s)
         if state.traits is not None and request.ask.parts:
             hit = state.belief.held_tokens(request.salt, request.ask.parts)
             expected = hit
             if state.upstream.name == home:
-                shared = sum(part.tokens for part in request.ask.parts[:-1])
-                expected = max(hit, HOME_BELIEF * shared)
+                expected = max(hit, HOME_BELIEF * request.ask.shared_tokens)
             missed = request.ask.prompt_tokens - expected
+            misses_shared = hit < request.ask.shared_tokens
             wait_s += state.waiting_prefill(now_s) / PREFILL_TOKENS_PER_S
-            cost_s += missed / PREFILL_TOKENS_PER_S
+            cost_s += MISS_WEIGHT * missed / PREFILL_TOKENS_PER_S
             cost_s += self.memory_wait_s(request, state, now_s)
-        return Placement(state, request.salt, hit, wait_s, cost_s + wait_s)
+        total_s = cost_s + wait_s
+        return Placement(state, request.salt, hit, wait_s, total_s, misses_shared)
 
     def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
         """Return the wait for a slot, and the slowing by requests beside."""
