Take a batch of claims as written only if all of it stands

Ruled out: Change.apply is idempotent, so that a second application of the rest is safe. Change: all changes must stand, else the batch is applied anew to what the store holds. Before and after: test_claim_batches fails in the named case and in a generated history; passes, with 300 histories of two writers over lost and dropped writes.

--- a/rosemaryyoke/calls/claim_shards.py
+++ b/rosemaryyoke/calls/claim_shards.py
@@ -98,8 +98,12 @@
         return body
 
     def _recognise(self, batch: list[Change], stored: StoredObject | None) -> bool:
+        """Tell whether the whole batch took effect.
+
+        One change may stand alone: the same claim can come by another host's write.
+        """
         entries = read_entries(stored)
-        return any(change.holds(entries) for change in batch)
+        return all(change.holds(entries) for change in batch)
 
     def _settle(self, batch: list[Change], outcome: Result) -> None:
         if isinstance(outcome, Err):
