Log each decision as a JSON line on standard output, through a bounded queue

Cause: logs went to standard error as free text, written in the request's way; a failed request could not be followed from its id. Change: core.logs queues records to one writer, drops beyond a rate and a queue's length and counts what it dropped by message; placed, attempt failed, refused, stream cut and answered carry the request's id and what was decided on. SIGHUP adds seeds. Lapsed upstreams expire by the timer, since a long watch may bring no answer. A follower's task outlives an error.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -4,10 +4,10 @@
 import time
 from typing import Callable
 
-from absl import logging
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+from rosemaryyoke.core.logs import event
 
 VERSIONS_KEPT = 16
 
@@ -50,7 +50,7 @@
             self.configuration = newer
             self.configuration_source = source
             self.changed.notify_all()
-        logging.info("configuration in force version=%d", newer.version)
+        event("configuration in force", version=newer.version)
         self._tell()
         return True
 
@@ -72,7 +72,7 @@
             named = NamedVersion(wanted.version, time.monotonic() - age_s)
             versions = self.named.setdefault(wanted.model, [])
             self.named[wanted.model] = [*versions, named][-VERSIONS_KEPT:]
-        logging.info("weights named model=%s version=%d", wanted.model, wanted.version)
+        event("weights named", model=wanted.model, version=wanted.version)
         self._tell()
 
     def outdated_s(self, model: str, version: int, now_s: float) -> float:
@@ -111,9 +111,9 @@
 def log_differences(before: dict[str, Upstream], after: dict[str, Upstream]) -> None:
     """Log each upstream that came, went or began to drain."""
     for name in after.keys() - before.keys():
-        logging.info("upstream came name=%s service=%s", name, after[name].service)
+        event("upstream came", upstream=name, service=after[name].service)
     for name in before.keys() - after.keys():
-        logging.info("upstream gone name=%s service=%s", name, before[name].service)
+        event("upstream gone", upstream=name, service=before[name].service)
     for name in after.keys() & before.keys():
         if after[name].draining and not before[name].draining:
-            logging.info("upstream draining name=%s", name)
+            event("upstream draining", upstream=name)
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -11,6 +11,7 @@
 
 from rosemaryyoke.catalog.catalog import Catalog
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.objects.feed import FeedChanges, FeedError, Listing, ObjectFeed
 from rosemaryyoke.objects.objects import StoredObject
 
@@ -60,7 +61,11 @@
     def run(self) -> None:
         """Follow until stopped."""
         while not self.stopping.is_set():
-            outcome = self.step()
+            try:
+                outcome = self.step()
+            except Exception as error:
+                logging.exception("the task that follows %s failed", self.kind)
+                outcome = Err(FeedError(str(error)))
             if isinstance(outcome, Err) and not outcome.err_value.history_gone:
                 self._back_off(outcome.err_value)
             elif self.pause_s:
@@ -89,7 +94,7 @@
         outage_s = 0.0
         if self.failed_since_s is not None:
             outage_s = time.monotonic() - self.failed_since_s
-            logging.info("store answers again kind=%s", self.kind)
+            event("store regained", kind=self.kind, outage_s=round(outage_s, 3))
         self.failed_since_s = None
         self.backoff_s = FIRST_BACKOFF_S
         self.on_store(self.kind, True)
@@ -98,7 +103,7 @@
     def _back_off(self, error: FeedError) -> None:
         if self.failed_since_s is None:
             self.failed_since_s = time.monotonic()
-            logging.warning("store fails kind=%s error=%s", self.kind, error.message)
+            event("store lost", kind=self.kind, error=error.message)
         self.on_store(self.kind, False)
         self.stopping.wait(self.backoff_s * random.uniform(0.5, 1.0))
         self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
@@ -121,8 +126,9 @@
         self.source = source
         self.catalog = catalog
         self.upstreams: dict[str, Upstream] = {}
-        self.lapsed: dict[str, float] = {}
+        self.lapsed: set[str] = set()
         self.grace_until_s = 0.0
+        self.lock = threading.RLock()
         feed = source.feed
         self.followers = [
             KindFollower(
@@ -168,10 +174,14 @@
 
     def store_answered(self, outage_s: float) -> None:
         """Keep upstreams that lapsed in an outage until they could register again."""
-        now_s = time.monotonic()
         if outage_s > OUTAGE_S:
-            self.grace_until_s = now_s + LAPSED_GRACE_S
-        if self.lapsed and now_s >= self.grace_until_s:
+            self.grace_until_s = time.monotonic() + LAPSED_GRACE_S
+
+    def expire_lapsed(self) -> None:
+        """Drop the upstreams that did not register again in time."""
+        with self.lock:
+            if not self.lapsed or self._in_grace():
+                return
             for name in self.lapsed:
                 self.upstreams.pop(name, None)
             self.lapsed.clear()
@@ -202,27 +212,30 @@
             upstream = self._decode_upstream(stored)
             if upstream is not None:
                 listed[upstream.name] = upstream
-        for name in self.upstreams.keys() - listed.keys():
-            if self._in_grace():
+        with self.lock:
+            self.lapsed = self.upstreams.keys() - listed.keys()
+            if not self._in_grace():
+                self.lapsed = set()
+            for name in self.lapsed:
                 listed[name] = self.upstreams[name]
-                self.lapsed[name] = time.monotonic()
-        self.upstreams = listed
-        self.catalog.take_upstreams(dict(listed))
+            self.upstreams = listed
+            self.catalog.take_upstreams(dict(listed))
 
     def change_upstreams(self, changes: FeedChanges) -> None:
         """Take in upstreams that changed or left."""
-        for change in changes.changes:
-            self._change_upstream(change.object, change.removed)
-        self.catalog.take_upstreams(dict(self.upstreams))
+        with self.lock:
+            for change in changes.changes:
+                self._change_upstream(change.object, change.removed)
+            self.catalog.take_upstreams(dict(self.upstreams))
 
     def _change_upstream(self, stored: StoredObject, removed: bool) -> None:
         if removed:
             if self._in_grace():
-                self.lapsed[stored.name] = time.monotonic()
+                self.lapsed.add(stored.name)
             else:
                 self.upstreams.pop(stored.name, None)
             return
-        self.lapsed.pop(stored.name, None)
+        self.lapsed.discard(stored.name)
         upstream = self._decode_upstream(stored)
         if upstream is None:
             self.upstreams.pop(stored.name, None)
--- a/rosemaryyoke/cli/route.py
+++ b/rosemaryyoke/cli/route.py
@@ -33,10 +33,14 @@
     if isinstance(settings, Err):
         print(settings.err_value, file=sys.stderr)
         return EXIT_USAGE
-    set_up_logs(settings.ok_value.name, options.log_level)
+    logs = set_up_logs(settings.ok_value.name, options.log_level)
     from rosemaryyoke.exchanges.host import RoutingHost
     from rosemaryyoke.platform.adapter import make_adapter
 
-    adapter = make_adapter(settings.ok_value)
-    run_to_exit(RoutingHost(settings.ok_value, adapter))
+    host = RoutingHost(
+        settings.ok_value,
+        make_adapter(settings.ok_value),
+        lambda: settings_file.load_routing_settings(path),
+    )
+    run_to_exit(host, logs)
     return os.EX_OK
--- a/rosemaryyoke/cli/serve.py
+++ b/rosemaryyoke/cli/serve.py
@@ -10,16 +10,18 @@
 from result import Err
 
 from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, EXIT_USAGE, command
-from rosemaryyoke.core.logs import set_up_logs
+from rosemaryyoke.core.logs import LogWriter, set_up_logs
 from rosemaryyoke.settings import load_settings
 
+LOGS_DRAIN_S = 0.2
+
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of serve."""
     parser.add_argument("--settings", required=True, type=Path, help="YAML settings")
 
 
-def run_to_exit(host) -> NoReturn:
+def run_to_exit(host, logs: LogWriter) -> NoReturn:
     """Run a host and end the process, whatever its pools still wait for.
 
     The interpreter would join pool threads that wait for an outside answer.
@@ -30,7 +32,7 @@
         code = EXIT_OK
     except Exception:
         logging.exception("the host failed")
-    logging.flush()
+    logs.drain(LOGS_DRAIN_S)
     os._exit(code)
 
 
@@ -42,7 +44,7 @@
         for fault in settings.err_value:
             print(fault, file=sys.stderr)
         return EXIT_USAGE
-    set_up_logs(settings.ok_value.name, settings.ok_value.log_level)
+    logs = set_up_logs(settings.ok_value.name, settings.ok_value.log_level)
     from rosemaryyoke.entry import Host
 
-    run_to_exit(Host(settings.ok_value))
+    run_to_exit(Host(settings.ok_value), logs)
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -4,7 +4,6 @@
 import time
 from urllib.parse import urlsplit
 
-from absl import logging
 from attrs import define, field, frozen
 from result import Err
 
@@ -15,6 +14,7 @@
     Configuration,
     ExchangeRoute,
 )
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.exchanges.attempt import (
     Answered,
     Attempt,
@@ -39,6 +39,7 @@
 from rosemaryyoke.http1 import Address, RequestMessage
 from rosemaryyoke.http1.messages import encode_headers, end_to_end, find_header
 
+HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 UNKNOWN_RETRY_S = 0.3
 RETRY_JITTER = (0.6, 1.4)
@@ -89,6 +90,15 @@
     excluded: set[str] = field(factory=set)
     resumed_from: bytes | None = None
 
+    @property
+    def request(self) -> str:
+        """Return the request's identifier as logs show it."""
+        return self.ask.request_id.decode("latin-1")
+
+    def age_ms(self) -> int:
+        """Return for how long the exchange has been under way."""
+        return round((time.monotonic() - self.began_s) * 1000)
+
     @property
     def service(self) -> str:
         """Return the service that the budget counts the exchange for."""
@@ -193,6 +203,7 @@
             placement = self.place(exchange)
             outcome = self.attempt(exchange, placement)
             if isinstance(outcome, Streamed):
+                self.log_answer(exchange, HTTP_OK)
                 return
             if self.may_send_again(exchange, outcome):
                 continue
@@ -249,6 +260,7 @@
         state = placement.state
         exchange.sends += 1
         exchange.excluded.add(state.upstream.name)
+        self.log_placement(exchange, placement)
         salt, request = self.encode(exchange, placement)
         parts = exchange.ask.parts
         tokens = exchange.ask.prompt_tokens + exchange.ask.output_tokens
@@ -356,15 +368,47 @@
         else:
             state.failed(now_s)
 
+    def log_answer(self, exchange: Exchange, status: int) -> None:
+        """Log an upstream's answer that the caller was given."""
+        age_ms = exchange.age_ms()
+        event("answered", request=exchange.request, status=status, age_ms=age_ms)
+        self.metrics.observe("answer_seconds", age_ms / 1000, kind=exchange.route.kind)
+
+    def log_placement(self, exchange: Exchange, placement: Placement) -> None:
+        """Log where a request is sent, and what that was decided on."""
+        configuration = exchange.configuration
+        event(
+            "placed",
+            request=exchange.request,
+            route=exchange.route.name,
+            account=exchange.account.name if exchange.account else None,
+            configuration=configuration.version,
+            upstream=placement.state.upstream.name,
+            send=exchange.sends,
+            hit_tokens=placement.hit_tokens,
+            wait_ms=round(placement.wait_s * 1000),
+            cost_ms=round(placement.cost_s * 1000),
+            resumed_from=exchange.resumed_from,
+            left_ms=round((exchange.until_s - time.monotonic()) * 1000),
+        )
+
     def log_outcome(
         self, exchange: Exchange, placement: Placement, outcome: Failed | NotRun
     ) -> None:
         """Log an attempt that gave no answer."""
-        logging.info(
-            "attempt failed request=%s upstream=%s outcome=%s",
-            exchange.ask.request_id.decode("latin-1"),
-            placement.state.upstream.name,
-            outcome,
+        fields = {"not_run": isinstance(outcome, NotRun)}
+        if isinstance(outcome, NotRun):
+            fields["status"] = outcome.status
+            fields["weights"] = outcome.facts.weights
+        else:
+            fields["reason"] = outcome.reason
+            fields["may_have_run"] = outcome.may_have_run
+        event(
+            "attempt failed",
+            request=exchange.request,
+            upstream=placement.state.upstream.name,
+            age_ms=exchange.age_ms(),
+            **fields,
         )
 
     def may_send_again(self, exchange: Exchange, outcome: Outcome) -> bool:
@@ -404,6 +448,7 @@
     def conclude(self, exchange: Exchange, outcome: Outcome) -> None:
         """Give the caller the last outcome."""
         if exchange.caller.streaming:
+            event("stream cut", request=exchange.request, age_ms=exchange.age_ms())
             raise CallerGone("the stream broke off and cannot go on")
         if isinstance(outcome, Answered):
             message = outcome.message
@@ -415,6 +460,7 @@
             exchange.caller.answer(
                 message.status, message.reason, headers, message.body
             )
+            self.log_answer(exchange, message.status)
             return
         raise Refused(self.refusal_after(exchange, outcome))
 
@@ -446,12 +492,13 @@
         if caller.streaming:
             raise CallerGone(refusal.message)
         self.metrics.count("refusals_total", code=refusal.code)
-        logging.info(
-            "refused request=%s status=%d code=%s retry_after_s=%s",
-            caller.request_id.decode("latin-1"),
-            refusal.status,
-            refusal.code,
-            refusal.retry_after_s,
+        event(
+            "refused",
+            request=caller.request_id.decode("latin-1"),
+            status=refusal.status,
+            code=refusal.code,
+            reason=refusal.message,
+            retry_after_s=refusal.retry_after_s,
         )
         caller.refuse(
             refusal.status, refusal.code, refusal.message, refusal.retry_after_s
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -3,12 +3,15 @@
 import signal
 import threading
 import time
+from typing import Callable
 
 from absl import logging
 from attrs import define
+from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
 from rosemaryyoke.core import Kernel, Metrics, PoolService, TimerService, set_stack_size
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.exchanges.connections import ConnectionPool
 from rosemaryyoke.exchanges.directory import (
     Directory,
@@ -36,6 +39,7 @@
 SIDE_CONNECTIONS = 64
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_S = 1.0
+SIGNAL_POLL_S = 0.5
 KNOWN_TOLD = 16
 LISTED_WEIGHTS_GRACE_S = 4.0  # for engines to load what a host finds named at its start
 ORDER_CANDIDATES = 2  # one takes over where the other fails
@@ -55,8 +59,15 @@
 class RoutingHost:
     """One host that routes exchanges."""
 
-    def __init__(self, settings: RoutingSettings, adapter: Adapter):
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        adapter: Adapter,
+        reload: Callable[[], Result[RoutingSettings, str]] | None = None,
+    ):
         set_stack_size()
+        self.reload = reload
+        self.reloading = threading.Event()
         self.settings = settings
         self.adapter = adapter
         self.boot = time.time_ns()
@@ -104,7 +115,8 @@
         add("metrics", self.metrics)
         add("pool", pool)
         add("timer", self.timer)
-        add("follower", self.make_follower())
+        self.follower = self.make_follower()
+        add("follower", self.follower)
         add("beacons", self.beacons)
         add("peers", self.peers_server())
         add("readiness", self.readiness_server())
@@ -122,22 +134,36 @@
         """Serve until SIGTERM, then stop gracefully."""
         signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
         signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGHUP, lambda *_: None)
+        signal.signal(signal.SIGHUP, lambda *_: self.reloading.set())
         self.kernel.start()
         self.timer.every(TICK_S, self.rollout.tick)
         self.timer.every(TRANSFER_PERIOD_S, self.transfer.fetch)
         self.timer.every(TRANSFER_PERIOD_S, self.registration.tick)
         self.timer.every(POOL_SWEEP_S, self.connections.close_expired)
         self.timer.every(POOL_SWEEP_S, self.count_hosts)
-        logging.info("host started name=%s", self.settings.name)
-        while not self.stopping.wait(1.0):
-            pass
+        self.timer.every(TRANSFER_PERIOD_S, self.follower.expire_lapsed)
+        event("host started", host=self.settings.name, boot=self.boot)
+        while not self.stopping.wait(SIGNAL_POLL_S):
+            if self.reloading.is_set():
+                self.reloading.clear()
+                self.take_settings()
         self.shut_down()
 
+    def take_settings(self) -> None:
+        """Read the settings anew; addresses of other hosts are all that may change."""
+        if self.reload is None:
+            return
+        settings = self.reload()
+        if isinstance(settings, Err):
+            logging.error("settings not reloaded: %s", settings.err_value)
+            return
+        self.table.add_candidates(settings.ok_value.seeds, time.monotonic())
+        event("settings reloaded")
+
     def shut_down(self) -> None:
         """Leave, serve callers that still hold our address, then end."""
         began_s = time.monotonic()
-        logging.info("host leaves name=%s", self.settings.name)
+        event("host leaves", host=self.settings.name)
         self.leaving = True
         self.rollout.stopping = True
         self.beacons.send_now()
@@ -150,7 +176,7 @@
         callers.close_idle()
         if not callers.wait_idle(began_s + grace_s - EXIT_MARGIN_S):
             logging.warning("requests cut at the stop count=%d", callers.answering)
-        logging.info("host stopped name=%s", self.settings.name)
+        event("host stopped", host=self.settings.name)
 
     def is_ready(self) -> bool:
         """Tell whether this host takes callers."""
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -15,6 +15,7 @@
 from result import Err
 
 from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.fleet import Fleet, UpstreamState
 from rosemaryyoke.objects import Lease, ObjectApi
 from rosemaryyoke.rollout.messages import (
@@ -206,13 +207,13 @@
                 ORDER_TIMEOUT_S,
             )
         )
-        logging.info(
-            "order engine=%s model=%s version=%d fencing=%d outcome=%s",
-            name,
-            model,
-            version,
-            lease.fencing,
-            outcome.value,
+        event(
+            "order sent",
+            upstream=name,
+            model=model,
+            version=version,
+            fencing=lease.fencing,
+            outcome=outcome.value,
         )
         if outcome is not OrderOutcome.ACCEPTED:
             rollout.postpone(name, 2 * POLL_S)
