--- a/rosemaryyoke/core/logs.py
+++ b/rosemaryyoke/core/logs.py
@@ -135,7 +135,7 @@
 
 def event(message: str, /, **fields: object) -> None:
     """Log a decision or a change of belief with its inputs as fields."""
-    logging.get_absl_logger().info(message, extra={"fields": fields})
+    logging.get_absl_logger().info(message, extra={"fields": fields}, stacklevel=2)
 
 
 def set_up_logs(process: str, level: str) -> LogWriter:
--- /dev/null
+++ b/rosemaryyoke/http1/tests/test_messages.py
@@ -0,0 +1,98 @@
+"""Requests and answers as they come off a connection."""
+
+import pytest
+
+from rosemaryyoke.http1 import (
+    AnswerReader,
+    MalformedMessage,
+    MessageLimits,
+    MessageTooLarge,
+    RequestReader,
+)
+from rosemaryyoke.http1.messages import end_to_end
+
+LIMITS = MessageLimits(head_bytes=512, body_bytes=1_000)
+GET = b"GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nab"
+
+
+def read_requests(data, step=7):
+    reader = RequestReader(LIMITS)
+    for start in range(0, len(data), step):
+        reader.feed(data[start : start + step])
+    return list(reader.requests)
+
+
+def read_answers(*parts, end=False):
+    reader = AnswerReader()
+    for part in parts:
+        reader.feed(part)
+    if end:
+        reader.feed_end()
+    return reader
+
+
+@pytest.mark.parametrize("step", [1, 7, 1_000])
+def test_request_pipelined(step):
+    post = (
+        b"POST /b/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n\r\n"
+    )
+    first, second = read_requests(GET + post, step)
+    assert (first.method, first.target, first.body) == (b"GET", b"/a/1", b"")
+    assert (second.method, second.body) == (b"POST", b"abc")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: +2\r\n\r\n",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_request_with_two_framings_is_malformed(head):
+    with pytest.raises(MalformedMessage):
+        read_requests(head, 1_000)
+
+
+def test_request_limits():
+    with pytest.raises(MessageTooLarge) as head:
+        read_requests(b"GET / HTTP/1.1\r\nA: " + b"x" * 600 + b"\r\n\r\n", 100)
+    with pytest.raises(MessageTooLarge) as body:
+        read_requests(b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n")
+    assert (head.value.status, body.value.status) == (431, 413)
+
+
+def test_answer_with_a_second_answer_behind():
+    reader = read_answers(OK + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert len(reader.messages) == 2
+    assert reader.messages[0].complete and reader.messages[0].body == b"ab"
+
+
+def test_answer_with_stray_bytes_behind():
+    reader = read_answers(OK + b"garbage\r\n")
+    assert reader.malformed and reader.messages[0].complete
+
+
+def test_answer_without_length_ends_with_its_connection():
+    data = b"HTTP/1.1 200 OK\r\n\r\nabc"
+    assert not read_answers(data).messages[0].complete
+    assert read_answers(data, end=True).messages[0].complete
+
+
+def test_answer_cut_before_its_length_is_not_complete():
+    reader = read_answers(OK[:-1], end=True)
+    assert not reader.messages[0].complete
+
+
+def test_answer_provisional_is_dropped():
+    reader = read_answers(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+    assert [message.status for message in reader.messages] == [200]
+
+
+def test_end_to_end_drops_what_the_connection_header_lists():
+    headers = [(b"Connection", b"close, X-Own"), (b"X-Own", b"1"), (b"A", b"2")]
+    assert end_to_end(headers) == [(b"A", b"2")]
--- /dev/null
+++ b/rosemaryyoke/platform/tests/standins.py
@@ -0,0 +1,252 @@
+"""Stand-ins that speak the platform's form: its store, an engine, and a caller."""
+
+import socket
+import threading
+import time
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+from attrs import define, field
+
+from rosemaryyoke.exchanges.caller import CallerConnection
+from rosemaryyoke.exchanges.server import ConnectionServer
+from rosemaryyoke.http1 import Address, AnswerReader, RequestMessage
+from rosemaryyoke.http1.messages import find_header
+from rosemaryyoke.platform.tests.builders import MODEL
+
+WATCH_POLL_S = 0.01
+
+
+def free_port(count: int = 1) -> int:
+    """Return the first of some ports that are free now."""
+    while True:
+        probes = [socket.socket() for _ in range(count)]
+        try:
+            probes[0].bind(("127.0.0.1", 0))
+            first = probes[0].getsockname()[1]
+            for number, probe in enumerate(probes[1:], 1):
+                probe.bind(("127.0.0.1", first + number))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+
+
+@define(eq=False)
+class StoreStandin:
+    """Objects by kind and name, with one revision and a history.
+
+    ``down`` cuts every call; ``lose`` is how many writes take effect unanswered.
+    """
+
+    objects: dict[str, dict[str, dict]] = field(factory=dict)
+    history: list[tuple[int, str, dict, bool]] = field(factory=list)
+    revision: int = 1
+    oldest: int = 0
+    down: bool = False
+    lose: int = 0
+    calls: int = 0
+    lock: threading.RLock = field(factory=threading.RLock)
+    address: Address = field(init=False)
+    server: ConnectionServer = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.address = Address("127.0.0.1", free_port())
+        self.server = ConnectionServer(self.address, self.answer, 64, "store")
+        self.server.start()
+
+    def stop(self):
+        """Stop listening."""
+        self.server.stop()
+
+    def set(self, kind, name, spec):
+        """Write an object as its owner; an equal one changes nothing."""
+        with self.lock:
+            known = self.objects.setdefault(kind, {}).get(name)
+            if known is not None and known["spec"] == spec:
+                return known
+            self.revision += 1
+            metadata = {"name": name, "revision": self.revision}
+            stored = {"metadata": metadata, "spec": spec, "status": None}
+            self.objects[kind][name] = stored
+            self.history.append((self.revision, kind, stored, False))
+            return stored
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        with self.lock:
+            stored = self.objects[kind].pop(name)
+            self.revision += 1
+            self.history.append((self.revision, kind, stored, True))
+
+    def forget_history(self):
+        """Answer watches from earlier positions with 410."""
+        with self.lock:
+            self.oldest = self.revision
+
+    def answer(self, message: RequestMessage, caller: CallerConnection):
+        """Answer one call."""
+        self.calls += 1
+        if self.down:
+            raise OSError("the store is down")
+        parts = urlsplit(message.target.decode())
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        names = parts.path.split("/")[2:]
+        status, value = self.call(message, names, query)
+        if message.method != b"GET" and status == 200 and self.lose:
+            self.lose -= 1
+            raise OSError("the answer is lost")
+        caller.answer(status, b"", [], orjson.dumps(value))
+
+    def call(self, message, names, query):
+        """Return the status and body of a call."""
+        if message.method == b"GET" and len(names) == 2:
+            stored = self.objects.get(names[0], {}).get(names[1])
+            return (404, {}) if stored is None else (200, stored)
+        if message.method == b"GET" and "watch" in query:
+            return self.watch(names[0], int(query["watch"]), int(query["waitMs"]))
+        if message.method == b"GET":
+            with self.lock:
+                items = list(self.objects.get(names[0], {}).values())
+                revision = self.revision
+            return 200, {"items": items, "hasMore": False, "storeRevision": revision}
+        return self.write(message, names)
+
+    def write(self, message, names):
+        """Create or replace an object under its condition."""
+        body = orjson.loads(message.body)
+        kind, name = names[0], body["metadata"]["name"]
+        with self.lock:
+            known = self.objects.get(kind, {}).get(name)
+            if message.method == b"POST" and known is not None:
+                return 409, known
+            wanted = body["metadata"].get("revision")
+            if message.method == b"PUT" and known["metadata"]["revision"] != wanted:
+                return 409, known
+            return 200, self.set(kind, name, body["spec"])
+
+    def watch(self, kind, position, wait_ms):
+        """Return the changes after a position, as soon as there are any."""
+        until_s = time.monotonic() + wait_ms / 1000
+        while True:
+            if self.down:
+                raise OSError("the store is down")
+            with self.lock:
+                if position < self.oldest:
+                    return 410, {}
+                events = [
+                    {"object": stored, "deleted": removed}
+                    for revision, kind_of, stored, removed in self.history
+                    if kind_of == kind and revision > position
+                ]
+                revision = self.revision
+            if events or time.monotonic() >= until_s:
+                return 200, {"events": events, "storeRevision": revision}
+            time.sleep(WATCH_POLL_S)
+
+
+@define(eq=False)
+class EngineStandin:
+    """Answers whatever its script says, or a whole answer.
+
+    A script's entry is a function of the message and the connection, or a status; 421
+    and 503 bear the mark that the request has not run.
+    """
+
+    name: str
+    script: list = field(factory=list)
+    seen: list[RequestMessage] = field(factory=list)
+    ran: list[bytes] = field(factory=list)
+    events: int = 5
+    version: int = 1
+    address: Address = field(init=False)
+    server: ConnectionServer = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.address = Address("127.0.0.1", free_port())
+        self.server = ConnectionServer(self.address, self.answer, 64, self.name)
+        self.server.start()
+
+    def stop(self):
+        """Stop listening."""
+        self.server.stop()
+
+    def answer(self, message: RequestMessage, caller: CallerConnection):
+        """Answer one request as the script has it."""
+        self.seen.append(message)
+        step = self.script.pop(0) if self.script else 200
+        if callable(step):
+            step(self, message, caller)
+        elif step in (421, 503):
+            self.reply(message, caller, step, [(b"Not-Executed", b"1")])
+        else:
+            self.run(message, caller, step)
+
+    def run(self, message, caller, status=200, events=None, finish=True):
+        """Run a request: a stream where a model is named, else a small body."""
+        self.ran.append(find_header(message.headers, b"request-id"))
+        if find_header(message.headers, b"model") is None:
+            self.reply(message, caller, status)
+            return
+        head = caller.begin_stream(200, b"OK", self.headers(message))
+        after = int(find_header(message.headers, b"last-event-id") or 0)
+        last = self.events if events is None else events
+        for number in range(after + 1, last + 1):
+            caller.write_events(head, b"id: %d\ndata: x\n\n" % number)
+            head = b""
+        if not finish:
+            raise OSError("the engine breaks off")
+        caller.end_stream(head)
+
+    def reply(self, message, caller, status, headers=()):
+        """Write a small whole answer."""
+        body = b"body of " + self.name.encode()
+        caller.answer(status, b"", [*self.headers(message), *headers], body)
+
+    def headers(self, message):
+        """Return the headers of every answer."""
+        request_id = find_header(message.headers, b"request-id")
+        return [
+            (b"Request-Id", request_id),
+            (b"Response-Seal", b"sealed"),
+            (b"Weight-Versions", b"%d" % self.version),
+        ]
+
+
+def ask(address, path="/chat/1", method="POST", headers=(), body=b"", **changes):
+    """Return the answer to a caller's request, read to its end, and its reader."""
+    values = {
+        "Host": "a.example",
+        "Request-Id": "r1",
+        "Deadline-Ms": "2000",
+        "Authorization": "Bearer k1",
+        **changes,
+    }
+    lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in values.items())]
+    lines += [f"{key}: {value}" for key, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    with socket.create_connection((address.ip, address.port), 2) as connection:
+        connection.settimeout(5)
+        connection.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        return read_answer(connection)
+
+
+def read_answer(connection):
+    """Return the reader of a connection's answer, read until it is whole or cut."""
+    reader = AnswerReader()
+    while not (reader.messages and reader.messages[0].complete):
+        try:
+            data = connection.recv(65_536)
+        except ConnectionError:
+            break
+        if not data:
+            break
+        reader.feed(data)
+    return reader
+
+
+def stream_headers(parts="aa:600,bb:900,cc:100"):
+    """Return the headers of a request to a model."""
+    return [("Model", MODEL), ("Token-Count", "1600,20"), ("Prompt-Prefix", parts)]
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_documents.py
@@ -0,0 +1,83 @@
+"""Declarations and registrations read from the store's documents."""
+
+import pytest
+from result import Err
+
+from rosemaryyoke.catalog import SAFE, STREAM, UNSAFE
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.platform.documents import PlatformSource
+from rosemaryyoke.platform.tests.builders import (
+    MODEL,
+    make_configuration,
+    make_entry,
+    make_route,
+    store_object,
+)
+
+SOURCE = PlatformSource(None)
+
+
+def read_configuration(value):
+    return SOURCE.decode_configuration(store_object(value)).unwrap()
+
+
+def test_configuration_whole():
+    read = read_configuration(make_configuration(7))
+    chat, issue, status = read.routes
+    assert read.version == 7
+    assert (chat.kind, issue.kind, status.kind) == (STREAM, UNSAFE, SAFE)
+    assert (chat.timeout_s, chat.objective_s, chat.max_attempts) == (3.0, 0.4, 2)
+    assert chat.repeatable and status.repeatable and not issue.repeatable
+    assert read.services["llm"].engine.cache_tokens == 100_000
+    assert read.find_store().store == Address("127.0.0.1", 9)
+    assert read.accounts_by_key["k2"].isolated
+    assert read.limits.head_bytes == 4096 and read.limits.idle_timeout_s == 5.0
+
+
+def test_configuration_longest_prefix_wins():
+    routes = [make_route("a"), make_route("b", pathPrefix="/a/b/")]
+    read = read_configuration(make_configuration(routes=routes))
+    assert read.find_route("a.example", "/a/b/c").name == "b"
+    assert read.find_route("a.example", "/a/bc").name == "a"
+    assert read.find_route("a.example", "/a") is None
+    assert read.find_route("b.example", "/a/b/c") is None
+
+
+def test_configuration_split():
+    split = [{"service": "llm", "weight": 90}, {"service": "records", "weight": 10}]
+    route = make_route(trafficSplit=split)
+    del route["service"]
+    read = read_configuration(make_configuration(routes=[route])).routes[0]
+    assert [(i.service, i.weight) for i in read.targets] == [
+        ("llm", 90.0),
+        ("records", 10.0),
+    ]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"slots": "many"},
+        {"service": None},
+        {"models": [{"name": MODEL}]},
+    ],
+)
+def test_upstream_malformed(change):
+    entry = {**make_entry("127.0.0.1:1"), **change}
+    assert isinstance(SOURCE.decode_upstream(store_object(entry)), Err)
+
+
+def test_upstream_draining():
+    entry = make_entry("127.0.0.1:1", state="draining", coldRemainingMs=500)
+    read = SOURCE.decode_upstream(store_object(entry, "i-1")).unwrap()
+    assert read.draining and read.cold_s == 0.5 and read.weights == {MODEL: 1}
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"null", b'{"version": true}'])
+def test_configuration_unreadable(body):
+    stored = store_object(None)
+    stored = type(stored)("main", 1, body)
+    assert isinstance(SOURCE.decode_configuration(stored), Err)
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -0,0 +1,79 @@
+"""What upstreams are told, and what callers may not set."""
+
+import pytest
+
+from rosemaryyoke.exchanges.messages import Directive, MalformedAsk, PromptPart
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.platform.headers import PlatformDialect
+
+DIALECT = PlatformDialect()
+ASKED = [
+    (b"Host", b"a.example"),
+    (b"Request-Id", b"r1"),
+    (b"Model", b"m1"),
+    (b"Token-Count", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e:800,91bd:410"),
+    (b"Deadline-Ms", b"5000"),
+    (b"Authorization", b"Bearer k1"),
+    (b"Last-Event-Id", b"12"),
+    (b"X-Other", b"kept"),
+]
+FORGED = [
+    (b"Tenant", b"other"),
+    (b"Cache-Salt", b"other"),
+    (b"Hold", b"h"),
+    (b"Pin-Ms", b"9"),
+    (b"Kv-From", b"1.2.3.4:5/x"),
+    (b"Kv-Backup", b"1.2.3.4:5"),
+    (b"Kv-Fetch", b"1.2.3.4:5"),
+    (b"request-priority", b"0"),
+    (b"EXPECT-VERSION", b"9"),
+]
+
+
+def test_ask_read():
+    ask = DIALECT.read_ask(ASKED)
+    assert (ask.request_id, ask.key, ask.deadline_s) == (b"r1", "k1", 5.0)
+    assert ask.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
+    assert (ask.output_tokens, ask.last_event) == (80, b"12")
+
+
+@pytest.mark.parametrize(
+    "header", [(b"Deadline-Ms", b"soon"), (b"Prompt-Prefix", b"5c1e")]
+)
+def test_ask_malformed(header):
+    with pytest.raises(MalformedAsk):
+        DIALECT.read_ask([header])
+
+
+def test_forwarded_headers_are_the_routers_own():
+    directive = Directive("i-1", 1.25, account="t1", weights=3, last_event=b"12")
+    sent = dict(DIALECT.forward_headers(ASKED + FORGED, directive))
+    assert sent == {
+        b"Host": b"a.example",
+        b"Request-Id": b"r1",
+        b"Model": b"m1",
+        b"Token-Count": b"1460,80",
+        b"Prompt-Prefix": b"5c1e:800,91bd:410",
+        b"X-Other": b"kept",
+        b"Expect-Instance": b"i-1",
+        b"Deadline-Ms": b"1250",
+        b"Tenant": b"t1",
+        b"Expect-Version": b"3",
+        b"Last-Event-Id": b"12",
+    }
+
+
+def test_forwarded_cache_directives():
+    address = Address("10.0.0.1", 80)
+    directive = Directive("i-1", 1.0, salt=b"s:1", fetch_from=address, save_to=address)
+    sent = dict(DIALECT.forward_headers([], directive))
+    assert sent[b"Cache-Salt"] == b"s:1"
+    assert sent[b"Kv-Fetch"] == sent[b"Kv-Save"] == b"10.0.0.1:80"
+
+
+def test_facts_of_refusals():
+    assert DIALECT.read_facts(503, [(b"Not-Executed", b"1")]).not_run
+    assert DIALECT.read_facts(421, []).not_run
+    assert not DIALECT.read_facts(503, []).not_run
+    assert DIALECT.read_facts(200, [(b"Weight-Versions", b"4")]).weights == 4
