--- /dev/null
+++ b/rosemaryyoke/hosts/tests/test_table.py
@@ -0,0 +1,96 @@
+"""Which hosts live, and which addresses callers are told."""
+
+import pytest
+from attrs import evolve
+
+from rosemaryyoke.fleet import OwnLoad
+from rosemaryyoke.hosts import Beacon, HostTable
+from rosemaryyoke.hosts.codec import MalformedBeacon, decode_beacon, encode_beacon
+from rosemaryyoke.http1 import Address
+
+OWN = Address("10.0.0.1", 70)
+
+
+def make_beacon(number, sequence=1, boot=1, data_centre="z1", **changes):
+    """Return the beacon of a host."""
+    ip = f"10.0.0.{number}"
+    return Beacon(
+        f"h{number}",
+        boot,
+        sequence,
+        Address(ip, 80),
+        Address(ip, 70),
+        data_centre,
+        **{"ready": True, **changes},
+    )
+
+
+def make_table(*beacons, at_s=0.0):
+    """Return a table that heard some beacons."""
+    table = HostTable(OWN)
+    for beacon in beacons:
+        table.take(beacon, at_s)
+    return table
+
+
+def addresses(table, own=None, data_centre="z1", now_s=0.0):
+    found = table.addresses_for(data_centre, own or make_beacon(1), now_s)
+    return [address.ip for address in found]
+
+
+def test_beacon_survives_its_datagram():
+    beacon = make_beacon(
+        2,
+        leaving=True,
+        store_answers=True,
+        configuration=9,
+        loads=(OwnLoad("e1", 1, 2, 3),),
+        known=(OWN,),
+        loading=("e1",),
+    )
+    assert decode_beacon(encode_beacon(beacon)) == beacon
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\xff" * 40, b"nonsense" * 20])
+def test_beacon_malformed(data):
+    with pytest.raises(MalformedBeacon):
+        decode_beacon(data)
+
+
+def test_table_older_beacons_change_nothing():
+    table = make_table(make_beacon(2, sequence=5))
+    assert not table.take(make_beacon(2, sequence=4, leaving=True), 0.1)
+    assert table.take(make_beacon(2, sequence=1, boot=2), 0.2)
+
+
+def test_table_silent_host_is_not_live():
+    table = make_table(make_beacon(2))
+    assert [peer.beacon.host for peer in table.live(1.0)] == ["h2"]
+    assert table.live(2.0) == []
+
+
+def test_addresses_near_first_and_enough_of_them():
+    far, near = make_beacon(2, data_centre="z2"), make_beacon(3)
+    assert addresses(make_table(far, near)) == ["10.0.0.1", "10.0.0.3"]
+    assert addresses(make_table(far, near), data_centre="z2") == [
+        "10.0.0.2",
+        "10.0.0.1",
+        "10.0.0.3",
+    ]
+
+
+def test_addresses_leave_out_who_leaves_or_is_not_ready():
+    leaving = make_beacon(2, leaving=True)
+    starting = make_beacon(3, ready=False)
+    assert addresses(make_table(leaving, starting)) == ["10.0.0.1"]
+    own = evolve(make_beacon(1), leaving=True)
+    assert addresses(make_table(make_beacon(4)), own) == ["10.0.0.4"]
+
+
+def test_destinations_reach_every_address_in_turn():
+    table = make_table(make_beacon(2, known=(Address("10.0.0.9", 70),)))
+    table.add_candidates([Address(f"10.0.1.{n}", 70) for n in range(7)], 0.0)
+    reached = set()
+    for turn in range(4):
+        reached.update(str(item) for item in table.destinations(0.5, turn))
+    assert len(reached) == 9
--- a/rosemaryyoke/objects/tests/test_leases.py
+++ b/rosemaryyoke/objects/tests/test_leases.py
@@ -13,7 +13,7 @@
 
 @define
 class MemoryApi:
-    """One object store, whose next change may lose its answer."""
+    """One object store, which ignores equal writes and may lose the next answer."""
 
     stored: StoredObject | None = None
     versions: int = 0
@@ -28,8 +28,9 @@
         current = self.stored.version if self.stored else 0
         if current != expected_version:
             return Err(PlatformError("conflict", conflict=True))
-        self.versions += 1
-        self.stored = StoredObject(name, self.versions, body)
+        if self.stored is None or self.stored.body != body:
+            self.versions += 1
+            self.stored = StoredObject(name, self.versions, body)
         if self.lose_next:
             self.lose_next = False
             return Err(PlatformError("lost", maybe_done=True))
@@ -81,6 +82,15 @@
     assert world.one.remaining_s() == 0
 
 
+def test_lease_that_is_renewed_is_not_taken_over(world):
+    world.one.acquire()
+    world.other.acquire()
+    for _ in range(5):
+        world.clock.at_s += DURATION_S / 2
+        assert world.one.acquire()
+    assert not world.other.acquire()
+
+
 def test_lease_renewal_with_a_lost_answer_counts_from_its_write(world):
     world.one.acquire()
     world.clock.at_s += 3.0
