--- /dev/null
+++ b/rosemaryyoke/cli/process.py
@@ -0,0 +1,26 @@
+"""Run a host as the one purpose of a process."""
+
+import os
+from typing import NoReturn
+
+from absl import logging
+
+from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK
+from rosemaryyoke.core.logs import LogWriter
+
+LOGS_DRAIN_S = 0.2
+
+
+def run_to_exit(host, logs: LogWriter) -> NoReturn:
+    """Run a host and end the process, whatever its pools still wait for.
+
+    The interpreter would join pool threads that wait for an outside answer.
+    """
+    code = EXIT_FAULT
+    try:
+        host.run()
+        code = EXIT_OK
+    except Exception:
+        logging.exception("the host failed")
+    logs.drain(LOGS_DRAIN_S)
+    os._exit(code)
--- a/rosemaryyoke/cli/route.py
+++ b/rosemaryyoke/cli/route.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from rosemaryyoke.cli.commands import EXIT_USAGE, command
-from rosemaryyoke.cli.serve import run_to_exit
+from rosemaryyoke.cli.process import run_to_exit
 from rosemaryyoke.core.logs import set_up_logs
 
 
--- a/rosemaryyoke/core/metrics.py
+++ b/rosemaryyoke/core/metrics.py
@@ -1,20 +1,36 @@
 """Metrics of one process, safe to use from many threads."""
 
+import importlib
 import threading
-
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.formats import text
+from types import ModuleType
+from typing import Any
 
 TIME_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0]
+HELP = {
+    "answer_seconds": "Time to the end of an upstream's answer, by kind of route.",
+    "attempts_failed_total": "Attempts that gave no answer.",
+    "connections_opened_total": "Connections opened to upstreams.",
+    "first_event_seconds": "Time to the first event of a streamed answer.",
+    "hosts_live": "Hosts that are heard, this one included.",
+    "refusals_total": "Answers of this host's own, by code.",
+    "requests_under_way": "Requests that this host is answering.",
+    "store_answers": "Whether the store answers this host, 1 or 0.",
+    "upstreams_usable": "Upstreams that may get new work.",
+}
+
+
+def library() -> ModuleType:
+    """Return the metrics library; it imports asyncio, which would delay a restart."""
+    return importlib.import_module("aioprometheus")
 
 
 class Metrics:
     """Create metrics by name on first use and render them."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
+        self.registry: Any = None
         self.lock = threading.Lock()
-        self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        self.collectors: dict[str, Any] = {}
 
     def start(self) -> None:
         """Do nothing; metrics need no thread."""
@@ -25,17 +41,17 @@
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
         with self.lock:
-            self._collector(name, Counter).add(labels, amount)
+            self._collector(name, "Counter").add(labels, amount)
 
     def set(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         with self.lock:
-            self._collector(name, Gauge).set(labels, value)
+            self._collector(name, "Gauge").set(labels, value)
 
     def observe(self, name: str, value_s: float, **labels: str) -> None:
         """Add an observation in seconds to a histogram."""
         with self.lock:
-            self._collector(name, Histogram).observe(labels, value_s)
+            self._collector(name, "Histogram").observe(labels, value_s)
 
     def value(self, name: str, **labels: str) -> float:
         """Return the value of a counter or gauge, 0 where there is none."""
@@ -51,13 +67,20 @@
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         with self.lock:
-            return text.TextFormatter().marshall(self.registry)
+            formats = importlib.import_module("aioprometheus.formats.text")
+            return formats.TextFormatter().marshall(self._registry())
+
+    def _registry(self) -> Any:
+        if self.registry is None:
+            self.registry = library().Registry()
+        return self.registry
 
-    def _collector(self, name: str, kind: type) -> Counter | Gauge | Histogram:
+    def _collector(self, name: str, kind: str) -> Any:
         if name not in self.collectors:
-            arguments = {"registry": self.registry}
-            if kind is Histogram:
+            arguments = {"registry": self._registry()}
+            if kind == "Histogram":
                 arguments["buckets"] = TIME_BUCKETS_S
-            help_text = name.replace("_", " ")
-            self.collectors[name] = kind(f"rosemaryyoke_{name}", help_text, **arguments)
+            help_text = HELP.get(name, name.replace("_", " "))
+            make = getattr(library(), kind)
+            self.collectors[name] = make(f"rosemaryyoke_{name}", help_text, **arguments)
         return self.collectors[name]
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -42,6 +42,7 @@
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 UNKNOWN_RETRY_S = 0.3
+START_WAIT_S = 0.04  # a store that answers does so within some milliseconds
 RETRY_JITTER = (0.6, 1.4)
 LEAST_RETRY_S = 0.05
 STALL_S = 1.0  # between events of a stream that another upstream may go on with
@@ -132,10 +133,10 @@
         self, message: RequestMessage, caller: CallerConnection, began_s: float
     ) -> Exchange:
         """Return the exchange of a request; raise ``Refused``."""
-        configuration = self.catalog.configuration
-        if configuration is None or not self.catalog.upstreams_seen:
+        if not self.catalog.wait_known(START_WAIT_S):
             text = "this host knows no configuration yet"
             raise Refused(Refusal(503, "no_configuration", text, UNKNOWN_RETRY_S))
+        configuration = self.catalog.configuration
         ask = self.read_ask(message)
         caller.request_id = ask.request_id
         route = self.find_route(configuration, message)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -10,7 +10,14 @@
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
-from rosemaryyoke.core import Kernel, Metrics, PoolService, TimerService, set_stack_size
+from rosemaryyoke.core import (
+    Kernel,
+    Metrics,
+    PoolService,
+    Service,
+    TimerService,
+    set_stack_size,
+)
 from rosemaryyoke.core.logs import event
 from rosemaryyoke.exchanges.connections import ConnectionPool
 from rosemaryyoke.exchanges.directory import (
@@ -39,6 +46,7 @@
 SIDE_CONNECTIONS = 64
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_S = 1.0
+GAUGES_PERIOD_S = 2.0
 SIGNAL_POLL_S = 0.5
 KNOWN_TOLD = 16
 LISTED_WEIGHTS_GRACE_S = 4.0  # for engines to load what a host finds named at its start
@@ -56,6 +64,25 @@
     engines: Engines
 
 
+@define(eq=False)
+class Optional:
+    """A service without which a host goes on."""
+
+    name: str
+    service: Service
+
+    def start(self) -> None:
+        """Start the service, or log why it is left out."""
+        try:
+            self.service.start()
+        except OSError as error:
+            logging.error("%s is left out: %s", self.name, error)
+
+    def stop(self) -> None:
+        """Stop the service."""
+        self.service.stop()
+
+
 class RoutingHost:
     """One host that routes exchanges."""
 
@@ -123,7 +150,7 @@
         add("directory", self.directory_server())
         add("callers", self.callers_server())
         if settings.metrics_port:
-            add("metrics_server", self.metrics_server())
+            add("metrics_server", Optional("metrics", self.metrics_server()))
 
     def make_follower(self) -> Follower:
         """Return the tasks that follow the store."""
@@ -141,6 +168,7 @@
         self.timer.every(TRANSFER_PERIOD_S, self.registration.tick)
         self.timer.every(POOL_SWEEP_S, self.connections.close_expired)
         self.timer.every(POOL_SWEEP_S, self.count_hosts)
+        self.timer.every(GAUGES_PERIOD_S, self.show_state)
         self.timer.every(TRANSFER_PERIOD_S, self.follower.expire_lapsed)
         event("host started", host=self.settings.name, boot=self.boot)
         while not self.stopping.wait(SIGNAL_POLL_S):
@@ -227,6 +255,22 @@
         """Divide the retry budget among the hosts that live."""
         self.budget.hosts = 1 + len(self.table.live(time.monotonic()))
 
+    def show_state(self) -> None:
+        """Set the gauges of this host's state."""
+        now_s = time.monotonic()
+        with self.fleet.lock:
+            states = list(self.fleet.states.values())
+            usable = sum(state.usable(now_s) for state in states)
+        gauges = {
+            "hosts_live": self.budget.hosts,
+            "requests_under_way": self.kernel.get("callers").answering,
+            "store_answers": int(self.catalog.is_fresh()),
+            "upstreams_usable": usable,
+            "connections_opened_total": self.connections.opened,
+        }
+        for name, value in gauges.items():
+            self.metrics.set(name, value)
+
     def forget_connections(self) -> None:
         """Close idle connections to upstreams that are gone."""
         gone = self.connections.idle.keys() - self.catalog.upstreams.keys()
--- a/rosemaryyoke/exchanges/settings.py
+++ b/rosemaryyoke/exchanges/settings.py
@@ -5,6 +5,7 @@
 from rosemaryyoke.http1 import Address
 
 DEFAULT_CONNECTIONS = 600
+DEFAULT_METRICS_PORT = 9_464  # the usual port of Prometheus exporters
 
 
 @frozen
@@ -25,7 +26,7 @@
     peers: Address
     store: Address
     seeds: tuple[Address, ...] = ()
-    metrics_port: int = 0
+    metrics_port: int = DEFAULT_METRICS_PORT
     grace_s: float = 8.0
     lease_s: float = 3.0
     weights_bound_s: float = 15.0
--- a/rosemaryyoke/platform/settings_file.py
+++ b/rosemaryyoke/platform/settings_file.py
@@ -44,7 +44,6 @@
         peers=Address.parse(listen["control"]),
         seeds=tuple(Address.parse(item) for item in value.get("seeds") or ()),
         store=Address.parse(value["platform"]["address"]),
-        metrics_port=value["internalPorts"][0],
         grace_s=float(bounds["graceS"]),
         lease_s=bounds["leaseMs"] / MILLISECONDS,
         weights_bound_s=bounds["versionMs"] / MILLISECONDS,
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -5,7 +5,7 @@
 
 import orjson
 import pytest
-from attrs import define
+from attrs import define, evolve
 
 from rosemaryyoke.exchanges.host import RoutingHost
 from rosemaryyoke.http1 import Address, call_once
@@ -60,7 +60,7 @@
     document = make_settings(port=free_port(PORTS), store=str(store.address))
     document["seeds"] = [str(seed) for seed in seeds]
     document["nodeName"] = f"front-{document['listen']['front']}"
-    settings = read_settings(document)
+    settings = evolve(read_settings(document), metrics_port=0)
     host = RoutingHost(settings, make_adapter(settings))
     host.kernel.start()
     host.timer.every(0.1, host.transfer.fetch)
