Let a few hosts in each data centre watch registrations for the others

Ruled out: longer pauses between watches (a drain is to be in force within 2 s). Change: two watchers a data centre; the others ask one of them by long polls and watch by themselves as soon as it does not answer or is cut off; a watcher that others rely on watches for 0.8 s at a time, to notice a cut before they suffer from it.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -33,6 +33,8 @@
     named: dict[str, list[NamedVersion]] = field(factory=dict)
     configuration_source: bytes = b""
     upstreams_seen: bool = False
+    changes: int = 0
+    boot: str = field(factory=lambda: f"{time.time_ns():x}")
     failing: set[str] = field(factory=set)
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
@@ -59,6 +61,7 @@
         with self.changed:
             before, self.upstreams = self.upstreams, upstreams
             self.upstreams_seen = True
+            self.changes += 1
             self.changed.notify_all()
         log_differences(before, upstreams)
         self._tell()
@@ -99,6 +102,18 @@
         with self.changed:
             return self.changed.wait_for(self.is_known, timeout_s)
 
+    @property
+    def generation(self) -> str:
+        """Return what names this state of the upstreams, on this host alone."""
+        return f"{self.boot}.{self.changes}"
+
+    def wait_changed(self, generation: str, timeout_s: float) -> bool:
+        """Wait until the upstreams differ from a generation of this host."""
+        with self.changed:
+            return self.changed.wait_for(
+                lambda: self.generation != generation, timeout_s
+            )
+
     def is_known(self) -> bool:
         """Tell whether a configuration and upstreams are known."""
         return self.configuration is not None and self.upstreams_seen
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -18,6 +18,7 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 IDLE_WATCH_S = 25.0  # under the 30 s that a watch may wait
+UPSTREAMS_WATCH_S = 4.0  # a host that may ask another in place of the store does so then
 RECOVERY_WATCH_S = 0.1  # tells soon that the store answers again
 UPSTREAMS_PAUSE_S = 0.3  # a drain is to be in force 2 s after its acknowledgement
 LAPSED_GRACE_S = 2.2  # live upstreams register again within 2 s of the store's return
@@ -44,7 +45,10 @@
 
 @define(eq=False)
 class KindFollower:
-    """Lists one kind, then watches it from the position reached."""
+    """Lists one kind, then watches it from the position reached.
+
+    ``elsewhere`` asks another host in place of the store; it tells whether it could.
+    """
 
     feed: ObjectFeed
     kind: str
@@ -54,6 +58,7 @@
     on_changes: Callable[[FeedChanges], None]
     on_answer: Callable[[float], None] = lambda outage_s: None
     on_store: Callable[[str, bool], None] = lambda kind, answers: None
+    elsewhere: Callable[[], bool] = lambda: False
     position: int | None = None
     failed_since_s: float | None = None
     backoff_s: float = FIRST_BACKOFF_S
@@ -63,6 +68,10 @@
         """Follow until stopped."""
         while not self.stopping.is_set():
             try:
+                if self.elsewhere():
+                    self.position = None
+                    self._answered()
+                    continue
                 outcome = self.step()
             except Exception as error:
                 logging.exception("the task that follows %s failed", self.kind)
@@ -78,7 +87,8 @@
             outcome = self.feed.list(self.kind)
         else:
             recovering = self.failed_since_s is not None
-            wait_s = RECOVERY_WATCH_S if recovering else self.wait_s
+            wait_s = UPSTREAMS_WATCH_S = 4.0  # a host that may ask another in place of the store does so then
+RECOVERY_WATCH_S if recovering else self.wait_s
             outcome = self.feed.watch(self.kind, self.position, wait_s)
         if isinstance(outcome, Err):
             if outcome.err_value.history_gone:
@@ -133,6 +143,16 @@
         self.grace_until_s = 0.0
         self.lock = threading.RLock()
         feed = source.feed
+        self.upstream_follower = KindFollower(
+            feed,
+            source.upstreams_kind,
+            UPSTREAMS_WATCH_S,
+            UPSTREAMS_PAUSE_S,
+            self.list_upstreams,
+            self.change_upstreams,
+            self.store_answered,
+            catalog.note_store,
+        )
         self.followers = [
             KindFollower(
                 feed,
@@ -143,16 +163,7 @@
                 self.change_configuration,
                 on_store=catalog.note_store,
             ),
-            KindFollower(
-                feed,
-                source.upstreams_kind,
-                IDLE_WATCH_S,
-                UPSTREAMS_PAUSE_S,
-                self.list_upstreams,
-                self.change_upstreams,
-                self.store_answered,
-                catalog.note_store,
-            ),
+            self.upstream_follower,
             KindFollower(
                 feed,
                 source.weights_kind,
@@ -224,6 +235,13 @@
             self.upstreams = listed
             self.catalog.take_upstreams(dict(listed))
 
+    def replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+        """Take in the upstreams that another host knows."""
+        with self.lock:
+            self.lapsed.clear()
+            self.upstreams = dict(upstreams)
+            self.catalog.take_upstreams(dict(upstreams))
+
     def change_upstreams(self, changes: FeedChanges) -> None:
         """Take in upstreams that changed or left."""
         with self.lock:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -10,6 +10,7 @@
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
+from rosemaryyoke.catalog.follower import UPSTREAMS_WATCH_S
 from rosemaryyoke.core import (
     Kernel,
     Metrics,
@@ -32,6 +33,7 @@
 from rosemaryyoke.fleet import Fleet, PromptRead, RetryBudget
 from rosemaryyoke.hosts import Beacon, Beacons, HostTable
 from rosemaryyoke.hosts.registration import Registration
+from rosemaryyoke.hosts.relay import TARGET, UpstreamRelay, answer_upstreams
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
 from rosemaryyoke.http1 import Address, MessageLimits
 from rosemaryyoke.objects import ObjectApi
@@ -48,6 +50,8 @@
 POOL_SWEEP_S = 1.0
 GAUGES_PERIOD_S = 2.0
 SIGNAL_POLL_S = 0.5
+RELIED_ON_WATCH_S = 0.8  # a watcher that is cut off is to notice before others suffer
+UPSTREAMS_TARGET = TARGET.encode()
 KNOWN_TOLD = 16
 LISTED_WEIGHTS_GRACE_S = 4.0  # for engines to load what a host finds named at its start
 ORDER_CANDIDATES = 2  # one takes over where the other fails
@@ -143,6 +147,13 @@
         add("pool", pool)
         add("timer", self.timer)
         self.follower = self.make_follower()
+        self.relay = UpstreamRelay(
+            settings.name,
+            settings.data_centre,
+            self.table,
+            self.follower.replace_upstreams,
+        )
+        self.follower.upstream_follower.elsewhere = self.ask_watcher
         add("follower", self.follower)
         add("beacons", self.beacons)
         add("peers", self.peers_server())
@@ -256,6 +267,13 @@
         """Divide the retry budget among the hosts that live."""
         self.budget.hosts = 1 + len(self.table.live(time.monotonic()))
 
+    def ask_watcher(self) -> bool:
+        """Hear of upstreams from a watcher; watch briefly where others rely on it."""
+        relied_on = self.relay.serves_others(time.monotonic())
+        wait_s = RELIED_ON_WATCH_S if relied_on else UPSTREAMS_WATCH_S
+        self.follower.upstream_follower.wait_s = wait_s
+        return self.catalog.is_known() and self.relay.step()
+
     def show_state(self) -> None:
         """Set the gauges of this host's state."""
         now_s = time.monotonic()
@@ -330,7 +348,10 @@
         """Return the server of other hosts' questions."""
 
         def handler(message, caller) -> None:
-            answer_state(self.catalog, message, caller)
+            if message.target.startswith(UPSTREAMS_TARGET):
+                answer_upstreams(self.catalog, message, caller)
+            else:
+                answer_state(self.catalog, message, caller)
 
         return self.side_server(self.settings.peers, handler, "peers")
 
--- a/rosemaryyoke/platform/store.py
+++ b/rosemaryyoke/platform/store.py
@@ -17,7 +17,7 @@
 from rosemaryyoke.objects.objects import PlatformError, StoredObject
 
 CALL_TIMEOUT_S = 2.0
-WATCH_SLACK_S = 2.0
+WATCH_SLACK_S = 1.0  # a slow store answers within some hundred milliseconds
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -337,3 +337,28 @@
     finally:
         other.kernel.stop()
         closed.stop()
+
+
+def test_hosts_beyond_the_watchers_hear_of_upstreams_from_one(deployment):
+    seeds = [deployment.host.settings.peers]
+    others = [start_host(deployment.store, seeds) for _ in range(3)]
+    hosts = [deployment.host, *others]
+    try:
+        wait_for(
+            lambda: all(len(host.table.live(time.monotonic())) == 3 for host in hosts)
+        )
+        wait_for(lambda: sum(bool(host.relay.generation) for host in hosts) == 2, 8.0)
+        first = deployment.engines[0]
+        entry = make_entry(str(first.address), state="draining")
+        deployment.store.set("servers", first.name, entry)
+        wait_for(
+            lambda: all(host.catalog.upstreams[first.name].draining for host in hosts),
+            2.0,
+        )
+        deployment.store.down = True
+        wait_for(lambda: not any(host.catalog.is_fresh() for host in hosts), 5.0)
+        deployment.store.down = False
+        wait_for(lambda: all(host.catalog.is_fresh() for host in hosts), 8.0)
+    finally:
+        for host in others:
+            host.kernel.stop()
