--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -18,7 +18,7 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 IDLE_WATCH_S = 25.0  # under the 30 s that a watch may wait
-UPSTREAMS_WATCH_S = 4.0  # a host that may ask another in place of the store does so then
+UPSTREAMS_WATCH_S = 4.0  # after which a host may ask another instead
 RECOVERY_WATCH_S = 0.1  # tells soon that the store answers again
 UPSTREAMS_PAUSE_S = 0.3  # a drain is to be in force 2 s after its acknowledgement
 LAPSED_GRACE_S = 2.2  # live upstreams register again within 2 s of the store's return
@@ -87,8 +87,7 @@
             outcome = self.feed.list(self.kind)
         else:
             recovering = self.failed_since_s is not None
-            wait_s = UPSTREAMS_WATCH_S = 4.0  # a host that may ask another in place of the store does so then
-RECOVERY_WATCH_S if recovering else self.wait_s
+            wait_s = RECOVERY_WATCH_S if recovering else self.wait_s
             outcome = self.feed.watch(self.kind, self.position, wait_s)
         if isinstance(outcome, Err):
             if outcome.err_value.history_gone:
