--- a/rosemaryyoke/cli/operator.py
+++ b/rosemaryyoke/cli/operator.py
@@ -11,11 +11,14 @@
 ASK_TIMEOUT_S = 2.0
 
 
-def add_host_arguments(parser: argparse.ArgumentParser) -> None:
+def add_host_arguments(parser: argparse.ArgumentParser, required: bool = True) -> None:
     """Add the arguments that name a host and the file with the shared key."""
-    parser.add_argument("--host", required=True, help="any host, as 10.0.0.1:8000")
+    parser.add_argument("--host", required=required, help="any host, as 10.0.0.1:8000")
     parser.add_argument(
-        "--key-file", required=True, type=Path, help="file with the hosts' shared key"
+        "--key-file",
+        required=required,
+        type=Path,
+        help="file with the hosts' shared key",
     )
 
 
--- a/rosemaryyoke/cli/timeline.py
+++ b/rosemaryyoke/cli/timeline.py
@@ -6,18 +6,25 @@
 
 from result import Err, Ok, Result
 
-from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, command
+from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, EXIT_USAGE, command
 from rosemaryyoke.cli.operator import (
     add_host_arguments,
     ask_host,
     read_operator_key,
 )
 from rosemaryyoke.timeline import PlacedEvent, merge_events, page_html, trace_json
+from rosemaryyoke.timeline.log_lines import follow_request, read_logs
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of timeline."""
-    add_host_arguments(parser)
+    add_host_arguments(parser, required=False)
+    parser.add_argument(
+        "--log",
+        type=Path,
+        nargs="+",
+        help="read these logs of hosts in place of asking the hosts",
+    )
     parser.add_argument("--html", type=Path, help="write a page with a picture")
     parser.add_argument("--trace", type=Path, help="write JSON for trace viewers")
     parser.add_argument("--request", default="", help="print only this request")
@@ -45,9 +52,24 @@
     return f"{at} {event.process} {event.kind} {event.request} {detail}".rstrip()
 
 
+def show_logs(paths: list[Path], request: str) -> int:
+    """Print what logs hold, or only what concerns one request."""
+    events = read_logs(paths)
+    if request:
+        events = follow_request(events, request)
+    for event in events:
+        print(event.show())
+    return EXIT_OK if events else EXIT_FAULT
+
+
 @command("timeline", "gather the events of all hosts in one order", add_arguments)
 def timeline(options: argparse.Namespace) -> int:
     """Print the time line, or write it as a page or a trace."""
+    if options.log:
+        return show_logs(options.log, options.request)
+    if not (options.host and options.key_file):
+        print("--host and --key-file, or --log, are wanted", file=sys.stderr)
+        return EXIT_USAGE
     answers = gather(options.host, read_operator_key(options.key_file))
     if isinstance(answers, Err):
         print(answers.err_value, file=sys.stderr)
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -1,5 +1,6 @@
 """A whole routing host on loopback, between stand-ins of the platform."""
 
+import logging
 import socket
 import time
 
@@ -7,6 +8,7 @@
 import pytest
 from attrs import define, evolve
 
+from rosemaryyoke.core.logs import LogWriter
 from rosemaryyoke.exchanges.host import RoutingHost
 from rosemaryyoke.http1 import Address, call_once
 from rosemaryyoke.platform.adapter import make_adapter
@@ -24,6 +26,7 @@
     read_answer,
     stream_headers,
 )
+from rosemaryyoke.timeline.log_lines import follow_request, read_logs
 
 PORTS = 6
 
@@ -362,3 +365,59 @@
     finally:
         for host in others:
             host.kernel.stop()
+
+
+@pytest.fixture()
+def logged(tmp_path):
+    """Return a reader of what the hosts of this process log meanwhile."""
+    path = tmp_path / "host.log"
+    with path.open("w") as stream:
+        writer = LogWriter("h1", stream)
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(writer.handler)
+        root.setLevel(logging.INFO)
+        logging.getLogger("absl").setLevel(logging.INFO)
+        writer.start()
+
+        def follow(request):
+            writer.drain(1.0)
+            time.sleep(0.05)
+            return follow_request(read_logs([path]), request)
+
+        yield follow
+        root.removeHandler(writer.handler)
+        root.setLevel(level)
+
+
+def test_cause_of_a_refusal_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, 503, 503, 503, 503)
+    ask(deployment.callers, "/issue/1", **{"Request-Id": "c1"})
+    events = logged("c1")
+    assert [event.message for event in events][-1] == "refused"
+    assert events[-1].fields["code"] == "no_upstream"
+    failed = [event for event in events if event.message == "attempt failed"]
+    assert failed and all(event.fields["not_run"] for event in failed)
+
+
+def test_cause_of_a_cut_stream_is_in_the_logs(deployment, logged):
+    script_all(deployment.engines, break_off(2), break_off(3))
+    deployment.stream(**{"Request-Id": "c2"})
+    events = logged("c2")
+    assert [event.message for event in events] == [
+        "placed",
+        "attempt failed",
+        "placed",
+        "attempt failed",
+        "stream cut",
+    ]
+    reasons = [event.fields.get("reason", "") for event in events]
+    assert any("closed" in reason or "lost" in reason for reason in reasons)
+
+
+def test_cause_of_an_unknown_outcome_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, silent_close)
+    ask(deployment.callers, "/issue/1", **{"Request-Id": "c3"})
+    placed, failed, refused = logged("c3")
+    assert failed.fields["may_have_run"] and refused.fields["status"] == 502
+    assert placed.fields["upstream"] == failed.fields["upstream"]
