Take a key as unknown for good where a host in touch with the store just told the configuration

Ruled out: that they lacked the configuration (their logs show it in force). Before and after: test_host_that_starts_without_the_store_learns_from_another, 503 and 401.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -1,5 +1,6 @@
 """What this host knows of the declarations and of the upstreams."""
 
+import math
 import threading
 import time
 from typing import Callable
@@ -10,6 +11,7 @@
 from rosemaryyoke.core.logs import event
 
 VERSIONS_KEPT = 16
+CONFIRMED_S = 1.5  # a host that is cut off asks another every half second
 
 
 @frozen
@@ -36,6 +38,7 @@
     changes: int = 0
     boot: str = field(factory=lambda: f"{time.time_ns():x}")
     failing: set[str] = field(factory=set)
+    confirmed_s: float = -math.inf
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
 
@@ -94,9 +97,18 @@
                 self.failing.add(kind)
 
     def is_fresh(self) -> bool:
-        """Tell whether an unknown route or key may be refused for good."""
+        """Tell whether the store answers this host."""
         return self.is_known() and not self.failing
 
+    def confirm(self) -> None:
+        """Note that a host that the store answers just told what it knows."""
+        self.confirmed_s = time.monotonic()
+
+    def refuses_unknown(self) -> bool:
+        """Tell whether an unknown route or key may be refused for good."""
+        confirmed = time.monotonic() - self.confirmed_s < CONFIRMED_S
+        return self.is_fresh() or (self.is_known() and confirmed)
+
     def wait_known(self, timeout_s: float) -> bool:
         """Wait until a configuration and upstreams are known."""
         with self.changed:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -197,7 +197,7 @@
 
     def unknown(self, status: int, code: str, message: str) -> Refusal:
         """Return a refusal for what the configuration in force does not hold."""
-        if self.catalog.is_fresh():
+        if self.catalog.refuses_unknown():
             return Refusal(status, code, message)
         return Refusal(503, "stale_configuration", message, UNKNOWN_RETRY_S)
 
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -92,6 +92,8 @@
             logging.error("a host's configuration: %s", decoded.err_value)
             return
         self.catalog.take_configuration(decoded.ok_value, stored.body)
+        if current:
+            self.catalog.confirm()
         for model, version in value["wanted"].items():
             self.catalog.take_wanted(WantedWeights(model, version))
         if current or not self.catalog.upstreams_seen:
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -337,6 +337,8 @@
         wait_for(other.is_ready)
         answer = ask(other.settings.callers, headers=stream_headers())
         assert answer.messages[0].complete
+        unknown = {"Authorization": "Bearer nobody"}
+        assert ask(other.settings.callers, **unknown).messages[0].status == 401
     finally:
         other.kernel.stop()
         closed.stop()
