--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -2,7 +2,9 @@
 
 import logging
 import socket
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import orjson
 import pytest
@@ -423,3 +425,43 @@
     placed, failed, refused = logged("c3")
     assert failed.fields["may_have_run"] and refused.fields["status"] == 502
     assert placed.fields["upstream"] == failed.fields["upstream"]
+
+
+def test_engine_whose_weights_were_replaced_too_long_ago_gets_nothing(deployment):
+    old, new = deployment.engines
+    new.version = 2
+    entry = make_entry(str(new.address), version=2)
+    deployment.store.set("servers", new.name, entry)
+    deployment.store.set("versions", "m1", {"model": "m1", "version": 2})
+    host = deployment.host
+    wait_for(lambda: host.catalog.wanted.get("m1") == 2)
+    wait_for(lambda: host.fleet.states[new.name].weights == {"m1": 2})
+    named = host.catalog.named["m1"][-1]
+    bound_s = host.settings.weights_bound_s
+    host.catalog.named["m1"] = [evolve(named, since_s=named.since_s - bound_s)]
+    new.script = [503] * 3
+    for _ in range(3):
+        deployment.stream()
+    assert len(old.seen) == 0
+
+
+def test_stop_answers_what_began_and_refuses_what_could_not_end(deployment):
+    host = deployment.host
+    release = threading.Event()
+
+    def slow(engine, message, caller):
+        release.wait(5)
+        engine.run(message, caller)
+
+    script_all(deployment.engines, slow)
+    with ThreadPoolExecutor(4) as pool:
+        began = pool.submit(deployment.stream)
+        wait_for(lambda: any(engine.seen for engine in deployment.engines))
+        stop = pool.submit(host.shut_down)
+        wait_for(lambda: host.kernel.get("callers").refusing, 2.0)
+        late = ask(deployment.callers, "/read/1", "GET").messages[0]
+        release.set()
+        assert began.result(5).messages[0].complete
+        stop.result(5)
+    assert late.status == 503
+    assert sum(len(plain.seen) for plain in deployment.records) == 0
