Take deployments that state fewer bounds or other kinds of routes

Cause: a deployment without engines states no lease and no bound on weights; the host would have ended with exit code 2. A kind of route that is not known made the whole configuration malformed. Change: bounds that are not stated keep their defaults; an unknown kind may not be repeated. Conclusion: both tests fail before.

--- a/rosemaryyoke/platform/documents.py
+++ b/rosemaryyoke/platform/documents.py
@@ -77,7 +77,10 @@
 
 
 def read_route(value: dict) -> ExchangeRoute:
-    """Return a route; its share of each service is the wire's ``trafficSplit``."""
+    """Return a route; its share of each service is the wire's ``trafficSplit``.
+
+    A kind that is not known may not be repeated.
+    """
     split = value.get("trafficSplit") or [{"service": value.get("service")}]
     targets = tuple(
         Target(text(item["service"]), float(item.get("weight", 1))) for item in split
@@ -86,7 +89,7 @@
         name=text(value["name"]),
         host=text(value["host"]).lower(),
         path_prefix=text(value["pathPrefix"]),
-        kind=KINDS[value["kind"]],
+        kind=KINDS.get(value["kind"], UNSAFE),
         targets=targets,
         timeout_s=value["timeoutMs"] / MILLISECONDS,
         objective_s=value.get("targetLatencyMs", 1_000) / MILLISECONDS,
--- a/rosemaryyoke/platform/settings_file.py
+++ b/rosemaryyoke/platform/settings_file.py
@@ -12,6 +12,17 @@
 from rosemaryyoke.platform.names import SETTINGS_VARIABLE
 
 MILLISECONDS = 1_000
+SECONDS = 1
+RATIO = 1
+BOUNDS = {
+    "graceS": ("grace_s", SECONDS),
+    "leaseMs": ("lease_s", MILLISECONDS),
+    "versionMs": ("weights_bound_s", MILLISECONDS),
+    "retryBudgetRatio": ("retry_ratio", RATIO),
+    "retryBudgetSlack": ("retry_slack", RATIO),
+    "budgetWindowS": ("retry_window_s", SECONDS),
+    "ttl_max_s": ("answer_lifetime_max_s", SECONDS),
+}
 
 
 def settings_path() -> Path | None:
@@ -44,11 +55,14 @@
         peers=Address.parse(listen["control"]),
         seeds=tuple(Address.parse(item) for item in value.get("seeds") or ()),
         store=Address.parse(value["platform"]["address"]),
-        grace_s=float(bounds["graceS"]),
-        lease_s=bounds["leaseMs"] / MILLISECONDS,
-        weights_bound_s=bounds["versionMs"] / MILLISECONDS,
-        retry_ratio=float(bounds["retryBudgetRatio"]),
-        retry_slack=float(bounds["retryBudgetSlack"]),
-        retry_window_s=float(bounds["budgetWindowS"]),
-        answer_lifetime_max_s=float(bounds["ttl_max_s"]),
+        **read_bounds(bounds),
     )
+
+
+def read_bounds(bounds: dict[str, Any]) -> dict[str, float]:
+    """Return the agreed bounds that a deployment states; the others keep defaults."""
+    return {
+        name: bounds[field] / unit
+        for field, (name, unit) in BOUNDS.items()
+        if bounds.get(field) is not None
+    }
--- a/rosemaryyoke/platform/tests/test_documents.py
+++ b/rosemaryyoke/platform/tests/test_documents.py
@@ -43,6 +43,11 @@
     assert read.find_route("b.example", "/a/b/c") is None
 
 
+def test_configuration_unknown_kind_may_not_be_repeated():
+    read = read_configuration(make_configuration(routes=[make_route(kind="keyed")]))
+    assert read.routes[0].kind == UNSAFE and not read.routes[0].repeatable
+
+
 def test_configuration_split():
     split = [{"service": "llm", "weight": 90}, {"service": "records", "weight": 10}]
     route = make_route(trafficSplit=split)
--- a/rosemaryyoke/platform/tests/test_settings_file.py
+++ b/rosemaryyoke/platform/tests/test_settings_file.py
@@ -29,5 +29,13 @@
     assert isinstance(fault, Err) and name in fault.err_value
 
 
+def test_settings_of_a_deployment_without_engines(tmp_path):
+    value = make_settings()
+    for name in ("leaseMs", "versionMs", "ttl_max_s"):
+        del value["bounds"][name]
+    settings = load(tmp_path, value).unwrap()
+    assert (settings.grace_s, settings.lease_s) == (2.0, 3.0)
+
+
 def test_settings_unreadable(tmp_path):
     assert isinstance(load_routing_settings(tmp_path / "none"), Err)
