--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -1,19 +1,13 @@
-"""Route an exchange: find its route and account, place it, send it, answer it."""
+"""Forward an exchange: place it, send it, answer it, and go on where one fails."""
 
 import random
 import time
-from urllib.parse import urlsplit
 
-from attrs import define, field, frozen
+from attrs import define, field
 from result import Err
 
-from rosemaryyoke.catalog import (
-    STREAM,
-    Catalog,
-    ClientAccount,
-    Configuration,
-    ExchangeRoute,
-)
+from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.core import Metrics
 from rosemaryyoke.core.logs import event
 from rosemaryyoke.exchanges.attempt import (
     Answered,
@@ -25,89 +19,41 @@
 )
 from rosemaryyoke.exchanges.caller import CallerConnection, CallerGone
 from rosemaryyoke.exchanges.connections import ConnectionPool
-from rosemaryyoke.exchanges.events import EventRelay
-from rosemaryyoke.exchanges.messages import Ask, Dialect, Directive, MalformedAsk
+from rosemaryyoke.exchanges.decision_log import log_answer, log_outcome, log_placement
+from rosemaryyoke.exchanges.exchange import (
+    Exchange,
+    Refusal,
+    Refused,
+    salt_scope,
+    wait_bound_s,
+)
+from rosemaryyoke.exchanges.messages import Dialect
+from rosemaryyoke.exchanges.opening import Opener
 from rosemaryyoke.exchanges.patience import patience_s
+from rosemaryyoke.exchanges.refusals import (
+    is_failure,
+    no_upstream,
+    refusal_after,
+    time_is_up,
+)
+from rosemaryyoke.exchanges.request_writer import RequestWriter
 from rosemaryyoke.fleet import (
     Chooser,
     Fleet,
-    NoUpstream,
     Placement,
     PlacementRequest,
     PromptRead,
     RetryBudget,
+    UpstreamState,
 )
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
-from rosemaryyoke.http1 import Address, RequestMessage
-from rosemaryyoke.http1.messages import encode_headers, end_to_end, find_header
+from rosemaryyoke.http1 import RequestMessage
+from rosemaryyoke.http1.messages import end_to_end
 
 HTTP_OK = 200
-HTTP_SERVER_ERROR = 500
-UNKNOWN_RETRY_S = 0.3
-START_WAIT_S = 0.04  # a store that answers does so within some milliseconds
-RETRY_JITTER = (0.6, 1.4)
-LEAST_RETRY_S = 0.05
 STALL_S = 1.0  # between events of a stream that another upstream may go on with
-STORE_LEAST_TOKENS = 1
-WAIT_OBJECTIVES = 0.8  # a longer queue fills engines' memory and empties their caches
-PRIORITY_STEP = 0.7
 MAX_SENDS = 4  # to upstreams, those that refused included
 WEIGHTS_MARGIN_S = 1.5  # a request begins some time after it was placed
-ANSWER_MARGIN_S = 0.02  # an answer at the time limit has to be written yet
-
-
-@frozen
-class Refusal:
-    """An answer of this host's own."""
-
-    status: int
-    code: str
-    message: str
-    retry_after_s: float | None = None
-
-
-class Refused(Exception):
-    """The exchange ends with a refusal."""
-
-    def __init__(self, refusal: Refusal):
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
-@define(eq=False)
-class Exchange:
-    """One request on its way."""
-
-    message: RequestMessage
-    ask: Ask
-    route: ExchangeRoute
-    account: ClientAccount | None
-    configuration: Configuration
-    caller: CallerConnection
-    began_s: float
-    until_s: float
-    deadline_s: float
-    relay: EventRelay | None = None
-    body: bytes = b""
-    sends: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    excluded: set[str] = field(factory=set)
-    resumed_from: bytes | None = None
-
-    @property
-    def request(self) -> str:
-        """Return the request's identifier as logs show it."""
-        return self.ask.request_id.decode("latin-1")
-
-    def age_ms(self) -> int:
-        """Return for how long the exchange has been under way."""
-        return round((time.monotonic() - self.began_s) * 1000)
-
-    @property
-    def service(self) -> str:
-        """Return the service that the budget counts the exchange for."""
-        return self.route.targets[0].service
 
 
 @define(eq=False)
@@ -120,87 +66,25 @@
     dialect: Dialect
     pool: ConnectionPool
     budget: RetryBudget
-    metrics: object
+    metrics: Metrics
     weights_bound_s: float
     chooser: Chooser = field(factory=Chooser)
+    opener: Opener = field(init=False)
+    writer: RequestWriter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.opener = Opener(self.catalog, self.dialect)
+        self.writer = RequestWriter(self.fleet, self.dialect)
 
     def handle(self, message: RequestMessage, caller: CallerConnection) -> None:
         """Answer one request; raise ``CallerGone`` where nobody waits for it."""
         began_s = time.monotonic()
         try:
-            exchange = self.open(message, caller, began_s)
+            exchange = self.opener.open(message, caller, began_s)
             self.run(exchange)
         except Refused as refused:
             self.refuse(caller, refused.refusal)
 
-    def open(
-        self, message: RequestMessage, caller: CallerConnection, began_s: float
-    ) -> Exchange:
-        """Return the exchange of a request; raise ``Refused``."""
-        if not self.catalog.wait_known(START_WAIT_S):
-            text = "this host knows no configuration yet"
-            raise Refused(Refusal(503, "no_configuration", text, UNKNOWN_RETRY_S))
-        configuration = self.catalog.configuration
-        ask = self.read_ask(message)
-        caller.request_id = ask.request_id
-        route = self.find_route(configuration, message)
-        account = self.find_account(configuration, route, ask)
-        deadline_s = began_s + (ask.deadline_s or route.timeout_s)
-        until_s = min(deadline_s, began_s + route.timeout_s) - ANSWER_MARGIN_S
-        relay = EventRelay(caller) if route.kind == STREAM else None
-        caller.write_until_s = deadline_s
-        return Exchange(
-            message,
-            ask,
-            route,
-            account,
-            configuration,
-            caller,
-            began_s,
-            until_s,
-            deadline_s,
-            relay,
-            message.body,
-        )
-
-    def read_ask(self, message: RequestMessage) -> Ask:
-        """Return what the caller asks; raise ``Refused``."""
-        try:
-            return self.dialect.read_ask(message.headers)
-        except MalformedAsk as error:
-            raise Refused(Refusal(400, "malformed_header", str(error))) from error
-
-    def find_route(
-        self, configuration: Configuration, message: RequestMessage
-    ) -> ExchangeRoute:
-        """Return the request's route; raise ``Refused``."""
-        host = find_header(message.headers, b"host")
-        if host is None or not message.target.startswith(b"/"):
-            raise Refused(Refusal(400, "malformed_request", "a host and path needed"))
-        name = host.decode("latin-1").lower().partition(":")[0]
-        path = urlsplit(message.target.decode("latin-1")).path
-        route = configuration.find_route(name, path)
-        if route is not None:
-            return route
-        raise Refused(self.unknown(404, "unknown_route", "no route has this path"))
-
-    def find_account(
-        self, configuration: Configuration, route: ExchangeRoute, ask: Ask
-    ) -> ClientAccount | None:
-        """Return the account of the request's key; raise ``Refused``."""
-        if route.public or not configuration.accounts:
-            return None
-        account = configuration.accounts_by_key.get(ask.key or "")
-        if account is not None:
-            return account
-        raise Refused(self.unknown(401, "unknown_key", "the API key is not known"))
-
-    def unknown(self, status: int, code: str, message: str) -> Refusal:
-        """Return a refusal for what the configuration in force does not hold."""
-        if self.catalog.refuses_unknown():
-            return Refusal(status, code, message)
-        return Refusal(503, "stale_configuration", message, UNKNOWN_RETRY_S)
-
     def run(self, exchange: Exchange) -> None:
         """Send the exchange until it is answered, or refuse it."""
         self.budget.earn(exchange.service, exchange.began_s)
@@ -208,7 +92,7 @@
             placement = self.place(exchange)
             outcome = self.attempt(exchange, placement)
             if isinstance(outcome, Streamed):
-                self.log_answer(exchange, HTTP_OK)
+                self.note_answer(exchange, HTTP_OK)
                 return
             if self.may_send_again(exchange, outcome):
                 continue
@@ -219,13 +103,13 @@
         """Return an upstream for the exchange; raise ``Refused``."""
         now_s = time.monotonic()
         if now_s >= exchange.until_s:
-            raise Refused(self.time_is_up(exchange))
+            raise Refused(time_is_up(exchange))
         request = self.placement_request(exchange, now_s)
         with self.fleet.lock:
             states = self.current(exchange, self.states(exchange), now_s)
             chosen = self.chooser.choose(request, states, exchange.excluded, now_s)
         if isinstance(chosen, Err):
-            raise Refused(self.no_upstream(exchange, chosen.err_value))
+            raise Refused(no_upstream(exchange, chosen.err_value))
         return chosen.ok_value
 
     def placement_request(self, exchange: Exchange, now_s: float) -> PlacementRequest:
@@ -242,7 +126,7 @@
             wait_bound_s(exchange.route),
         )
 
-    def states(self, exchange: Exchange) -> list:
+    def states(self, exchange: Exchange) -> list[UpstreamState]:
         """Return the upstreams of a target that is drawn by the route's shares."""
         targets = exchange.route.targets
         weights = [target.weight for target in targets]
@@ -251,7 +135,9 @@
         target = random.choices(targets, weights)[0]
         return self.fleet.of_service(target.service)
 
-    def current(self, exchange: Exchange, states: list, now_s: float) -> list:
+    def current(
+        self, exchange: Exchange, states: list[UpstreamState], now_s: float
+    ) -> list[UpstreamState]:
         """Return the upstreams whose weights may still be used."""
         model = exchange.ask.model
         bound_s = self.weights_bound_s - WEIGHTS_MARGIN_S
@@ -267,9 +153,9 @@
         state = placement.state
         exchange.sends += 1
         exchange.excluded.add(state.upstream.name)
-        self.log_placement(exchange, placement)
-        saves = self.saves(exchange, placement)
-        request = self.encode(exchange, placement, saves)
+        log_placement(exchange, placement)
+        saves = self.writer.saves(exchange, placement)
+        request = self.writer.encode(exchange, placement, saves)
         read = PromptRead(state.upstream.name, placement.parts, saves)
         tokens = exchange.ask.prompt_tokens + exchange.ask.output_tokens
         prefill_tokens = int(placement.read_s * PREFILL_TOKENS_PER_S)
@@ -302,68 +188,6 @@
         self.take_outcome(exchange, placement, attempt, outcome)
         return outcome
 
-    def saves(self, exchange: Exchange, placement: Placement) -> bool:
-        """Tell whether the engine is to save what it reads to the KV cache store."""
-        if self.cache_store(exchange) is None:
-            return False
-        now_s = time.monotonic()
-        with self.fleet.lock:
-            return not all(
-                self.fleet.store.holds(part, now_s) for part in placement.parts[:-1]
-            )
-
-    def encode(self, exchange: Exchange, placement: Placement, saves: bool) -> bytes:
-        """Return the bytes of the request for an upstream."""
-        ask, state = exchange.ask, placement.state
-        weights = state.weights.get(ask.model) if ask.model else None
-        store = self.cache_store(exchange) if placement.salt else None
-        directive = Directive(
-            instance=state.upstream.name,
-            deadline_s=exchange.deadline_s - time.monotonic(),
-            account=exchange.account.name if exchange.account else None,
-            hides_key=bool(exchange.configuration.accounts),
-            weights=weights,
-            priority=priority(exchange) if state.traits is not None else None,
-            salt=placement.salt or None,
-            fetch_from=self.fetch_source(exchange, placement) or store,
-            save_to=store if saves else None,
-            last_event=exchange.resumed_from or ask.last_event,
-        )
-        message = exchange.message
-        headers = self.dialect.forward_headers(message.headers, directive)
-        if exchange.body or message.method not in (b"GET", b"HEAD", b"DELETE"):
-            headers.append((b"Content-Length", b"%d" % len(exchange.body)))
-        first_line = b"%s %s HTTP/1.1" % (message.method, message.target)
-        return encode_headers(first_line, headers) + exchange.body
-
-    def fetch_source(self, exchange: Exchange, placement: Placement) -> Address | None:
-        """Return an engine that holds more of the prompt than the chosen one, if any.
-
-        Engines' links are faster than that of the KV cache store.
-        """
-        shared = exchange.ask.shared_tokens
-        if shared < STORE_LEAST_TOKENS or placement.hit_tokens >= shared:
-            return None
-        own, now_s = placement.state, time.monotonic()
-        with self.fleet.lock:
-            holders = [
-                state
-                for state in self.fleet.of_service(own.upstream.service)
-                if state is not own
-                and state.usable(now_s)
-                and state.belief.held_tokens(placement.parts[:-1]) >= shared
-            ]
-        if not holders:
-            return None
-        return random.choice(holders).upstream.address
-
-    def cache_store(self, exchange: Exchange) -> Address | None:
-        """Return the KV cache store for a prompt whose shared parts are worth it."""
-        if exchange.ask.shared_tokens < STORE_LEAST_TOKENS:
-            return None
-        store = exchange.configuration.find_store()
-        return store.store if store is not None else None
-
     def take_outcome(
         self,
         exchange: Exchange,
@@ -388,7 +212,7 @@
                 exchange.runs += 1
                 state.answered(success, now_s)
         if isinstance(outcome, (Failed, NotRun)):
-            self.log_outcome(exchange, placement, outcome)
+            log_outcome(exchange, placement, outcome)
 
     def take_not_run(
         self, exchange: Exchange, placement: Placement, outcome: NotRun
@@ -402,49 +226,6 @@
         else:
             state.failed(now_s)
 
-    def log_answer(self, exchange: Exchange, status: int) -> None:
-        """Log an upstream's answer that the caller was given."""
-        age_ms = exchange.age_ms()
-        event("answered", request=exchange.request, status=status, age_ms=age_ms)
-        self.metrics.observe("answer_seconds", age_ms / 1000, kind=exchange.route.kind)
-
-    def log_placement(self, exchange: Exchange, placement: Placement) -> None:
-        """Log where a request is sent, and what that was decided on."""
-        configuration = exchange.configuration
-        event(
-            "placed",
-            request=exchange.request,
-            route=exchange.route.name,
-            account=exchange.account.name if exchange.account else None,
-            configuration=configuration.version,
-            upstream=placement.state.upstream.name,
-            send=exchange.sends,
-            hit_tokens=placement.hit_tokens,
-            wait_ms=round(placement.wait_s * 1000),
-            cost_ms=round(placement.cost_s * 1000),
-            resumed_from=exchange.resumed_from,
-            left_ms=round((exchange.until_s - time.monotonic()) * 1000),
-        )
-
-    def log_outcome(
-        self, exchange: Exchange, placement: Placement, outcome: Failed | NotRun
-    ) -> None:
-        """Log an attempt that gave no answer."""
-        fields = {"not_run": isinstance(outcome, NotRun)}
-        if isinstance(outcome, NotRun):
-            fields["status"] = outcome.status
-            fields["weights"] = outcome.facts.weights
-        else:
-            fields["reason"] = outcome.reason
-            fields["may_have_run"] = outcome.may_have_run
-        event(
-            "attempt failed",
-            request=exchange.request,
-            upstream=placement.state.upstream.name,
-            age_ms=exchange.age_ms(),
-            **fields,
-        )
-
     def may_send_again(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Tell whether the exchange goes on at another upstream."""
         route = exchange.route
@@ -494,32 +275,15 @@
             exchange.caller.answer(
                 message.status, message.reason, headers, message.body
             )
-            self.log_answer(exchange, message.status)
+            self.note_answer(exchange, message.status)
             return
-        raise Refused(self.refusal_after(exchange, outcome))
+        raise Refused(refusal_after(exchange, outcome))
 
-    def refusal_after(self, exchange: Exchange, outcome: Failed | NotRun) -> Refusal:
-        """Return the refusal that the last outcome leads to."""
-        if isinstance(outcome, Failed) and outcome.out_of_time:
-            return self.time_is_up(exchange)
-        if exchange.may_have_run or exchange.runs:
-            return Refusal(502, "upstream_failed", "the upstream gave no whole answer")
-        return Refusal(
-            503, "not_run", "no upstream took the request", retry_after_s(0.2)
-        )
-
-    def time_is_up(self, exchange: Exchange) -> Refusal:
-        """Return the refusal at the end of the caller's time."""
-        if exchange.may_have_run or exchange.sends:
-            return Refusal(504, "timeout", "the upstream did not answer in time")
-        return Refusal(503, "not_run", "no time was left", retry_after_s(0.2))
-
-    def no_upstream(self, exchange: Exchange, reason: NoUpstream) -> Refusal:
-        """Return the refusal where no upstream is to be had."""
-        if exchange.may_have_run or exchange.runs:
-            return Refusal(502, "upstream_failed", reason.message)
-        wait_s = retry_after_s(reason.retry_after_s)
-        return Refusal(503, "no_upstream", reason.message, wait_s)
+    def note_answer(self, exchange: Exchange, status: int) -> None:
+        """Log and count an upstream's answer that the caller was given."""
+        log_answer(exchange, status)
+        elapsed_s = time.monotonic() - exchange.began_s
+        self.metrics.observe("answer_seconds", elapsed_s, kind=exchange.route.kind)
 
     def refuse(self, caller: CallerConnection, refusal: Refusal) -> None:
         """Answer with a refusal, or break off a stream that has begun."""
@@ -537,36 +301,3 @@
         caller.refuse(
             refusal.status, refusal.code, refusal.message, refusal.retry_after_s
         )
-
-
-def is_failure(outcome: Answered) -> bool:
-    """Tell whether an answer is the upstream's own failure."""
-    return outcome.message.status >= HTTP_SERVER_ERROR
-
-
-def retry_after_s(mean_s: float) -> float:
-    """Return when to come back, spread so that callers do not come together."""
-    return max(LEAST_RETRY_S, mean_s * random.uniform(*RETRY_JITTER))
-
-
-def wait_bound_s(route: ExchangeRoute) -> float:
-    """Return the longest queue that a request of a route is added to.
-
-    Requests of less urgent routes are refused at shorter queues.
-    """
-    return WAIT_OBJECTIVES * route.objective_s / (1 + PRIORITY_STEP * route.priority)
-
-
-def salt_scope(account: ClientAccount | None) -> bytes:
-    """Return who may share cache entries: all, or an isolated account alone."""
-    if account is not None and account.isolated:
-        return b"a:" + account.name.encode()
-    return b"s"
-
-
-def priority(exchange: Exchange) -> int:
-    """Return the priority of an exchange; an account's goes before its route's."""
-    account = exchange.account
-    if account is not None and account.priority is not None:
-        return account.priority
-    return exchange.route.priority
--- /dev/null
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -0,0 +1,85 @@
+"""Write the request that an upstream gets, and say what it does with its cache."""
+
+import random
+import time
+
+from attrs import frozen
+
+from rosemaryyoke.exchanges.exchange import Exchange, priority
+from rosemaryyoke.exchanges.messages import Dialect, Directive
+from rosemaryyoke.fleet import Fleet, Placement
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.http1.messages import encode_headers
+
+STORE_LEAST_TOKENS = 1  # what is read again costs more than a look at the store
+BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE")
+
+
+@frozen
+class RequestWriter:
+    """Writes requests for the upstreams that were chosen."""
+
+    fleet: Fleet
+    dialect: Dialect
+
+    def encode(self, exchange: Exchange, placement: Placement, saves: bool) -> bytes:
+        """Return the bytes of the request for an upstream."""
+        ask, state = exchange.ask, placement.state
+        weights = state.weights.get(ask.model) if ask.model else None
+        store = self.cache_store(exchange) if placement.salt else None
+        directive = Directive(
+            instance=state.upstream.name,
+            deadline_s=exchange.deadline_s - time.monotonic(),
+            account=exchange.account.name if exchange.account else None,
+            hides_key=bool(exchange.configuration.accounts),
+            weights=weights,
+            priority=priority(exchange) if state.traits is not None else None,
+            salt=placement.salt or None,
+            fetch_from=self.fetch_source(exchange, placement) or store,
+            save_to=store if saves else None,
+            last_event=exchange.resumed_from or ask.last_event,
+        )
+        message = exchange.message
+        headers = self.dialect.forward_headers(message.headers, directive)
+        if exchange.body or message.method not in BODILESS_METHODS:
+            headers.append((b"Content-Length", b"%d" % len(exchange.body)))
+        first_line = b"%s %s HTTP/1.1" % (message.method, message.target)
+        return encode_headers(first_line, headers) + exchange.body
+
+    def saves(self, exchange: Exchange, placement: Placement) -> bool:
+        """Tell whether the engine is to save what it reads to the KV cache store."""
+        if self.cache_store(exchange) is None:
+            return False
+        now_s = time.monotonic()
+        with self.fleet.lock:
+            return not all(
+                self.fleet.store.holds(part, now_s) for part in placement.parts[:-1]
+            )
+
+    def fetch_source(self, exchange: Exchange, placement: Placement) -> Address | None:
+        """Return an engine that holds more of the prompt than the chosen one, if any.
+
+        Engines' links are faster than that of the KV cache store.
+        """
+        shared = exchange.ask.shared_tokens
+        if shared < STORE_LEAST_TOKENS or placement.hit_tokens >= shared:
+            return None
+        own, now_s = placement.state, time.monotonic()
+        with self.fleet.lock:
+            holders = [
+                state
+                for state in self.fleet.of_service(own.upstream.service)
+                if state is not own
+                and state.usable(now_s)
+                and state.belief.held_tokens(placement.parts[:-1]) >= shared
+            ]
+        if not holders:
+            return None
+        return random.choice(holders).upstream.address
+
+    def cache_store(self, exchange: Exchange) -> Address | None:
+        """Return the KV cache store for a prompt whose shared parts are worth it."""
+        if exchange.ask.shared_tokens < STORE_LEAST_TOKENS:
+            return None
+        store = exchange.configuration.find_store()
+        return store.store if store is not None else None
--- /dev/null
+++ b/rosemaryyoke/platform/tests/conftest.py
@@ -0,0 +1,60 @@
+"""Fixtures of the adapter's tests."""
+
+import logging
+import time
+
+import pytest
+
+from rosemaryyoke.core.logs import LogWriter
+from rosemaryyoke.platform.tests.builders import (
+    make_configuration,
+    make_entry,
+)
+from rosemaryyoke.platform.tests.deployment import Deployment, start_host, wait_for
+from rosemaryyoke.platform.tests.standins import (
+    EngineStandin,
+    StoreStandin,
+)
+from rosemaryyoke.timeline.log_lines import follow_request, read_logs
+
+
+@pytest.fixture()
+def deployment():
+    store = StoreStandin()
+    engines = [EngineStandin(f"e{number}") for number in (1, 2)]
+    records = [EngineStandin(f"p{number}") for number in (1, 2)]
+    store.set("config", "main", make_configuration())
+    for engine in engines:
+        store.set("servers", engine.name, make_entry(str(engine.address)))
+    for plain in records:
+        entry = make_entry(str(plain.address), "records")
+        store.set("servers", plain.name, entry)
+    host = start_host(store)
+    wait_for(host.is_ready)
+    yield Deployment(store, engines, records, host)
+    host.kernel.stop()
+    for part in (store, *engines, *records):
+        part.stop()
+
+
+@pytest.fixture()
+def logged(tmp_path):
+    """Return a reader of what the hosts of this process log meanwhile."""
+    path = tmp_path / "host.log"
+    with path.open("w") as stream:
+        writer = LogWriter("h1", stream)
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(writer.handler)
+        root.setLevel(logging.INFO)
+        logging.getLogger("absl").setLevel(logging.INFO)
+        writer.start()
+
+        def follow(request):
+            writer.drain(1.0)
+            time.sleep(0.05)
+            return follow_request(read_logs([path]), request)
+
+        yield follow
+        root.removeHandler(writer.handler)
+        root.setLevel(level)
--- /dev/null
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -0,0 +1,84 @@
+"""A routing host on loopback between stand-ins, with their scripts."""
+
+import time
+
+from attrs import define, evolve
+
+from rosemaryyoke.exchanges.host import RoutingHost
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.platform.adapter import make_adapter
+from rosemaryyoke.platform.settings_file import read_settings
+from rosemaryyoke.platform.tests.builders import (
+    make_settings,
+)
+from rosemaryyoke.platform.tests.standins import (
+    EngineStandin,
+    StoreStandin,
+    ask,
+    free_port,
+    stream_headers,
+)
+
+PORTS = 6
+
+
+def wait_for(condition, timeout_s=5.0):
+    """Wait until a condition holds."""
+    until_s = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < until_s, "not in time"
+        time.sleep(0.01)
+
+
+@define(eq=False)
+class Deployment:
+    """A store, two engines, two plain upstreams and one host."""
+
+    store: StoreStandin
+    engines: list[EngineStandin]
+    records: list[EngineStandin]
+    host: RoutingHost
+
+    @property
+    def callers(self) -> Address:
+        """Return the address of callers."""
+        return self.host.settings.callers
+
+    def stream(self, **options):
+        """Return the answer to a request for a stream."""
+        return ask(self.callers, headers=stream_headers(), **options)
+
+
+def start_host(store, seeds=()):
+    """Return a host that serves."""
+    document = make_settings(port=free_port(PORTS), store=str(store.address))
+    document["seeds"] = [str(seed) for seed in seeds]
+    document["nodeName"] = f"front-{document['listen']['front']}"
+    settings = evolve(read_settings(document), metrics_port=0)
+    host = RoutingHost(settings, make_adapter(settings))
+    host.kernel.start()
+    host.timer.every(0.1, host.transfer.fetch)
+    host.timer.every(0.1, host.follower.expire_lapsed)
+    return host
+
+
+def script_all(upstreams, *steps):
+    """Let whichever upstream is asked first follow the script, then the next."""
+    script = list(steps)
+    for upstream in upstreams:
+        upstream.script = script
+
+
+def break_off(events):
+    """Return a step that sends some events and breaks off."""
+
+    def step(engine, message, caller):
+        engine.run(message, caller, events=events, finish=False)
+
+    return step
+
+
+def silent_close(engine, message, caller):
+    """Run the request and lose its answer."""
+    engine.ran.append(b"")
+    raise OSError("the answer is lost")
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -0,0 +1,39 @@
+"""Failed requests whose causes are found in the logs alone."""
+
+from rosemaryyoke.platform.tests.deployment import break_off, script_all, silent_close
+from rosemaryyoke.platform.tests.standins import (
+    ask,
+)
+
+
+def test_cause_of_a_refusal_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, 503, 503, 503, 503)
+    ask(deployment.callers, "/issue/1", **{"Request-Id": "c1"})
+    events = logged("c1")
+    assert [event.message for event in events][-1] == "refused"
+    assert events[-1].fields["code"] == "no_upstream"
+    failed = [event for event in events if event.message == "attempt failed"]
+    assert failed and all(event.fields["not_run"] for event in failed)
+
+
+def test_cause_of_a_cut_stream_is_in_the_logs(deployment, logged):
+    script_all(deployment.engines, break_off(2), break_off(3))
+    deployment.stream(**{"Request-Id": "c2"})
+    events = logged("c2")
+    assert [event.message for event in events] == [
+        "placed",
+        "attempt failed",
+        "placed",
+        "attempt failed",
+        "stream cut",
+    ]
+    reasons = [event.fields.get("reason", "") for event in events]
+    assert any("closed" in reason or "lost" in reason for reason in reasons)
+
+
+def test_cause_of_an_unknown_outcome_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, silent_close)
+    ask(deployment.callers, "/issue/1", **{"Request-Id": "c3"})
+    placed, failed, refused = logged("c3")
+    assert failed.fields["may_have_run"] and refused.fields["status"] == 502
+    assert placed.fields["upstream"] == failed.fields["upstream"]
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -1,117 +1,26 @@
-"""A whole routing host on loopback, between stand-ins of the platform."""
+"""Requests through a whole routing host, between stand-ins of the platform."""
 
-import logging
 import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import orjson
-import pytest
-from attrs import define, evolve
+from attrs import evolve
 
-from rosemaryyoke.core.logs import LogWriter
-from rosemaryyoke.exchanges.host import RoutingHost
-from rosemaryyoke.http1 import Address, call_once
-from rosemaryyoke.platform.adapter import make_adapter
-from rosemaryyoke.platform.settings_file import read_settings
 from rosemaryyoke.platform.tests.builders import (
-    make_configuration,
     make_entry,
-    make_settings,
+)
+from rosemaryyoke.platform.tests.deployment import (
+    break_off,
+    script_all,
+    silent_close,
+    wait_for,
 )
 from rosemaryyoke.platform.tests.standins import (
-    EngineStandin,
-    StoreStandin,
     ask,
-    free_port,
     read_answer,
     stream_headers,
 )
-from rosemaryyoke.timeline.log_lines import follow_request, read_logs
-
-PORTS = 6
-
-
-def wait_for(condition, timeout_s=5.0):
-    """Wait until a condition holds."""
-    until_s = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < until_s, "not in time"
-        time.sleep(0.01)
-
-
-@define(eq=False)
-class Deployment:
-    """A store, two engines, two plain upstreams and one host."""
-
-    store: StoreStandin
-    engines: list[EngineStandin]
-    records: list[EngineStandin]
-    host: RoutingHost
-
-    @property
-    def callers(self) -> Address:
-        """Return the address of callers."""
-        return self.host.settings.callers
-
-    def stream(self, **options):
-        """Return the answer to a request for a stream."""
-        return ask(self.callers, headers=stream_headers(), **options)
-
-
-def start_host(store, seeds=()):
-    """Return a host that serves."""
-    document = make_settings(port=free_port(PORTS), store=str(store.address))
-    document["seeds"] = [str(seed) for seed in seeds]
-    document["nodeName"] = f"front-{document['listen']['front']}"
-    settings = evolve(read_settings(document), metrics_port=0)
-    host = RoutingHost(settings, make_adapter(settings))
-    host.kernel.start()
-    host.timer.every(0.1, host.transfer.fetch)
-    host.timer.every(0.1, host.follower.expire_lapsed)
-    return host
-
-
-@pytest.fixture()
-def deployment():
-    store = StoreStandin()
-    engines = [EngineStandin(f"e{number}") for number in (1, 2)]
-    records = [EngineStandin(f"p{number}") for number in (1, 2)]
-    store.set("config", "main", make_configuration())
-    for engine in engines:
-        store.set("servers", engine.name, make_entry(str(engine.address)))
-    for plain in records:
-        entry = make_entry(str(plain.address), "records")
-        store.set("servers", plain.name, entry)
-    host = start_host(store)
-    wait_for(host.is_ready)
-    yield Deployment(store, engines, records, host)
-    host.kernel.stop()
-    for part in (store, *engines, *records):
-        part.stop()
-
-
-def script_all(upstreams, *steps):
-    """Let whichever upstream is asked first follow the script, then the next."""
-    script = list(steps)
-    for upstream in upstreams:
-        upstream.script = script
-
-
-def break_off(events):
-    """Return a step that sends some events and breaks off."""
-
-    def step(engine, message, caller):
-        engine.run(message, caller, events=events, finish=False)
-
-    return step
-
-
-def silent_close(engine, message, caller):
-    """Run the request and lose its answer."""
-    engine.ran.append(b"")
-    raise OSError("the answer is lost")
 
 
 def test_stream_whole(deployment):
@@ -191,14 +100,6 @@
     assert ask(deployment.callers, **unknown).messages[0].status == 401
 
 
-def test_unknown_key_is_not_refused_for_good_without_the_store(deployment):
-    deployment.store.down = True
-    wait_for(lambda: not deployment.host.catalog.is_fresh())
-    unknown = {"Authorization": "Bearer nobody"}
-    answer = ask(deployment.callers, **unknown).messages[0]
-    assert answer.status == 503
-
-
 def test_requests_too_large_or_malformed(deployment):
     head = [("X-Large", "x" * 5_000)]
     assert ask(deployment.callers, headers=head).messages[0].status == 431
@@ -207,55 +108,6 @@
     assert deployment.host.kernel.get("callers").answering == 0
 
 
-def test_request_without_a_configuration_may_come_back():
-    store = StoreStandin()
-    host = start_host(store)
-    try:
-        assert ask(host.settings.callers).messages[0].status == 503
-        reply = call_once(host.settings.readiness, "GET", "/readiness").unwrap()
-        assert reply.status == 503
-    finally:
-        host.kernel.stop()
-        store.stop()
-
-
-def test_configuration_changes_and_never_goes_back(deployment):
-    newer = make_configuration(9)
-    newer["routes"][0]["pathPrefix"] = "/moved/"
-    deployment.store.set("config", "main", newer)
-    wait_for(lambda: deployment.host.catalog.configuration.version == 9)
-    deployment.store.set("config", "main", make_configuration(8))
-    time.sleep(0.2)
-    assert ask(deployment.callers, "/chat/1").messages[0].status == 404
-    moved = ask(deployment.callers, "/moved/1", headers=stream_headers())
-    assert moved.messages[0].status == 200
-
-
-def test_malformed_configuration_leaves_the_last_good_one(deployment):
-    deployment.store.set("config", "main", {"version": 10})
-    deployment.store.set("servers", "broken", {"service": 7})
-    time.sleep(0.2)
-    assert deployment.host.catalog.configuration.version == 1
-    assert deployment.stream().messages[0].complete
-
-
-def test_history_that_is_gone_leads_to_a_new_listing(deployment):
-    deployment.store.set("versions", "m1", {"model": "m1", "version": 3})
-    deployment.store.forget_history()
-    deployment.store.set("config", "main", make_configuration(4))
-    wait_for(lambda: deployment.host.catalog.configuration.version == 4)
-
-
-def test_store_that_fails_and_returns_is_followed_again(deployment):
-    deployment.store.down = True
-    wait_for(lambda: not deployment.host.catalog.is_fresh())
-    assert deployment.stream().messages[0].complete
-    deployment.store.down = False
-    deployment.store.set("config", "main", make_configuration(5))
-    wait_for(lambda: deployment.host.catalog.configuration.version == 5)
-    wait_for(deployment.host.catalog.is_fresh)
-
-
 def test_upstream_that_drains_gets_no_new_request(deployment):
     first = deployment.engines[0]
     entry = make_entry(str(first.address), state="draining")
@@ -310,123 +162,6 @@
     return reader.messages[:2]
 
 
-def test_lookup_names_live_hosts_and_leaves_out_one_that_stops(deployment):
-    other = start_host(deployment.store, [deployment.host.settings.peers])
-    try:
-        directory = deployment.host.settings.directory
-        target = "/lookup?name=a.example&region=r1&zone=z1"
-
-        def addresses():
-            reply = call_once(directory, "GET", target).unwrap()
-            return set(orjson.loads(reply.body)["addresses"])
-
-        both = {str(deployment.callers), str(other.settings.callers)}
-        wait_for(lambda: addresses() == both)
-        other.leaving = True
-        other.beacons.send_now()
-        wait_for(lambda: addresses() == {str(deployment.callers)})
-        reply = call_once(other.settings.readiness, "GET", "/readiness").unwrap()
-        assert reply.status == 503
-    finally:
-        other.kernel.stop()
-
-
-def test_host_that_starts_without_the_store_learns_from_another(deployment):
-    closed = StoreStandin()
-    closed.down = True
-    other = start_host(closed, [deployment.host.settings.peers])
-    try:
-        wait_for(other.is_ready)
-        answer = ask(other.settings.callers, headers=stream_headers())
-        assert answer.messages[0].complete
-        unknown = {"Authorization": "Bearer nobody"}
-        assert ask(other.settings.callers, **unknown).messages[0].status == 401
-    finally:
-        other.kernel.stop()
-        closed.stop()
-
-
-def test_hosts_beyond_the_watchers_hear_of_upstreams_from_one(deployment):
-    seeds = [deployment.host.settings.peers]
-    others = [start_host(deployment.store, seeds) for _ in range(3)]
-    hosts = [deployment.host, *others]
-    try:
-        wait_for(
-            lambda: all(len(host.table.live(time.monotonic())) == 3 for host in hosts)
-        )
-        wait_for(lambda: sum(bool(host.relay.generation) for host in hosts) == 2, 8.0)
-        first = deployment.engines[0]
-        entry = make_entry(str(first.address), state="draining")
-        deployment.store.set("servers", first.name, entry)
-        wait_for(
-            lambda: all(host.catalog.upstreams[first.name].draining for host in hosts),
-            2.0,
-        )
-        deployment.store.down = True
-        wait_for(lambda: not any(host.catalog.is_fresh() for host in hosts), 5.0)
-        deployment.store.down = False
-        wait_for(lambda: all(host.catalog.is_fresh() for host in hosts), 8.0)
-    finally:
-        for host in others:
-            host.kernel.stop()
-
-
-@pytest.fixture()
-def logged(tmp_path):
-    """Return a reader of what the hosts of this process log meanwhile."""
-    path = tmp_path / "host.log"
-    with path.open("w") as stream:
-        writer = LogWriter("h1", stream)
-        root = logging.getLogger()
-        level = root.level
-        root.addHandler(writer.handler)
-        root.setLevel(logging.INFO)
-        logging.getLogger("absl").setLevel(logging.INFO)
-        writer.start()
-
-        def follow(request):
-            writer.drain(1.0)
-            time.sleep(0.05)
-            return follow_request(read_logs([path]), request)
-
-        yield follow
-        root.removeHandler(writer.handler)
-        root.setLevel(level)
-
-
-def test_cause_of_a_refusal_is_in_the_logs(deployment, logged):
-    script_all(deployment.records, 503, 503, 503, 503)
-    ask(deployment.callers, "/issue/1", **{"Request-Id": "c1"})
-    events = logged("c1")
-    assert [event.message for event in events][-1] == "refused"
-    assert events[-1].fields["code"] == "no_upstream"
-    failed = [event for event in events if event.message == "attempt failed"]
-    assert failed and all(event.fields["not_run"] for event in failed)
-
-
-def test_cause_of_a_cut_stream_is_in_the_logs(deployment, logged):
-    script_all(deployment.engines, break_off(2), break_off(3))
-    deployment.stream(**{"Request-Id": "c2"})
-    events = logged("c2")
-    assert [event.message for event in events] == [
-        "placed",
-        "attempt failed",
-        "placed",
-        "attempt failed",
-        "stream cut",
-    ]
-    reasons = [event.fields.get("reason", "") for event in events]
-    assert any("closed" in reason or "lost" in reason for reason in reasons)
-
-
-def test_cause_of_an_unknown_outcome_is_in_the_logs(deployment, logged):
-    script_all(deployment.records, silent_close)
-    ask(deployment.callers, "/issue/1", **{"Request-Id": "c3"})
-    placed, failed, refused = logged("c3")
-    assert failed.fields["may_have_run"] and refused.fields["status"] == 502
-    assert placed.fields["upstream"] == failed.fields["upstream"]
-
-
 def test_engine_whose_weights_were_replaced_too_long_ago_gets_nothing(deployment):
     old, new = deployment.engines
     new.version = 2
