--- a/rosemaryyoke/catalog/model.py
+++ b/rosemaryyoke/catalog/model.py
@@ -8,8 +8,6 @@
 UNSAFE = "unsafe"
 STREAM = "stream"
 
-NEW_WEIGHTS_UNKNOWN = 0
-
 
 @frozen
 class Target:
--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import time
+from typing import Callable
 
 from attrs import define, field, frozen
 
@@ -77,7 +78,7 @@
     pending: memoryview = field(init=False)
     facts: AnswerFacts | None = None
     last_byte_s: float = 0.0
-    on_first_event: object = None
+    on_first_event: Callable[[], None] | None = None
 
     def __attrs_post_init__(self) -> None:
         self.pending = memoryview(self.request)
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -20,7 +20,6 @@
 PERIOD_S = 0.3
 PERIOD_S_PER_PEER = 0.012  # keeps large fleets within the budget of control
 MAX_DATAGRAM_BYTES = 65_507
-KNOWN_TOLD = 16
 LOADING_TOLD_S = 1.5
 
 MakeBeacon = Callable[[int, tuple[PromptRead, ...]], Beacon]
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -28,7 +28,6 @@
 SEAL = b"Response-Seal"
 NOT_RUN = b"Not-Executed"
 WEIGHTS_SERVED = b"Weight-Versions"
-INSTANCE_ID = b"Instance-Id"
 
 # Set by the router alone: what a caller sends under these names is dropped.
 ROUTER_HEADERS = frozenset(
