--- a/rosemaryyoke/fleet/tests/engine_model.py
+++ b/rosemaryyoke/fleet/tests/engine_model.py
@@ -59,13 +59,31 @@
         return self.in_aim / max(1, self.in_aim + self.late + self.refused)
 
 
+@define
+class Burst:
+    """A time in which requests come ``factor`` times as often."""
+
+    from_s: float
+    to_s: float
+    factor: float
+
+    def rate(self, at_s):
+        """Return how often requests come at a time, against the usual."""
+        return self.factor if self.from_s <= at_s < self.to_s else 1.0
+
+
 @define(eq=False, slots=False)
 class Simulation:
-    """Requests placed by the product's own chooser, in modelled time."""
+    """Requests placed by the product's own chooser, in modelled time.
+
+    ``hot_share`` of each kind's requests are about its first session.
+    """
 
     engines: int
     kinds: list[Kind]
     seed: int = 1
+    burst: Burst | None = None
+    hot_share: float = 0.0
     clock_s: float = 0.0
     ends: list = field(factory=list)
     outcomes: dict[str, Outcome] = field(factory=dict)
@@ -96,7 +114,8 @@
         for kind in self.kinds:
             at_s = 0.0
             while at_s < seconds:
-                at_s += self.random.expovariate(kind.per_s)
+                rate = self.burst.rate(at_s) if self.burst else 1.0
+                at_s += self.random.expovariate(kind.per_s * rate)
                 yield at_s, kind
 
     def offer(self, kind):
@@ -114,6 +133,8 @@
 
     def make_ask(self, kind):
         session = self.random.randrange(SESSIONS)
+        if self.random.random() < self.hot_share:
+            session = 0
         parts = (
             PromptPart(f"{kind.name}-w{session % STANDARDS}", kind.standard),
             PromptPart(f"{kind.name}-s{session}", kind.session),
