Notice SIGTERM whichever thread the system interrupts

The stop waited in Event.wait() for a handler; a handler of Python runs on the main thread only, and where the system hands the signal to another thread nothing wakes a main thread that waits for a lock without a time limit.

Ruled out, by the stacks of all threads that SIGQUIT now prints (four failures kept): a call that never ends, a dead pump thread, a lock held in the stop. In all four the main thread was still in Host.run, at stopping.wait(), and the host served on.

--- a/rosemaryyoke/cli/process.py
+++ b/rosemaryyoke/cli/process.py
@@ -1,6 +1,8 @@
 """Run a host as the one purpose of a process."""
 
+import faulthandler
 import os
+import signal
 from typing import NoReturn
 
 from absl import logging
@@ -14,9 +16,11 @@
 def run_to_exit(host, logs: LogWriter) -> NoReturn:
     """Run a host and end the process, whatever its pools still wait for.
 
-    The interpreter would join pool threads that wait for an outside answer.
+    The interpreter would join pool threads that wait for an outside answer. SIGQUIT
+    prints the stacks of all threads to standard error.
     """
     code = EXIT_FAULT
+    faulthandler.register(signal.SIGQUIT, all_threads=True)
     try:
         host.run()
         code = EXIT_OK
--- a/rosemaryyoke/cli/standin.py
+++ b/rosemaryyoke/cli/standin.py
@@ -2,11 +2,10 @@
 
 import argparse
 import signal
-import threading
 from typing import Callable
 
 from rosemaryyoke.cli.commands import EXIT_OK, command
-from rosemaryyoke.core import Registry, set_stack_size
+from rosemaryyoke.core import Registry, SignalWaiter, set_stack_size
 from rosemaryyoke.core.logs import set_up_logs
 from rosemaryyoke.wire import Application, HttpServer
 
@@ -82,12 +81,10 @@
     """Run a stand-in until a signal."""
     set_stack_size()
     set_up_logs(options.name, "warning")
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    signals = SignalWaiter(signal.SIGTERM, signal.SIGINT)
     app = standins.get(options.kind)(options)
     server = HttpServer("127.0.0.1", options.port, app, CONNECTIONS, options.kind)
     server.start()
-    stopping.wait()
+    signals.wait()
     server.stop()
     return EXIT_OK
--- a/rosemaryyoke/cli/tests/test_binary.py
+++ b/rosemaryyoke/cli/tests/test_binary.py
@@ -65,7 +65,7 @@
         process = binary("serve", "--settings", str(path))
         try:
             wrapped = system.processes["host0"].__class__(
-                "host1", settings["http_port"], process, []
+                "host1", settings["http_port"], process, [], system.folder / "host1.log"
             )
             system.processes["host1"] = wrapped
             system.wait_for("host1")
--- a/rosemaryyoke/core/__init__.py
+++ b/rosemaryyoke/core/__init__.py
@@ -6,6 +6,7 @@
 from rosemaryyoke.core.pools import PoolService, make_pool, set_stack_size
 from rosemaryyoke.core.recorder import Event, EventRecorder
 from rosemaryyoke.core.registry import Registry, UnknownEntry
+from rosemaryyoke.core.signals import SignalWaiter
 from rosemaryyoke.core.timer import TimerService
 
 __all__ = [
@@ -17,6 +18,7 @@
     "PoolService",
     "Registry",
     "Service",
+    "SignalWaiter",
     "TimerService",
     "Timestamp",
     "UnknownEntry",
--- /dev/null
+++ b/rosemaryyoke/core/tests/test_signals.py
@@ -0,0 +1,58 @@
+"""A signal wakes the main thread, whichever thread the system interrupts."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from rosemaryyoke.core.signals import SignalWaiter
+
+WAIT_S = 5.0
+
+
+@pytest.fixture()
+def waiter():
+    numbers = (signal.SIGUSR1, signal.SIGUSR2)
+    before = [signal.getsignal(number) for number in numbers]
+    running = SignalWaiter(*numbers)
+    yield running
+    running.close()
+    for number, handler in zip(numbers, before):
+        signal.signal(number, handler)
+
+
+def interrupt_other_thread(*numbers):
+    """Have a thread that is not the main one take signals shortly."""
+
+    def take():
+        time.sleep(0.1)
+        for number in numbers:
+            signal.pthread_kill(threading.get_ident(), number)
+
+    thread = threading.Thread(target=take)
+    thread.start()
+    return thread
+
+
+def test_signal_to_another_thread_wakes_the_waiter(waiter):
+    thread = interrupt_other_thread(signal.SIGUSR1)
+    began_s = time.monotonic()
+    assert waiter.wait(WAIT_S) == [signal.SIGUSR1]
+    assert time.monotonic() - began_s < WAIT_S / 2
+    thread.join()
+
+
+def test_signals_come_in_their_order(waiter):
+    thread = interrupt_other_thread(signal.SIGUSR2, signal.SIGUSR1)
+    thread.join()
+    assert waiter.wait(WAIT_S) == [signal.SIGUSR2, signal.SIGUSR1]
+
+
+def test_signal_before_the_wait_is_kept(waiter):
+    signal.raise_signal(signal.SIGUSR1)
+    assert waiter.wait(WAIT_S) == [signal.SIGUSR1]
+
+
+def test_wait_ends_without_a_signal(waiter):
+    assert waiter.wait(0.01) == []
--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -1,7 +1,6 @@
 """Put the services of a host together and run them."""
 
 import signal
-import threading
 import time
 
 from absl import logging
@@ -13,6 +12,7 @@
     Kernel,
     Metrics,
     PoolService,
+    SignalWaiter,
     TimerService,
     set_stack_size,
 )
@@ -60,15 +60,13 @@
         set_stack_size()
         self.settings = settings
         self.kernel = build_kernel(settings)
-        self.stopping = threading.Event()
 
     def run(self) -> None:
         """Serve until a signal asks for a stop, then stop gracefully."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.stopping.set())
+        signals = SignalWaiter(signal.SIGTERM, signal.SIGINT)
         self.kernel.start()
         logging.info("host %s serves", self.settings.name)
-        self.stopping.wait()
+        signals.wait()
         self.shut_down()
 
     def shut_down(self) -> None:
--- a/rosemaryyoke/entry/tests/test_stops_and_starts.py
+++ b/rosemaryyoke/entry/tests/test_stops_and_starts.py
@@ -94,7 +94,7 @@
     with Load(system) as load:
         for name in system.host_names:
             system.processes[name].signal(signal.SIGTERM)
-            assert system.processes[name].popen.wait(30) == 0
+            assert system.processes[name].wait(30) == 0
             system.restart(name)
             system.wait_for(name)
             time.sleep(0.5)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -1,7 +1,6 @@
 """Put the services of a routing host together and run them."""
 
 import signal
-import threading
 import time
 from typing import Callable
 
@@ -16,6 +15,7 @@
     Metrics,
     PoolService,
     Service,
+    SignalWaiter,
     TimerService,
     set_stack_size,
 )
@@ -49,7 +49,6 @@
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_S = 1.0
 GAUGES_PERIOD_S = 2.0
-SIGNAL_POLL_S = 0.5
 RELIED_ON_WATCH_S = 0.8  # a watcher that is cut off is to notice before others suffer
 UPSTREAMS_TARGET = TARGET.encode()
 KNOWN_TOLD = 16
@@ -98,12 +97,10 @@
     ):
         set_stack_size()
         self.reload = reload
-        self.reloading = threading.Event()
         self.settings = settings
         self.adapter = adapter
         self.boot = time.time_ns()
         self.leaving = False
-        self.stopping = threading.Event()
         self.kernel = Kernel()
         self.build()
 
@@ -170,9 +167,7 @@
 
     def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGHUP, lambda *_: self.reloading.set())
+        signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self.kernel.start()
         self.timer.every(TICK_S, self.rollout.tick)
         self.timer.every(TRANSFER_PERIOD_S, self.transfer.fetch)
@@ -182,10 +177,8 @@
         self.timer.every(GAUGES_PERIOD_S, self.show_state)
         self.timer.every(TRANSFER_PERIOD_S, self.follower.expire_lapsed)
         event("host started", host=self.settings.name, boot=self.boot)
-        while not self.stopping.wait(SIGNAL_POLL_S):
-            if self.reloading.is_set():
-                self.reloading.clear()
-                self.take_settings()
+        while set(signals.wait()) <= {signal.SIGHUP}:
+            self.take_settings()
         self.shut_down()
 
     def take_settings(self) -> None:
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -25,28 +25,46 @@
 SHARED_KEY = "test-shared-key-0123456789"
 DATA_CENTRES = ("Kamloops", "Kelowna", "Williams-Lake")
 START_TIMEOUT_S = 20.0
+STACKS_WAIT_S = 1.0
 ACCOUNTS = ("cedar", "tonos")
 
 
 FIRST_PORT = 10_000
-PORTS = 22_000
+TEST_WORKERS = 8
+PORTS = 22_000 // TEST_WORKERS
 next_port = itertools.count(os.getpid() * 101 % PORTS)
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on and no outgoing connection will take.
+def worker_number() -> int:
+    """Return the number of this process among those that run tests side by side."""
+    return int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 
-    The system takes ports of outgoing connections from a range above these.
+
+def free_port(count: int = 1) -> int:
+    """Return the first of ports that nothing listens on and no connection will take.
+
+    The system takes ports of outgoing connections from a range above these. Each of
+    the processes that run tests side by side has ports of its own, so that none takes
+    the port of a process that another has killed and will restart.
     """
+    first = FIRST_PORT + worker_number() % TEST_WORKERS * PORTS
     while True:
-        port = FIRST_PORT + next(next_port) % PORTS
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        numbers = [next(next_port) % PORTS for _ in range(count)]
+        if numbers[-1] - numbers[0] == count - 1 and all(
+            is_free(first + number) for number in numbers
+        ):
+            return first + numbers[0]
+
+
+def is_free(port: int) -> bool:
+    """Tell whether nothing listens on a port."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def api_key(account: str) -> str:
@@ -67,6 +85,7 @@
     port: int
     popen: subprocess.Popen
     arguments: list[str]
+    log: Path
 
     @property
     def address(self) -> str:
@@ -77,6 +96,15 @@
         """Send a signal."""
         self.popen.send_signal(number)
 
+    def wait(self, timeout_s: float) -> int:
+        """Return the exit code; a process that does not end prints its stacks first."""
+        try:
+            return self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.signal(signal.SIGQUIT)
+            time.sleep(STACKS_WAIT_S)
+            raise AssertionError(f"{self.name} runs on: {self.log.read_text()}")
+
     def kill(self) -> None:
         """End the process at once."""
         self.popen.kill()
@@ -161,10 +189,10 @@
         command = [sys.executable, "-m", "rosemaryyoke", *arguments]
         if "--settings" not in arguments:
             command += ["--port", str(port)]
-        log = open(self.folder / f"{name}.log", "ab")
-        popen = subprocess.Popen(command, stdout=log, stderr=log)
-        log.close()
-        process = Process(name, port, popen, list(arguments))
+        log_path = self.folder / f"{name}.log"
+        with open(log_path, "ab") as log:
+            popen = subprocess.Popen(command, stdout=log, stderr=log)
+        process = Process(name, port, popen, list(arguments), log_path)
         self.processes[name] = process
         return process
 
