Run tests beside each other; give each worker ports of its own

Setups of the platform's deployment took up to 22 s beside other tests: its own free_port looked for six free ports in a row among those that outgoing connections use, which are taken for a minute after each.

Change: pytest-xdist with three workers; one free_port, from a range of the worker's own below those of outgoing connections, also for several in a row. No test was dropped or marked.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
+TEST_WORKERS ?= 3
 
 RED = $(shell sed -n 's/^test: /--deselect=/p' KNOWN-RED.txt)
 
@@ -15,7 +16,7 @@
 setup: $(VENV)/ready
 
 test: setup
-	$(BIN)/python -m pytest -m "not soak" $(RED)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) -m "not soak" $(RED)
 
 lint: setup
 	$(BIN)/black --check --quiet rosemaryyoke
--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -15,9 +15,9 @@
     EngineStandin,
     StoreStandin,
     ask,
-    free_port,
     stream_headers,
 )
+from rosemaryyoke.testing.builders import free_port
 
 PORTS = 6
 
--- a/rosemaryyoke/platform/tests/standins.py
+++ b/rosemaryyoke/platform/tests/standins.py
@@ -13,27 +13,11 @@
 from rosemaryyoke.http1 import Address, AnswerReader, RequestMessage
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform.tests.builders import MODEL
+from rosemaryyoke.testing.builders import free_port
 
 WATCH_POLL_S = 0.01
 
 
-def free_port(count: int = 1) -> int:
-    """Return the first of some ports that are free now."""
-    while True:
-        probes = [socket.socket() for _ in range(count)]
-        try:
-            probes[0].bind(("127.0.0.1", 0))
-            first = probes[0].getsockname()[1]
-            for number, probe in enumerate(probes[1:], 1):
-                probe.bind(("127.0.0.1", first + number))
-            return first
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-
-
 @define(eq=False)
 class StoreStandin:
     """Objects by kind and name, with one revision and a history.
