Compare a few engines drawn at random in larger fleets

Ruled out: lost engines that take the time (114 attempts, 0.3 s each, all before 8 s); capacity (prompt reading takes about a quarter of what the engines have).

Change: in fleets of more than nine engines a host compares the home, two engines that hold much of the prompt, and three drawn at random from those that do not load. Smaller fleets are compared whole as before. The reason of a refusal names the best queue, which it is about.

Conclusion: stale views and a common best engine; fewer choices keep hosts apart.

--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -29,6 +29,9 @@
 STEP_S_PER_RUN = 0.004
 SLOT_WAIT_S = 0.1
 HOMES_CACHED = 1
+SAMPLED = 3  # power of d choices, against herds that follow equally old views
+HOLDERS_SAMPLED = 2
+COMPARED_MOST = 9  # engines of a small fleet are all compared
 REFUSE_AT_SHARE = 0.9  # of the time that is left
 
 
@@ -43,6 +46,7 @@
     wait_s: float
     cost_s: float
     read_s: float = 0.0
+    burdened: bool = False
 
 
 @frozen
@@ -92,10 +96,12 @@
             return Err(NoUpstream("no upstream takes work", 0.5))
         home = self.home(request, usable)
         placements = [self.predict(request, state, home, now_s) for state in usable]
-        best = min(placements, key=lambda item: (item.cost_s, random.random()))
+        compared = sample(placements, home)
+        best = min(compared, key=lambda item: (item.cost_s, random.random()))
         bound_s = min(request.wait_bound_s, REFUSE_AT_SHARE * request.left_s)
         if best.wait_s > bound_s:
-            return Err(NoUpstream("every queue is too long", best.wait_s - bound_s / 2))
+            wait_s = best.wait_s - bound_s / 2
+            return Err(NoUpstream("the best queue is too long", wait_s))
         return Ok(best)
 
     def least_suspect(
@@ -136,7 +142,8 @@
             cost_s += MISS_WEIGHT * read_s
             cost_s += self.memory_wait_s(request, state, now_s)
         cost_s += wait_s
-        return Placement(state, salt, parts, hit, wait_s, cost_s, read_s)
+        burdened = state.loading(now_s)
+        return Placement(state, salt, parts, hit, wait_s, cost_s, read_s, burdened)
 
     def read_s(
         self,
@@ -189,6 +196,22 @@
         return cost_s
 
 
+def sample(placements: list[Placement], home: str) -> list[Placement]:
+    """Return the home, some engines that hold much of the prompt, and some others.
+
+    Hosts hear of each other's requests late. If all took the one engine that looks best
+    in that view, it would get the requests of a whole period.
+    """
+    if len(placements) <= COMPARED_MOST:
+        return placements
+    chosen = [item for item in placements if item.state.upstream.name == home]
+    holders = [item for item in placements if item.hit_tokens >= HOME_LEAST_TOKENS]
+    chosen += random.sample(holders, min(HOLDERS_SAMPLED, len(holders)))
+    free = [item for item in placements if not item.burdened]
+    chosen += random.sample(free, min(SAMPLED, len(free)))
+    return chosen or placements
+
+
 def cache_salt(request: PlacementRequest, state: UpstreamState) -> bytes:
     """Return who may share the cache entries that an engine makes of a request.
 
--- a/rosemaryyoke/fleet/tests/engine_model.py
+++ b/rosemaryyoke/fleet/tests/engine_model.py
@@ -85,6 +85,7 @@
     burst: Burst | None = None
     hot_share: float = 0.0
     clock_s: float = 0.0
+    wanted: int = 0
     ends: list = field(factory=list)
     outcomes: dict[str, Outcome] = field(factory=dict)
 
@@ -92,11 +93,11 @@
         self.random = random.Random(self.seed)
         self.fleet = Fleet(Catalog())
         self.chooser = Chooser()
-        self.made = []
+        self.by_name = {}
         for number in range(self.engines):
             state = make_state(f"e{number}")
             self.fleet.states[state.upstream.name] = state
-            self.made.append(Engine(state))
+            self.by_name[state.upstream.name] = Engine(state)
 
     def run(self, seconds):
         """Play some seconds and return what became of each kind."""
@@ -121,7 +122,14 @@
     def offer(self, kind):
         """Place a request, or refuse it."""
         request = PlacementRequest(
-            self.make_ask(kind), b"s", 1_000, "z1", 5.0, 0, None, kind.wait_bound_s
+            self.make_ask(kind),
+            b"s",
+            1_000,
+            "z1",
+            5.0,
+            self.wanted,
+            None,
+            kind.wait_bound_s,
         )
         states = list(self.fleet.states.values())
         chosen = self.chooser.choose(request, states, set(), self.clock_s)
@@ -144,7 +152,7 @@
 
     def begin(self, kind, ask, placement, outcome):
         """Let an engine read a prompt behind those before it."""
-        (engine,) = [item for item in self.made if item.state is placement.state]
+        engine = self.engine_of(placement)
         tokens = ask.prompt_tokens
         engine.running_tokens += tokens
         engine.cache.capacity = max(0, MEMORY_TOKENS - engine.running_tokens)
@@ -158,19 +166,24 @@
         else:
             outcome.late += 1
         prefill = int(placement.read_s * PREFILL_TOKENS_PER_S)
-        work = self.fleet.begin(engine.state, tokens, prefill)
-        read = PromptRead(engine.state.upstream.name, placement.parts)
-        self.plan(first_s, lambda: self.fleet.prefilled(work, read))
-        self.plan(first_s + kind.output_s, lambda: self.finish(engine, work, tokens))
+        fleet, state = self.fleet, placement.state
+        work = fleet.begin(state, tokens, prefill)
+        read = PromptRead(state.upstream.name, placement.parts)
+        self.plan(first_s, lambda: fleet.prefilled(work, read))
+
+        def finish():
+            fleet.end(state, work)
+            engine.running_tokens -= tokens
+            engine.cache.capacity = MEMORY_TOKENS - engine.running_tokens
+
+        self.plan(first_s + kind.output_s, finish)
+
+    def engine_of(self, placement):
+        """Return the engine that a placement names."""
+        return self.by_name[placement.state.upstream.name]
 
     def plan(self, at_s, action):
         heapq.heappush(self.ends, (at_s, id(action), action))
 
     def end(self, item):
         item[2]()
-
-    def finish(self, engine, work, tokens):
-        """Free a finished request's memory."""
-        self.fleet.end(engine.state, work)
-        engine.running_tokens -= tokens
-        engine.cache.capacity = MEMORY_TOKENS - engine.running_tokens
--- /dev/null
+++ b/rosemaryyoke/fleet/tests/hosts_model.py
@@ -0,0 +1,97 @@
+"""A model of several hosts that hear of each other's requests a little later."""
+
+from attrs import define, field
+
+from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.fleet import Fleet
+from rosemaryyoke.fleet.state import RemoteLoad
+from rosemaryyoke.fleet.tests.builders import make_state
+from rosemaryyoke.fleet.tests.engine_model import Simulation
+
+LOAD_S = 1.9  # of the sheets' engines, for new weights
+
+
+@define(eq=False, slots=False)
+class HostsSimulation(Simulation):
+    """Requests that come to any of several hosts, each with its own view.
+
+    A host's view of the others is as old as their last beacons. Engines load new weights
+    in turn, ``load_share`` of them at a time, from ``load_from_s`` on, if any are wanted.
+    """
+
+    hosts: int = 16
+    beacon_s: float = 0.3
+    load_from_s: float | None = None
+    load_share: int = 3
+    fleets: list[Fleet] = field(factory=list)
+    wanted: int = 1
+
+    def __attrs_post_init__(self):
+        super().__attrs_post_init__()
+        for _ in range(self.hosts):
+            fleet = Fleet(Catalog())
+            for name in self.by_name:
+                fleet.states[name] = make_state(name)
+                fleet.states[name].weights = {"m1": 1}
+            self.fleets.append(fleet)
+
+    def run(self, seconds):
+        """Play some seconds with beacons, and loads if there are any."""
+        for number in range(self.hosts):
+            self.plan(self.beacon_s * number / self.hosts, self.beacon(number))
+        if self.load_from_s is not None:
+            self.plan(self.load_from_s, self.begin_loads)
+        return super().run(seconds)
+
+    def beacon(self, number):
+        """Return an action by which a host tells the others what it has under way."""
+
+        def tell():
+            loads = self.fleets[number].own_loads()
+            reads = self.fleets[number].reads_to_tell()
+            for other, fleet in enumerate(self.fleets):
+                if other != number:
+                    self.hear(fleet, number, loads, reads)
+            self.plan(self.clock_s + self.beacon_s, tell)
+
+        return tell
+
+    def hear(self, fleet, number, loads, reads):
+        """Take in another host's beacon."""
+        for state in fleet.states.values():
+            state.remote.pop(number, None)
+        for load in loads:
+            fleet.states[load.upstream].remote[number] = RemoteLoad(
+                load.running, load.prefill_tokens, load.tokens, self.clock_s
+            )
+        for read in reads:
+            fleet.take_read(read)
+
+    def begin_loads(self):
+        """Have every engine load new weights, a share of them at a time."""
+        self.wanted = 2
+        names = list(self.by_name)
+        at_once = max(1, len(names) // self.load_share)
+        for number, name in enumerate(names):
+            at_s = self.clock_s + number // at_once * (LOAD_S + 0.3)
+            self.plan(at_s, lambda name=name: self.load(name))
+
+    def load(self, name):
+        """Have one engine load; requests that come meanwhile wait for its end."""
+        engine = self.by_name[name]
+        until_s = max(self.clock_s, engine.free_at_s) + LOAD_S
+        engine.free_at_s = until_s
+        for fleet in self.fleets:
+            fleet.states[name].loading_until_s = until_s
+        self.plan(until_s, lambda: self.loaded(name))
+
+    def loaded(self, name):
+        """Serve with the new weights; the cache is empty."""
+        self.by_name[name].cache.clear()
+        for fleet in self.fleets:
+            fleet.states[name].take_weights("m1", 2, self.clock_s)
+
+    def offer(self, kind):
+        """Let a host place the request by its view."""
+        self.fleet = self.random.choice(self.fleets)
+        super().offer(kind)
--- /dev/null
+++ b/rosemaryyoke/fleet/tests/test_herd.py
@@ -0,0 +1,63 @@
+"""Pattern: many hosts, whose views are equally old, see the same engine as the best.
+
+While engines load new weights in turn, the first that is done looks idle to all. Each host
+compares a few engines drawn at random, so that the best one gets a part of the requests.
+"""
+
+import pytest
+
+from rosemaryyoke.fleet import Placement, placement
+from rosemaryyoke.fleet.tests.builders import make_state
+from rosemaryyoke.fleet.tests.engine_model import Kind
+from rosemaryyoke.fleet.tests.hosts_model import HostsSimulation
+
+SECONDS = 25
+LOAD_FROM_S = 5.0
+ENGINES = 14
+IN_AIM_TARGET = 0.97
+LONG_S, SHORT_S = 0.535, 0.415
+KINDS = (
+    Kind("long", 58.0, 2_520, 3_780, 2_890, LONG_S, 0.25, 0.1),
+    Kind("short", 28.0, 119, 79, 628, SHORT_S, 0.33, 0.4),
+)
+
+
+def make_placement(name, hit=0, burdened=False):
+    return Placement(make_state(name), b"", (), hit, 0.0, 0.0, 0.0, burdened)
+
+
+def play(seed, load_from_s):
+    simulation = HostsSimulation(ENGINES, list(KINDS), seed, load_from_s=load_from_s)
+    return simulation.run(SECONDS)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_herd_while_engines_load_in_turn_keeps_requests_in_time(seed):
+    outcomes = play(seed, LOAD_FROM_S)
+    assert all(outcome.share_in_aim >= IN_AIM_TARGET for outcome in outcomes.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_herd_calm_fleet_loses_nothing_by_comparing_fewer(seed):
+    outcomes = play(seed, None)
+    assert all(outcome.share_in_aim >= 0.99 for outcome in outcomes.values())
+
+
+def test_sample_keeps_the_home_and_two_holders():
+    made = [make_placement(f"e{n}", hit=9_000 if n < 6 else 0) for n in range(40)]
+    drawn = placement.sample(made, "e39")
+    names = [item.state.upstream.name for item in drawn]
+    holders = [item for item in drawn if item.hit_tokens]
+    assert "e39" in names and len(holders) >= placement.HOLDERS_SAMPLED
+    assert len(drawn) <= 1 + placement.HOLDERS_SAMPLED + placement.SAMPLED
+
+
+def test_sample_of_a_small_fleet_is_all_of_it():
+    made = [make_placement(f"e{n}") for n in range(placement.COMPARED_MOST)]
+    assert placement.sample(made, "e0") == made
+
+
+def test_sample_leaves_out_engines_that_load():
+    made = [make_placement(f"e{n}", burdened=n != 7) for n in range(40)]
+    (drawn,) = placement.sample(made, "")
+    assert drawn.state.upstream.name == "e7"
