--- a/rosemaryyoke/fleet/tests/hosts_model.py
+++ b/rosemaryyoke/fleet/tests/hosts_model.py
@@ -15,8 +15,8 @@
 class HostsSimulation(Simulation):
     """Requests that come to any of several hosts, each with its own view.
 
-    A host's view of the others is as old as their last beacons. Engines load new weights
-    in turn, ``load_share`` of them at a time, from ``load_from_s`` on, if any are wanted.
+    A host's view of the others is as old as their last beacons. From ``load_from_s`` on
+    engines load new weights in turn, one in ``load_share`` of them at a time.
     """
 
     hosts: int = 16
--- a/rosemaryyoke/fleet/tests/test_herd.py
+++ b/rosemaryyoke/fleet/tests/test_herd.py
@@ -1,7 +1,7 @@
-"""Pattern: many hosts, whose views are equally old, see the same engine as the best.
+"""Pattern: many hosts, whose views are equally old, see one engine as the best.
 
-While engines load new weights in turn, the first that is done looks idle to all. Each host
-compares a few engines drawn at random, so that the best one gets a part of the requests.
+While engines load new weights in turn, the first that is done looks idle to all. Each
+host compares a few engines drawn at random, so that the best one gets only a part.
 """
 
 import pytest
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -32,6 +32,7 @@
 ORDER_MARGIN_S = 0.2
 LOADING_S = 10.0  # until an order without a result is looked at anew
 POLL_S = 0.4
+IN_DOUBT_S = 2.5  # an order without an answer may be under way so long
 OBSERVE_S = 1.0
 LOADING_SHARE = 3  # one engine of so many loads at a time
 
@@ -122,12 +123,24 @@
         if not self.acquire(rollout, model):
             return
         self.settle(rollout, model)
-        for state in self.next_engines(rollout, model, behind):
-            until_s = time.monotonic() + LOADING_S
-            rollout.ordered[state.upstream.name] = Ordered(version, until_s)
+        engines = self.next_engines(rollout, model, behind)
+        self.expect_loads(rollout, engines, version)
+        for state in engines:
             self.executor.submit(self.order, rollout, state, model, version)
         self.poll_ordered(rollout, model, behind)
 
+    def expect_loads(
+        self, rollout: ModelRollout, engines: list[UpstreamState], version: int
+    ) -> None:
+        """Keep requests away from engines that are about to load; tell others once."""
+        until_s = time.monotonic() + LOADING_S
+        with self.fleet.lock:
+            for state in engines:
+                rollout.ordered[state.upstream.name] = Ordered(version, until_s)
+                state.loading_until_s = until_s
+        if engines:
+            self.announce()
+
     def make_lease(self, model: str) -> Lease:
         """Return the lease on a model's orders."""
         duration_s = self.lease_s + ORDER_WINDOW_S + ORDER_TIMEOUT_S
@@ -181,20 +194,17 @@
         report = self.engines.report(address)
         if isinstance(report, Err):
             logging.warning("engine %s: %s", name, report.err_value)
-            rollout.postpone(name, POLL_S)
+            self.retry_later(rollout, state, POLL_S)
             return
         if self.take_report(rollout, state, model, report.ok_value):
             return
         if report.ok_value.loading:
-            rollout.postpone(name, POLL_S)
+            self.retry_later(rollout, state, POLL_S)
             return
         lease = rollout.lease
         if lease.remaining_s() < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
-            rollout.ordered.pop(name, None)
+            self.retry_later(rollout, state, 0.0)
             return
-        with self.fleet.lock:
-            state.loading_until_s = time.monotonic() + LOADING_S
-        self.announce()
         outcome = self.engines.order(
             WeightsOrder(
                 name,
@@ -216,9 +226,16 @@
             outcome=outcome.value,
         )
         if outcome is not OrderOutcome.ACCEPTED:
-            rollout.postpone(name, 2 * POLL_S)
-            with self.fleet.lock:
-                state.loading_until_s = time.monotonic() + 2 * POLL_S
+            in_doubt = outcome is OrderOutcome.UNKNOWN
+            self.retry_later(rollout, state, IN_DOUBT_S if in_doubt else 2 * POLL_S)
+
+    def retry_later(
+        self, rollout: ModelRollout, state: UpstreamState, delay_s: float
+    ) -> None:
+        """Look at an engine anew after a while, and keep requests away until then."""
+        rollout.postpone(state.upstream.name, delay_s)
+        with self.fleet.lock:
+            state.loading_until_s = time.monotonic() + delay_s
 
     def poll_ordered(
         self, rollout: ModelRollout, model: str, behind: list[UpstreamState]
