Use every KV cache store; bound what one is believed to hold

Cause: the grown sites declare three stores, the product used the first. Its 3.2 million tokens do not hold 1,647 sessions of 3,780 tokens, and at 116 fetches/s of 7.7 ms, twice that between data centres, its link is full; transfers that would wait for more than 2 s are not begun. The belief was bounded by a number of parts, not by the store's room.

Change: a prompt belongs to one store by rendezvous on its deepest shared part, the same at every host; a belief a store, bounded by the declared room. A prompt's parts are hashed once a salt for each placement, not once an engine.

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -122,7 +122,7 @@
             self.data_centre,
             exchange.until_s - now_s,
             wanted,
-            self.fleet.store if exchange.configuration.find_store() else None,
+            self.fleet.stores,
             wait_bound_s(exchange.route),
         )
 
--- a/rosemaryyoke/exchanges/request_writer.py
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -7,7 +7,7 @@
 
 from rosemaryyoke.exchanges.exchange import Exchange, priority
 from rosemaryyoke.exchanges.messages import Dialect, Directive
-from rosemaryyoke.fleet import Fleet, Placement
+from rosemaryyoke.fleet import Fleet, Placement, StoreBelief
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.http1.messages import encode_headers
 
@@ -26,7 +26,7 @@
         """Return the bytes of the request for an upstream."""
         ask, state = exchange.ask, placement.state
         weights = state.weights.get(ask.model) if ask.model else None
-        store = self.cache_store(exchange) if placement.salt else None
+        store = self.cache_store(exchange, placement)
         directive = Directive(
             instance=state.upstream.name,
             deadline_s=exchange.deadline_s - time.monotonic(),
@@ -35,8 +35,8 @@
             weights=weights,
             priority=priority(exchange) if state.traits is not None else None,
             salt=placement.salt or None,
-            fetch_from=self.fetch_source(exchange, placement) or store,
-            save_to=store if saves else None,
+            fetch_from=self.fetch_source(exchange, placement, store),
+            save_to=store.address if store is not None and saves else None,
             last_event=exchange.resumed_from or ask.last_event,
         )
         message = exchange.message
@@ -48,22 +48,24 @@
 
     def saves(self, exchange: Exchange, placement: Placement) -> bool:
         """Tell whether the engine is to save what it reads to the KV cache store."""
-        if self.cache_store(exchange) is None:
+        store = self.cache_store(exchange, placement)
+        if store is None:
             return False
         now_s = time.monotonic()
         with self.fleet.lock:
-            return not all(
-                self.fleet.store.holds(part, now_s) for part in placement.parts[:-1]
-            )
+            return not all(store.holds(part, now_s) for part in placement.parts[:-1])
 
-    def fetch_source(self, exchange: Exchange, placement: Placement) -> Address | None:
-        """Return an engine that holds more of the prompt than the chosen one, if any.
+    def fetch_source(
+        self, exchange: Exchange, placement: Placement, store: StoreBelief | None
+    ) -> Address | None:
+        """Return an engine that holds more of the prompt, else the prompt's store.
 
-        Engines' links are faster than that of the KV cache store.
+        Engines' links are faster than those of stores.
         """
         shared = exchange.ask.shared_tokens
+        fallback = store.address if store is not None else None
         if shared < STORE_LEAST_TOKENS or placement.hit_tokens >= shared:
-            return None
+            return fallback
         own, now_s = placement.state, time.monotonic()
         with self.fleet.lock:
             holders = [
@@ -73,13 +75,13 @@
                 and state.usable(now_s)
                 and state.belief.held_tokens(placement.parts[:-1]) >= shared
             ]
-        if not holders:
-            return None
-        return random.choice(holders).upstream.address
+        return random.choice(holders).upstream.address if holders else fallback
 
-    def cache_store(self, exchange: Exchange) -> Address | None:
-        """Return the KV cache store for a prompt whose shared parts are worth it."""
-        if exchange.ask.shared_tokens < STORE_LEAST_TOKENS:
+    def cache_store(
+        self, exchange: Exchange, placement: Placement
+    ) -> StoreBelief | None:
+        """Return the KV cache store of a prompt whose shared parts are worth it."""
+        if not placement.salt or exchange.ask.shared_tokens < STORE_LEAST_TOKENS:
             return None
-        store = exchange.configuration.find_store()
-        return store.store if store is not None else None
+        with self.fleet.lock:
+            return self.fleet.stores.of_prompt(placement.parts[:-1])
--- a/rosemaryyoke/fleet/__init__.py
+++ b/rosemaryyoke/fleet/__init__.py
@@ -10,8 +10,10 @@
     PlacementRequest,
 )
 from rosemaryyoke.fleet.state import UpstreamState, Work
+from rosemaryyoke.fleet.stores import CacheStores, StoreBelief
 
 __all__ = [
+    "CacheStores",
     "Chooser",
     "Fleet",
     "NoUpstream",
@@ -21,6 +23,7 @@
     "PromptRead",
     "ReadPart",
     "RetryBudget",
+    "StoreBelief",
     "UpstreamState",
     "Work",
 ]
--- a/rosemaryyoke/fleet/belief.py
+++ b/rosemaryyoke/fleet/belief.py
@@ -1,4 +1,4 @@
-"""What upstreams and the KV cache store are believed to hold of prompts."""
+"""What upstreams are believed to hold of prompts."""
 
 import hashlib
 from collections import OrderedDict
@@ -9,8 +9,6 @@
 from rosemaryyoke.exchanges.messages import PromptPart
 
 KEY_BYTES = 8
-STORE_TRUST_S = 12.0  # after which a part is saved anew, in case the store lost it
-STORE_PARTS = 4_096
 
 
 @frozen
@@ -68,31 +66,3 @@
         """Forget everything, as after a restart or new weights."""
         self.held.clear()
         self.tokens = 0
-
-
-@define(eq=False)
-class StoreBelief:
-    """Prompt parts that were saved to the KV cache store lately."""
-
-    saved: OrderedDict[int, float] = field(factory=OrderedDict)
-
-    def add(self, parts: Sequence[ReadPart], now_s: float) -> None:
-        """Note that parts are saved."""
-        for part in parts:
-            self.saved[part.key] = now_s
-            self.saved.move_to_end(part.key)
-        while len(self.saved) > STORE_PARTS:
-            self.saved.popitem(last=False)
-
-    def holds(self, part: ReadPart, now_s: float) -> bool:
-        """Tell whether a part was saved lately."""
-        return now_s - self.saved.get(part.key, -STORE_TRUST_S) < STORE_TRUST_S
-
-    def held_tokens(self, parts: Sequence[ReadPart], now_s: float) -> int:
-        """Return how many tokens of a prompt's beginning are believed to be kept."""
-        total = 0
-        for part in parts:
-            if not self.holds(part, now_s):
-                break
-            total += part.tokens
-        return total
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -7,8 +7,9 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import Catalog, Upstream
-from rosemaryyoke.fleet.belief import ReadPart, StoreBelief
+from rosemaryyoke.fleet.belief import ReadPart
 from rosemaryyoke.fleet.state import RemoteLoad, UpstreamState, Work
+from rosemaryyoke.fleet.stores import CacheStores
 
 READS_TOLD = 12  # in one beacon
 READS_KEPT = 64
@@ -27,7 +28,7 @@
 
 @frozen
 class PromptRead:
-    """A prompt that an upstream has read; ``saved`` tells of the KV cache store."""
+    """A prompt that an upstream has read, and whether its store has it now."""
 
     upstream: str
     parts: tuple[ReadPart, ...]
@@ -39,7 +40,7 @@
     """Upstreams by name; every change is made under the lock."""
 
     catalog: Catalog
-    store: StoreBelief = field(factory=StoreBelief)
+    stores: CacheStores = field(factory=CacheStores)
     untold: deque[PromptRead] = field(factory=lambda: deque(maxlen=READS_KEPT))
     states: dict[str, UpstreamState] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
@@ -50,6 +51,7 @@
         upstreams = self.catalog.upstreams
         services = configuration.services if configuration else {}
         with self.lock:
+            self.stores.follow(list(services.values()))
             for name in self.states.keys() - upstreams.keys():
                 del self.states[name]
             for upstream in upstreams.values():
@@ -97,8 +99,9 @@
             state = self.states.get(read.upstream)
             if state is not None:
                 state.belief.add(read.parts)
-            if read.saved:
-                self.store.add(read.parts, time.monotonic())
+            store = self.stores.of_prompt(read.parts[:-1]) if read.saved else None
+            if store is not None:
+                store.add(read.parts[:-1], time.monotonic())
 
     def reads_to_tell(self) -> tuple[PromptRead, ...]:
         """Return the reads that other hosts were not told of yet, a bounded number."""
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -13,8 +13,9 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.exchanges.messages import Ask
-from rosemaryyoke.fleet.belief import ReadPart, StoreBelief, read_parts
+from rosemaryyoke.fleet.belief import ReadPart, read_parts
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S, UpstreamState
+from rosemaryyoke.fleet.stores import CacheStores
 from rosemaryyoke.placement.rendezvous import RankingCache
 
 HOME_LEAST_TOKENS = 512  # a shorter shared part is read faster than it is looked for
@@ -67,10 +68,19 @@
     data_centre: str
     left_s: float
     wanted_weights: int = 0
-    store: StoreBelief | None = None
+    stores: CacheStores = field(factory=CacheStores)
     wait_bound_s: float = math.inf
 
 
+@frozen
+class PromptView:
+    """A prompt under one salt, and how much of it its store is believed to keep."""
+
+    salt: bytes
+    parts: tuple[ReadPart, ...]
+    kept_tokens: int
+
+
 @define(eq=False)
 class Chooser:
     """Predicts the cost of each upstream and takes the least."""
@@ -95,7 +105,10 @@
         if not usable:
             return Err(NoUpstream("no upstream takes work", 0.5))
         home = self.home(request, usable)
-        placements = [self.predict(request, state, home, now_s) for state in usable]
+        views: dict[bytes, PromptView] = {}
+        placements = [
+            self.predict(request, state, home, views, now_s) for state in usable
+        ]
         compared = sample(placements, home)
         best = min(compared, key=lambda item: (item.cost_s, random.random()))
         bound_s = min(request.wait_bound_s, REFUSE_AT_SHARE * request.left_s)
@@ -125,7 +138,12 @@
         return self.rankings.rank(shared[-1].name.encode(), names)[0]
 
     def predict(
-        self, request: PlacementRequest, state: UpstreamState, home: str, now_s: float
+        self,
+        request: PlacementRequest,
+        state: UpstreamState,
+        home: str,
+        views: dict[bytes, PromptView],
+        now_s: float,
     ) -> Placement:
         """Return an upstream's placement with its predicted cost."""
         hit, parts, salt, read_s = 0, (), b"", 0.0
@@ -133,33 +151,21 @@
         cost_s = self.surcharge_s(request, state, now_s)
         if state.traits is not None and request.ask.parts:
             salt = cache_salt(request, state)
-            parts = read_parts(salt, request.ask.parts)
+            view = views.get(salt)
+            if view is None:
+                view = views[salt] = view_prompt(request, salt, now_s)
+            parts = view.parts
             hit = state.belief.held_tokens(parts)
             if state.upstream.name != home:
                 cost_s += HOME_S
             wait_s += state.waiting_prefill(now_s) / PREFILL_TOKENS_PER_S
-            read_s = self.read_s(request, parts, hit, now_s)
+            read_s = read_time_s(request, view.kept_tokens, hit)
             cost_s += MISS_WEIGHT * read_s
             cost_s += self.memory_wait_s(request, state, now_s)
         cost_s += wait_s
         burdened = state.loading(now_s)
         return Placement(state, salt, parts, hit, wait_s, cost_s, read_s, burdened)
 
-    def read_s(
-        self,
-        request: PlacementRequest,
-        parts: tuple[ReadPart, ...],
-        hit: int,
-        now_s: float,
-    ) -> float:
-        """Return the time to fetch and to read what an engine does not hold."""
-        kept = 0
-        if request.store is not None:
-            kept = request.store.held_tokens(parts[:-1], now_s)
-        fetched = max(0, kept - hit)
-        missed = request.ask.prompt_tokens - hit - fetched
-        return missed / PREFILL_TOKENS_PER_S + fetched / FETCH_TOKENS_PER_S
-
     def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
         """Return the wait for a slot, and the slowing by requests beside."""
         running = state.running(now_s)
@@ -196,6 +202,21 @@
         return cost_s
 
 
+def view_prompt(request: PlacementRequest, salt: bytes, now_s: float) -> PromptView:
+    """Return a prompt as engines of one salt see it."""
+    parts = read_parts(salt, request.ask.parts)
+    store = request.stores.of_prompt(parts[:-1])
+    kept = store.held_tokens(parts[:-1], now_s) if store is not None else 0
+    return PromptView(salt, parts, kept)
+
+
+def read_time_s(request: PlacementRequest, kept: int, hit: int) -> float:
+    """Return the time to fetch and to read what an engine does not hold."""
+    fetched = max(0, kept - hit)
+    missed = request.ask.prompt_tokens - hit - fetched
+    return missed / PREFILL_TOKENS_PER_S + fetched / FETCH_TOKENS_PER_S
+
+
 def sample(placements: list[Placement], home: str) -> list[Placement]:
     """Return the home, some engines that hold much of the prompt, and some others.
 
--- a/rosemaryyoke/platform/documents.py
+++ b/rosemaryyoke/platform/documents.py
@@ -110,7 +110,7 @@
         max_connections=whole(value.get("maxConnections") or 0),
         engine=read_engine(engine) if engine else None,
         store=Address.parse(store) if store else None,
-        store_zone=value.get("zone") or "",
+        store_tokens=whole(value.get("kvCapacityTokens") or 0) if store else 0,
     )
 
 
--- a/rosemaryyoke/rollout/tests/test_rollout.py
+++ b/rosemaryyoke/rollout/tests/test_rollout.py
@@ -254,6 +254,38 @@
     with_world(test)
 
 
+def test_rollout_tells_of_a_ticks_loads_once_before_it_orders():
+    def test(world):
+        told = []
+        host = world.hosts[0]
+        host.announce = lambda: told.append((len(world.engines.orders), host.loading()))
+        world.name_weights(2)
+        host.tick()
+        ((orders_before, loading),) = told
+        assert orders_before == 0 and len(loading) == 2
+        assert set(loading) == {order.upstream for _, order in world.engines.orders}
+
+    with_world(test)
+
+
+def test_rollout_order_in_doubt_keeps_requests_away_until_it_is_settled():
+    def test(world):
+        world.engines.unanswered = True
+        world.name_weights(2)
+        host = world.hosts[0]
+        host.tick()
+        (doubtful,) = world.engines.late
+        state = host.fleet.states[doubtful.upstream]
+        while world.clock.at_s < 102.0:
+            world.clock.at_s += 0.25
+            host.tick()
+            assert state.loading(world.clock.at_s)
+        orders = [o for _, o in world.engines.orders if o.upstream == doubtful.upstream]
+        assert orders == [doubtful]
+
+    with_world(test)
+
+
 class TwoHosts(RuleBasedStateMachine):
     """Two hosts that both want to order, pause anywhere, and lose answers."""
 
