Tell loads as averages, loads of weights as waits, slow engines from silent ones

At 84 hosts a beacon comes each second, a prompt is read in a tenth of one: the moment's load is nothing or a prompt. - A load that another host tells lasts 3 s, or until that host names it no more. - A load of weights is a wait, so that nobody is sent into it because "it fits". - Holders that are compared hold all shared parts: the first holder of one of four standards that all prompts begin with got the requests of a second. - A refusal needs every engine compared to be too long.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -78,6 +78,7 @@
     pending: memoryview = field(init=False)
     facts: AnswerFacts | None = None
     last_byte_s: float = 0.0
+    began_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
 
     def __attrs_post_init__(self) -> None:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -176,7 +176,7 @@
 
         def first_event() -> None:
             state.began_to_answer()
-            self.fleet.prefilled(work, read)
+            self.fleet.prefilled(state, work, read)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.began_s
             )
@@ -203,9 +203,10 @@
                 if outcome.may_have_run:
                     exchange.may_have_run = True
                     exchange.runs += 1
-                if not outcome.out_of_time:
+                if outcome.impatient and state.last_sign_s() > attempt.began_s:
+                    state.was_slow(now_s)
+                elif not outcome.out_of_time:
                     state.failed(now_s)
-                    state.answered(False, now_s)
             elif isinstance(outcome, NotRun):
                 self.take_not_run(exchange, placement, outcome)
             else:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -119,9 +119,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.connections = ConnectionPool()
-        self.beacons = Beacons(
-            self.table, self.fleet, self.make_beacon, settings.data_centre
-        )
+        self.beacons = Beacons(self.table, self.fleet, self.make_beacon)
         pool = PoolService()
         self.timer = TimerService(pool.executor)
         self.rollout = Rollout(
@@ -237,7 +235,6 @@
             tuple(random.sample(known, min(KNOWN_TOLD, len(known)))),
             self.rollout.loading(),
             reads,
-            self.fleet.own_doubts(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import deque
-from typing import Sequence
+from typing import Callable, Sequence
 
 from attrs import define, field, frozen
 
@@ -14,6 +14,8 @@
 from rosemaryyoke.fleet.stores import CacheStores
 
 KEY_BYTES = 4
+LOADING_TOLD_S = 3.0  # beacons of a large fleet come each second, some are lost
+LEAST_TOLD = 0.02  # requests under way
 READS_TOLD = 12  # in one beacon
 READS_KEPT = 64
 LIST_LAG_S = 2.0  # registrations show new weights at the next heartbeat
@@ -27,10 +29,10 @@
 
 @frozen
 class OwnLoad:
-    """What this host has under way at an upstream, as it tells other hosts."""
+    """What this host has under way at an upstream on average, for other hosts."""
 
     upstream: str
-    running: int
+    running: float
     prefill_tokens: int
     tokens: int
 
@@ -54,6 +56,7 @@
     states: dict[str, UpstreamState] = field(factory=dict)
     names_by_key: dict[int, str] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
+    now_s: Callable[[], float] = time.monotonic
 
     def follow(self) -> None:
         """Take in the catalog's upstreams."""
@@ -78,7 +81,7 @@
             state.traits = traits
             state.__attrs_post_init__()
         state.upstream = upstream
-        now_s = time.monotonic()
+        now_s = self.now_s()
         for model, version in upstream.weights.items():
             known = state.weights.get(model, 0)
             if version > known or now_s - state.weights_seen_s > LIST_LAG_S:
@@ -92,14 +95,15 @@
 
     def begin(self, state: UpstreamState, tokens: int, prefill_tokens: int) -> Work:
         """Note that a request is sent to an upstream."""
-        work = Work(tokens, prefill_tokens, time.monotonic())
+        work = Work(tokens, prefill_tokens, self.now_s())
         with self.lock:
-            state.under_way.add(work)
+            state.begin(work)
         return work
 
-    def prefilled(self, work: Work, read: PromptRead) -> None:
+    def prefilled(self, state: UpstreamState, work: Work, read: PromptRead) -> None:
         """Note that a request's prompt is read."""
-        work.prefill_tokens = 0
+        with self.lock:
+            state.prefilled(work, self.now_s())
         self.take_read(read)
         if len(read.parts) > 1:
             self.untold.append(read)
@@ -112,7 +116,15 @@
                 state.belief.add(read.parts)
             store = self.stores.of_prompt(read.parts[:-1]) if read.saved else None
             if store is not None:
-                store.add(read.parts[:-1], time.monotonic())
+                store.add(read.parts[:-1], self.now_s())
+
+    def hear_read(self, read: PromptRead) -> None:
+        """Take in what another host tells: an upstream has read a prompt."""
+        with self.lock:
+            self.take_read(read)
+            state = self.states.get(read.upstream)
+            if state is not None:
+                state.read_heard_s = self.now_s()
 
     def reads_to_tell(self) -> tuple[PromptRead, ...]:
         """Return the reads that other hosts were not told of yet, a bounded number."""
@@ -124,44 +136,39 @@
     def end(self, state: UpstreamState, work: Work) -> None:
         """Note that a request is no longer under way."""
         with self.lock:
-            state.under_way.discard(work)
+            state.end(work, self.now_s())
 
     def own_loads(self) -> list[OwnLoad]:
         """Return what this host has under way at each upstream."""
+        now_s = self.now_s()
         with self.lock:
+            for state in self.states.values():
+                state.mean_load.take(state.under_way, now_s)
             return [
                 OwnLoad(
                     name,
-                    len(state.under_way),
-                    sum(work.prefill_tokens for work in state.under_way),
-                    sum(work.tokens for work in state.under_way),
+                    state.mean_load.running,
+                    int(state.mean_load.prefill_tokens),
+                    int(state.mean_load.tokens),
                 )
                 for name, state in self.states.items()
-                if state.under_way
+                if state.mean_load.running > LEAST_TOLD
             ]
 
-    def own_doubts(self) -> tuple[str, ...]:
-        """Return the upstreams that this host leaves out for their silence."""
-        now_s = time.monotonic()
-        with self.lock:
-            return tuple(
-                name
-                for name, state in self.states.items()
-                if state.silent and now_s < state.suspect_until_s
-            )
-
-    def take_doubts(self, host: str, names: Sequence[str], now_s: float) -> None:
-        """Take in the upstreams that a host beside this one leaves out."""
+    def take_loading(self, host: str, names: Sequence[str], now_s: float) -> None:
+        """Take in which upstreams another host has load weights now."""
         with self.lock:
             for name, state in self.states.items():
                 if name in names:
-                    state.doubts[host] = now_s
-                else:
-                    state.doubts.pop(host, None)
+                    state.loading_until_s = now_s + LOADING_TOLD_S
+                    state.loading_told_by = host
+                elif state.loading_told_by == host:
+                    state.loading_until_s = 0.0
+                    state.loading_told_by = ""
 
     def take_loads(self, host: str, loads: list[OwnLoad]) -> None:
         """Take in what another host has under way."""
-        now_s = time.monotonic()
+        now_s = self.now_s()
         told = {load.upstream: load for load in loads}
         with self.lock:
             for name, state in self.states.items():
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -116,13 +116,14 @@
         placements = [
             self.predict(request, state, home, views, now_s) for state in usable
         ]
-        compared = sample(placements, home)
-        best = min(compared, key=lambda item: (item.cost_s, random.random()))
+        compared = sample(placements, home, request.ask.shared_tokens)
         bound_s = min(request.wait_bound_s, REFUSE_AT_SHARE * request.left_s)
-        if best.wait_s > bound_s:
-            wait_s = best.wait_s - bound_s / 2
-            return Err(NoUpstream("the best queue is too long", wait_s))
-        return Ok(best)
+        fitting = [item for item in compared if item.wait_s <= bound_s]
+        if not fitting:
+            least_s = min(item.wait_s for item in compared)
+            wait_s = least_s - bound_s / 2
+            return Err(NoUpstream("every queue compared is too long", wait_s))
+        return Ok(min(fitting, key=lambda item: (item.cost_s, random.random())))
 
     def least_suspect(
         self, states: Sequence[UpstreamState], excluded: set[str]
@@ -174,7 +175,7 @@
         return Placement(state, salt, parts, hit, wait_s, cost_s, read_s, burdened)
 
     def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
-        """Return the wait for a slot, and the slowing by requests beside."""
+        """Return the wait for a slot or a load, and the slowing by requests beside."""
         running = state.running(now_s)
         slots = max(1, state.upstream.slots)
         wait_s = STEP_S_PER_RUN * running
@@ -182,6 +183,8 @@
             wait_s += SLOT_WAIT_S * (running - slots + 1) / slots
         elif state.traits is None:
             wait_s += SLOT_WAIT_S * running / slots / 2
+        if state.loading(now_s):
+            wait_s += LOADING_S
         return wait_s
 
     def memory_wait_s(
@@ -204,8 +207,6 @@
             served = state.weights.get(request.ask.model, 0)
             if served < request.wanted_weights:
                 cost_s += OLD_WEIGHTS_S
-        if state.loading(now_s):
-            cost_s += LOADING_S
         return cost_s
 
 
@@ -224,16 +225,20 @@
     return missed / PREFILL_TOKENS_PER_S + fetched / FETCH_TOKENS_PER_S
 
 
-def sample(placements: list[Placement], home: str) -> list[Placement]:
-    """Return the home, some engines that hold much of the prompt, and some others.
+def sample(
+    placements: list[Placement], home: str, shared_tokens: int
+) -> list[Placement]:
+    """Return the home, some engines that hold all shared parts, and some others.
 
     Hosts hear of each other's requests late. If all took the one engine that looks best
-    in that view, it would get the requests of a whole period.
+    in that view, it would get the requests of a whole period. So would the first engine
+    that is known to hold a part which most prompts begin with.
     """
     if len(placements) <= COMPARED_MOST:
         return placements
     chosen = [item for item in placements if item.state.upstream.name == home]
-    holders = [item for item in placements if item.hit_tokens >= HOME_LEAST_TOKENS]
+    needed = max(HOME_LEAST_TOKENS, shared_tokens)
+    holders = [item for item in placements if item.hit_tokens >= needed]
     chosen += random.sample(holders, min(HOLDERS_SAMPLED, len(holders)))
     free = [item for item in placements if not item.burdened]
     chosen += random.sample(free, min(SAMPLED, len(free)))
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -1,5 +1,8 @@
 """The state of one upstream as a host sees it."""
 
+import math
+from typing import Collection
+
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import EngineTraits, Upstream
@@ -10,8 +13,7 @@
 MAX_SUSPICION_S = 4.0
 MAX_DOUBLINGS = 4
 REMOTE_LOAD_S = 1.5  # three beacons of a host that is silent
-DOUBT_S = 1.5  # as loads
-DOUBTERS = 2  # one host alone may be cut off itself
+MEAN_LOAD_S = 0.5  # half a beacon's period in a large fleet
 TRIAL_SHARE = 0.1  # of the requests that may try an upstream which was silent
 ANSWERED_LATELY_S = 0.5  # what a host saw itself goes before what others say
 ERROR_WEIGHT = 0.08  # of one answer in the share of failed answers
@@ -29,14 +31,39 @@
 
 @frozen
 class RemoteLoad:
-    """What another host has under way at an upstream."""
+    """What another host had under way at an upstream, on average."""
 
-    running: int
-    prefill_tokens: int
-    tokens: int
+    running: float
+    prefill_tokens: float
+    tokens: float
     heard_s: float
 
 
+@define(eq=False)
+class MeanLoad:
+    """What is under way at an upstream, averaged with weights that fade with age.
+
+    A beacon tells of a second in which several requests came and went. A sample of the
+    last moment would be nothing or one whole prompt.
+    """
+
+    running: float = 0.0
+    prefill_tokens: float = 0.0
+    tokens: float = 0.0
+    until_s: float = 0.0
+
+    def take(self, work: Collection[Work], now_s: float) -> None:
+        """Take in that ``work`` was under way since the last call."""
+        kept = math.exp(-max(0.0, now_s - self.until_s) / MEAN_LOAD_S)
+        self.until_s = now_s
+        for name, value in (
+            ("running", len(work)),
+            ("prefill_tokens", sum(item.prefill_tokens for item in work)),
+            ("tokens", sum(item.tokens for item in work)),
+        ):
+            setattr(self, name, value + kept * (getattr(self, name) - value))
+
+
 @define(eq=False)
 class UpstreamState:
     """An upstream, what is under way there, and how it answered lately."""
@@ -51,10 +78,12 @@
     error_share: float = 0.0
     answers: int = 0
     loading_until_s: float = 0.0
+    loading_told_by: str = ""
     weights: dict[str, int] = field(factory=dict)
     weights_seen_s: float = 0.0
     last_byte_s: float = 0.0
-    doubts: dict[str, float] = field(factory=dict)
+    read_heard_s: float = 0.0
+    mean_load: MeanLoad = field(factory=MeanLoad)
     belief: CacheBelief = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -71,35 +100,38 @@
             not self.upstream.draining
             and now_s >= self.suspect_until_s
             and not (self.silent and self.under_way)
-            and not self.doubted(now_s)
         )
 
-    def doubted(self, now_s: float) -> bool:
-        """Tell whether hosts beside this one got no answer lately.
-
-        One of them is enough where this host got none either.
-        """
-        if now_s - self.last_byte_s < ANSWERED_LATELY_S:
-            return False
-        oldest_s = now_s - DOUBT_S
-        doubters = sum(at_s >= oldest_s for at_s in self.doubts.values())
-        return doubters >= (1 if self.silent else DOUBTERS)
-
     def loading(self, now_s: float) -> bool:
         """Tell whether an order to load weights is believed to be under way."""
         return now_s < self.loading_until_s
 
-    def running(self, now_s: float) -> int:
+    def begin(self, work: Work) -> None:
+        """Note that a request is sent."""
+        self.mean_load.take(self.under_way, work.started_s)
+        self.under_way.add(work)
+
+    def prefilled(self, work: Work, now_s: float) -> None:
+        """Note that a request's prompt is read."""
+        self.mean_load.take(self.under_way, now_s)
+        work.prefill_tokens = 0
+
+    def end(self, work: Work, now_s: float) -> None:
+        """Note that a request is no longer under way."""
+        self.mean_load.take(self.under_way, now_s)
+        self.under_way.discard(work)
+
+    def running(self, now_s: float) -> float:
         """Return how many requests all hosts have under way."""
         remote = sum(load.running for load in self.live_remote(now_s))
         return len(self.under_way) + remote
 
-    def waiting_prefill(self, now_s: float) -> int:
+    def waiting_prefill(self, now_s: float) -> float:
         """Return the prompt tokens that are still to be read for all hosts."""
         own = sum(work.prefill_tokens for work in self.under_way)
         return own + sum(load.prefill_tokens for load in self.live_remote(now_s))
 
-    def used_tokens(self, now_s: float) -> int:
+    def used_tokens(self, now_s: float) -> float:
         """Return the memory that running requests of all hosts take."""
         own = sum(work.tokens for work in self.under_way)
         return own + sum(load.tokens for load in self.live_remote(now_s))
@@ -115,11 +147,21 @@
         ``silent`` tells that no answer came, be it a refusal.
         """
         self.silent = silent
+        if silent:
+            self.count(False)
         doublings = min(self.failures, MAX_DOUBLINGS)
         suspicion_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**doublings)
         self.failures += 1
         self.suspect_until_s = now_s + suspicion_s
 
+    def last_sign_s(self) -> float:
+        """Return when this host last saw or heard that the upstream answers."""
+        return max(self.last_byte_s, self.read_heard_s)
+
+    def was_slow(self, now_s: float) -> None:
+        """Leave the upstream out shortly; it answered others meanwhile."""
+        self.suspect_until_s = max(self.suspect_until_s, now_s + FIRST_SUSPICION_S)
+
     def began_to_answer(self) -> None:
         """Take in the first event of an answer: the upstream works."""
         self.failures = 0
@@ -131,6 +173,10 @@
         self.silent = False
         if success:
             self.failures = 0
+        self.count(success)
+
+    def count(self, success: bool) -> None:
+        """Take an outcome into the share of failed ones."""
         self.answers += 1
         self.error_share += ERROR_WEIGHT * (float(not success) - self.error_share)
 
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -17,7 +17,6 @@
   known @11 :List(Text);
   loading @12 :List(UInt32);
   reads @13 :List(Read);
-  doubts @14 :List(UInt32);
 }
 
 # A prompt that an upstream has read: numbers of its parts and their tokens.
@@ -28,10 +27,10 @@
   saved @3 :Bool;
 }
 
-# Requests under way at an upstream; sizes in tokens.
+# Requests under way at an upstream on average; sizes in tokens.
 struct Load {
   upstream @0 :UInt32;
-  running @1 :UInt32;
+  running @1 :Float32;
   prefill @2 :UInt32;
   tokens @3 :UInt32;
 }
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -24,7 +24,6 @@
 MAX_DATAGRAM_BYTES = 65_507
 BURST_BYTES = 16_384  # a link of 5 Mbit/s drops datagrams beyond some 64 KB
 BURST_PAUSE_S = 0.03
-LOADING_TOLD_S = 1.5
 
 MakeBeacon = Callable[[int, tuple[PromptRead, ...]], Beacon]
 
@@ -36,7 +35,6 @@
     table: HostTable
     fleet: Fleet
     make: MakeBeacon
-    data_centre: str = ""
     sequence: int = 0
     turn: int = 0
     stopping: threading.Event = field(factory=threading.Event)
@@ -108,12 +106,6 @@
         if not self.table.take(beacon, now_s):
             return
         self.fleet.take_loads(beacon.host, list(beacon.loads))
-        if beacon.data_centre == self.data_centre:
-            self.fleet.take_doubts(beacon.host, beacon.doubts, now_s)
         for read in beacon.reads:
-            self.fleet.take_read(read)
-        with self.fleet.lock:
-            for name in beacon.loading:
-                state = self.fleet.states.get(name)
-                if state is not None:
-                    state.loading_until_s = now_s + LOADING_TOLD_S
+            self.fleet.hear_read(read)
+        self.fleet.take_loading(beacon.host, beacon.loading, now_s)
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -21,8 +21,7 @@
     """What a host tells of itself.
 
     ``boot`` names one start of the process; a greater ``sequence`` of it is newer.
-    ``loading`` names the upstreams that the host ordered to load weights, ``doubts``
-    those that it leaves out for their silence.
+    ``loading`` names the upstreams that the host ordered to load weights.
     """
 
     host: str
@@ -39,7 +38,6 @@
     known: tuple[Address, ...] = ()
     loading: tuple[str, ...] = ()
     reads: tuple[PromptRead, ...] = ()
-    doubts: tuple[str, ...] = ()
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -57,7 +55,6 @@
         configuration=beacon.configuration,
         known=[str(address) for address in beacon.known],
         loading=[upstream_key(name) for name in beacon.loading],
-        doubts=[upstream_key(name) for name in beacon.doubts],
     )
     for item, load in zip(message.init("loads", len(beacon.loads)), beacon.loads):
         item.upstream = upstream_key(load.upstream)
@@ -104,7 +101,6 @@
                 for item in message.reads
                 if item.upstream in upstreams
             ),
-            tuple(upstreams[key] for key in message.doubts if key in upstreams),
         )
     except (capnp.KjException, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -200,3 +200,32 @@
         stop.result(5)
     assert late.status == 503
     assert sum(len(plain.seen) for plain in deployment.records) == 0
+
+
+def state_of_the_one_that_ran(deployment, parts):
+    (ran,) = [part for part in parts if part.ran]
+    return deployment.host.fleet.states[ran.name]
+
+
+def test_upstream_that_loses_an_answer_is_held_silent(deployment):
+    script_all(deployment.records, silent_close)
+    ask(deployment.callers, "/issue/1")
+    assert state_of_the_one_that_ran(deployment, deployment.records).silent
+
+
+def test_engine_that_answers_others_meanwhile_is_slow_not_silent(deployment):
+    engine = deployment.engines[0]
+    state = deployment.host.fleet.states[engine.name]
+    other = deployment.host.fleet.states[deployment.engines[1].name]
+    other.suspect_until_s = 1e12
+
+    def stall(engine, message, caller):
+        other.suspect_until_s = 0.0
+        state.read_heard_s = time.monotonic()
+        time.sleep(1.5)
+        raise OSError("too late")
+
+    script_all(deployment.engines, stall, 200)
+    answer = deployment.stream().messages[0]
+    assert answer.status == 200
+    assert not state.silent and state.suspect_until_s > 0
