Conclude nothing from a connection that was dropped while it rested

Cause: upstreams of the grown sites may forget connections that rested for 0.3 s and reset what is sent next. Each reset counted as a failure of the upstream, which since "silent" works would also take nine in ten requests from it, and a request that may run once was lost on it.

Change: a reset of a reused connection before any byte, other than a timeout, says nothing of the upstream: no suspicion, the other resting connections to it are closed, and what may be repeated goes on at once, also at the same upstream. What may run once takes no connection that rested for more than 0.25 s.

Two tests of the whole path fail on the code before.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -1,5 +1,7 @@
 """One attempt: a request sent to one upstream, and what came of it."""
 
+import errno
+import math
 import select
 import socket
 import time
@@ -43,12 +45,17 @@
 
 @frozen
 class Failed:
-    """No whole answer came. ``may_have_run`` is false where that is certain."""
+    """No whole answer came. ``may_have_run`` is false where that is certain.
+
+    ``forgotten`` tells that the upstream had dropped a connection that rested: nothing
+    is to be concluded about the upstream itself.
+    """
 
     reason: str
     may_have_run: bool
     out_of_time: bool = False
     impatient: bool = False
+    forgotten: bool = False
 
 
 Outcome = Answered | Streamed | NotRun | Failed
@@ -80,6 +87,7 @@
     last_byte_s: float = 0.0
     began_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
+    most_rest_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
         self.pending = memoryview(self.request)
@@ -88,7 +96,9 @@
         """Connect, send, read, and leave the connection as it should be left."""
         try:
             timeout_s = min(CONNECT_TIMEOUT_S, self.until_s - time.monotonic())
-            self.connection = self.pool.take(self.state.upstream, max(0.001, timeout_s))
+            self.connection = self.pool.take(
+                self.state.upstream, max(0.001, timeout_s), self.most_rest_s
+            )
         except OSError as error:
             return Failed(f"no connection: {error}", may_have_run=False)
         try:
@@ -97,10 +107,16 @@
             close(self.connection.socket)
             raise
         except OSError as error:
-            outcome = Failed(f"connection lost: {error}", self._sent_whole())
+            forgotten = error.errno != errno.ETIMEDOUT and self._is_forgotten()
+            reason = f"connection lost: {error}"
+            outcome = Failed(reason, self._sent_whole(), forgotten=forgotten)
         self._leave(outcome)
         return outcome
 
+    def _is_forgotten(self) -> bool:
+        """Tell whether a connection that rested was lost before any answer."""
+        return self.connection.reused and not self.last_byte_s
+
     def _sent_whole(self) -> bool:
         return not self.pending
 
@@ -181,7 +197,8 @@
             if outcome is not None:
                 return outcome
         if not data:
-            return Failed("the upstream closed its connection", self._sent_whole())
+            reason, sent = "the upstream closed its connection", self._sent_whole()
+            return Failed(reason, sent, forgotten=self._is_forgotten())
         if self.reader.malformed:
             return Failed("the answer is malformed", self._sent_whole())
         return None
--- a/rosemaryyoke/exchanges/connections.py
+++ b/rosemaryyoke/exchanges/connections.py
@@ -1,5 +1,6 @@
 """Connections to upstreams that are kept between requests."""
 
+import math
 import re
 import socket
 import threading
@@ -28,6 +29,7 @@
     upstream: str
     reused: bool = False
     idle_until_s: float = 0.0
+    rests_since_s: float = 0.0
 
 
 @define(eq=False)
@@ -38,20 +40,26 @@
     lock: threading.Lock = field(factory=threading.Lock)
     opened: int = 0
 
-    def take(self, upstream: Upstream, timeout_s: float) -> UpstreamConnection:
-        """Return an idle connection or a new one; raise ``OSError``."""
-        connection = self._take_idle(upstream.name)
+    def take(
+        self, upstream: Upstream, timeout_s: float, most_rest_s: float = math.inf
+    ) -> UpstreamConnection:
+        """Return a connection that rested for ``most_rest_s`` at most, or a new one.
+
+        Raise ``OSError`` where none can be opened.
+        """
+        connection = self._take_idle(upstream.name, most_rest_s)
         if connection is not None:
             return connection
         self.opened += 1
         opened = connect(upstream.address, timeout_s, UNACKNOWLEDGED_S)
         return UpstreamConnection(opened, upstream.name)
 
-    def _take_idle(self, name: str) -> UpstreamConnection | None:
+    def _take_idle(self, name: str, most_rest_s: float) -> UpstreamConnection | None:
         while True:
+            oldest_s = time.monotonic() - most_rest_s
             with self.lock:
                 waiting = self.idle.get(name)
-                if not waiting:
+                if not waiting or waiting[-1].rests_since_s < oldest_s:
                     return None
                 connection = waiting.pop()
             if time.monotonic() < connection.idle_until_s:
@@ -65,7 +73,8 @@
         if not answer.keep_alive:
             close(connection.socket)
             return
-        connection.idle_until_s = time.monotonic() + keep_alive_s(answer)
+        connection.rests_since_s = time.monotonic()
+        connection.idle_until_s = connection.rests_since_s + keep_alive_s(answer)
         with self.lock:
             waiting = self.idle.setdefault(connection.upstream, deque())
             waiting.append(connection)
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -1,5 +1,6 @@
 """Forward an exchange: place it, send it, answer it, and go on where one fails."""
 
+import math
 import random
 import time
 
@@ -53,6 +54,7 @@
 HTTP_OK = 200
 STALL_S = 1.0  # between events of a stream that another upstream may go on with
 MAX_SENDS = 4  # to upstreams, those that refused included
+FRESH_REST_S = 0.25  # of a connection for what may run once; some are dropped at 0.3 s
 WEIGHTS_MARGIN_S = 1.5  # a request begins some time after it was placed
 
 
@@ -172,6 +174,7 @@
             exchange.until_s,
             now_s + patience_s(exchange, state, now_s),
             STALL_S if exchange.route.resumable else 0.0,
+            most_rest_s=math.inf if exchange.route.repeatable else FRESH_REST_S,
         )
 
         def first_event() -> None:
@@ -199,7 +202,11 @@
         """Learn from an outcome, and note whether the request may have run."""
         state, now_s = placement.state, time.monotonic()
         with self.fleet.lock:
-            if isinstance(outcome, Failed):
+            if isinstance(outcome, Failed) and outcome.forgotten:
+                exchange.may_have_run = exchange.may_have_run or outcome.may_have_run
+                exchange.excluded.discard(state.upstream.name)
+                self.pool.forget({state.upstream.name})
+            elif isinstance(outcome, Failed):
                 if outcome.may_have_run:
                     exchange.may_have_run = True
                     exchange.runs += 1
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -229,3 +229,29 @@
     answer = deployment.stream().messages[0]
     assert answer.status == 200
     assert not state.silent and state.suspect_until_s > 0
+
+
+def drop_the_connection(engine, message, caller):
+    """Lose a connection that had rested, without running anything."""
+    raise OSError("the connection was dropped")
+
+
+def test_connection_dropped_while_it_rested_says_nothing_of_its_upstream(deployment):
+    for _ in range(4):
+        assert ask(deployment.callers, "/read/1", "GET").messages[0].status == 200
+    script_all(deployment.records, drop_the_connection)
+    assert ask(deployment.callers, "/read/1", "GET").messages[0].status == 200
+    states = [deployment.host.fleet.states[part.name] for part in deployment.records]
+    assert not any(state.silent or state.suspect_until_s for state in states)
+
+
+def test_unsafe_request_takes_no_connection_that_rested_long(deployment):
+    only, other = deployment.records
+    deployment.host.fleet.states[other.name].suspect_until_s = 1e12
+    assert ask(deployment.callers, "/read/1", "GET").messages[0].status == 200
+    opened = deployment.host.connections.opened
+    assert ask(deployment.callers, "/issue/1").messages[0].status == 200
+    assert deployment.host.connections.opened == opened
+    time.sleep(0.3)
+    assert ask(deployment.callers, "/issue/1").messages[0].status == 200
+    assert deployment.host.connections.opened == opened + 1
