--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -178,7 +178,6 @@
         )
 
         def first_event() -> None:
-            state.began_to_answer()
             self.fleet.prefilled(state, work, read)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.began_s
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -101,8 +101,9 @@
         return work
 
     def prefilled(self, state: UpstreamState, work: Work, read: PromptRead) -> None:
-        """Note that a request's prompt is read."""
+        """Note that a request's prompt is read: its first event came."""
         with self.lock:
+            state.began_to_answer()
             state.prefilled(work, self.now_s())
         self.take_read(read)
         if len(read.parts) > 1:
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -51,7 +51,7 @@
     wait_s: float
     cost_s: float
     read_s: float = 0.0
-    burdened: bool = False
+    loading: bool = False
 
 
 @frozen
@@ -171,8 +171,8 @@
             cost_s += MISS_WEIGHT * read_s
             cost_s += self.memory_wait_s(request, state, now_s)
         cost_s += wait_s
-        burdened = state.loading(now_s)
-        return Placement(state, salt, parts, hit, wait_s, cost_s, read_s, burdened)
+        loading = state.loading(now_s)
+        return Placement(state, salt, parts, hit, wait_s, cost_s, read_s, loading)
 
     def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
         """Return the wait for a slot or a load, and the slowing by requests beside."""
@@ -240,8 +240,8 @@
     needed = max(HOME_LEAST_TOKENS, shared_tokens)
     holders = [item for item in placements if item.hit_tokens >= needed]
     chosen += random.sample(holders, min(HOLDERS_SAMPLED, len(holders)))
-    free = [item for item in placements if not item.burdened]
-    chosen += random.sample(free, min(SAMPLED, len(free)))
+    others = [item for item in placements if not item.loading]
+    chosen += random.sample(others, min(SAMPLED, len(others)))
     return chosen or placements
 
 
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -15,7 +15,6 @@
 REMOTE_LOAD_S = 1.5  # three beacons of a host that is silent
 MEAN_LOAD_S = 0.5  # half a beacon's period in a large fleet
 TRIAL_SHARE = 0.1  # of the requests that may try an upstream which was silent
-ANSWERED_LATELY_S = 0.5  # what a host saw itself goes before what others say
 ERROR_WEIGHT = 0.08  # of one answer in the share of failed answers
 CACHE_SHARE = 0.85  # of an engine's memory that running requests leave to its cache
 
@@ -54,14 +53,14 @@
 
     def take(self, work: Collection[Work], now_s: float) -> None:
         """Take in that ``work`` was under way since the last call."""
-        kept = math.exp(-max(0.0, now_s - self.until_s) / MEAN_LOAD_S)
+        old = math.exp(-max(0.0, now_s - self.until_s) / MEAN_LOAD_S)
+        new = 1.0 - old
         self.until_s = now_s
-        for name, value in (
-            ("running", len(work)),
-            ("prefill_tokens", sum(item.prefill_tokens for item in work)),
-            ("tokens", sum(item.tokens for item in work)),
-        ):
-            setattr(self, name, value + kept * (getattr(self, name) - value))
+        prefill_tokens = sum(item.prefill_tokens for item in work)
+        tokens = sum(item.tokens for item in work)
+        self.running = old * self.running + new * len(work)
+        self.prefill_tokens = old * self.prefill_tokens + new * prefill_tokens
+        self.tokens = old * self.tokens + new * tokens
 
 
 @define(eq=False)
@@ -144,7 +143,7 @@
     def failed(self, now_s: float, silent: bool = True) -> None:
         """Leave the upstream out for a while, longer with each failure in a row.
 
-        ``silent`` tells that no answer came, be it a refusal.
+        ``silent`` tells that not even a refusal came.
         """
         self.silent = silent
         if silent:
--- a/rosemaryyoke/fleet/tests/test_herd.py
+++ b/rosemaryyoke/fleet/tests/test_herd.py
@@ -22,8 +22,8 @@
 )
 
 
-def make_placement(name, hit=0, burdened=False):
-    return Placement(make_state(name), b"", (), hit, 0.0, 0.0, 0.0, burdened)
+def make_placement(name, hit=0, loading=False):
+    return Placement(make_state(name), b"", (), hit, 0.0, 0.0, 0.0, loading)
 
 
 def play(seed, load_from_s):
@@ -58,7 +58,7 @@
 
 
 def test_sample_leaves_out_engines_that_load():
-    made = [make_placement(f"e{n}", burdened=n != 7) for n in range(40)]
+    made = [make_placement(f"e{n}", loading=n != 7) for n in range(40)]
     (drawn,) = placement.sample(made, "", 9_000)
     assert drawn.state.upstream.name == "e7"
 
