--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -22,7 +22,7 @@
 PERIOD_S = 0.3
 PERIOD_S_PER_PEER = 0.012  # keeps large fleets within the budget of control
 MAX_DATAGRAM_BYTES = 65_507
-BURST_BYTES = 16_384  # a link of 5 Mbit/s drops datagrams beyond some 64 KB
+BURST_BYTES = 16_384  # a quarter of what a link of 5 Mbit/s took at once
 BURST_PAUSE_S = 0.03
 
 MakeBeacon = Callable[[int, tuple[PromptRead, ...]], Beacon]
