Add a soak: real hosts, a faulty link between each two parts, promises checked meanwhile

Cause: faults of our own were tested one part at a time. Nothing ran whole hosts under overlapping faults on the links and looked from both ends at what was promised.

Three routing hosts as processes, one of them under a wall clock that steps an hour to and fro; a store, engines and services that speak the platform's form; a proxy on each link that delays, silences one way or both, refuses and resets. Three series of faults overlap, each drawn from the seed: hosts killed, frozen, stopped, reloaded; store down, slow, late, forgetful; upstreams crashed, drained, replaced at their address; bursts of configurations, new weights. Eight promises are checked each second on what callers were told and upstreams ran, then a calm end: ready, served, configuration in force, memory, exit codes.

Traced: stand-in servers kept idle connections on pool threads, which the interpreter joins.

--- a/rosemaryyoke/cli/main.py
+++ b/rosemaryyoke/cli/main.py
@@ -7,7 +7,17 @@
 from rosemaryyoke import __version__
 from rosemaryyoke.cli.commands import EXIT_USAGE, commands
 
-MODULES = ("serve", "route", "rules", "standin", "call", "status", "timeline", "bench")
+MODULES = (
+    "serve",
+    "route",
+    "rules",
+    "standin",
+    "call",
+    "status",
+    "timeline",
+    "bench",
+    "soak",
+)
 EPILOG = """exit codes:
   0  done
   1  a fault was found, or the call failed
--- /dev/null
+++ b/rosemaryyoke/cli/soak.py
@@ -0,0 +1,26 @@
+"""The command that runs hosts under faults and checks the promises meanwhile."""
+
+import argparse
+
+import orjson
+from attrs import asdict
+
+from rosemaryyoke.cli.commands import EXIT_FAULT, EXIT_OK, command
+
+SECONDS = 60.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of soak."""
+    parser.add_argument("--seed", type=int, default=1, help="of the faults and callers")
+    parser.add_argument("--minutes", type=float, default=1.0, help="before the end")
+
+
+@command("soak", "run hosts under faults; exit 1 if a promise breaks", add_arguments)
+def soak(options: argparse.Namespace) -> int:
+    """Run a soak and print its report as JSON."""
+    from rosemaryyoke.soak import run_soak
+
+    report = run_soak(options.seed, options.minutes * SECONDS)
+    print(orjson.dumps(asdict(report), option=orjson.OPT_INDENT_2).decode())
+    return EXIT_FAULT if report.broken else EXIT_OK
--- a/rosemaryyoke/platform/tests/builders.py
+++ b/rosemaryyoke/platform/standins/documents.py
@@ -1,4 +1,4 @@
-"""Documents of the platform's store, and settings, for tests."""
+"""Documents of the platform's store, and settings, of a small deployment."""
 
 import orjson
 
--- a/rosemaryyoke/platform/tests/standins.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -12,17 +12,25 @@
 from rosemaryyoke.exchanges.server import ConnectionServer
 from rosemaryyoke.http1 import Address, AnswerReader, RequestMessage
 from rosemaryyoke.http1.messages import find_header
-from rosemaryyoke.platform.tests.builders import MODEL
+from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.testing.builders import free_port
 
 WATCH_POLL_S = 0.01
 
 
+def end(server: ConnectionServer) -> None:
+    """Stop a server so that no task of it is left, for which the process would wait."""
+    server.close_after_answers()
+    server.stop()
+    server.close_idle()
+
+
 @define(eq=False)
 class StoreStandin:
     """Objects by kind and name, with one revision and a history.
 
-    ``down`` cuts every call; ``lose`` is how many writes take effect unanswered.
+    ``down`` cuts every call; ``lose`` is how many writes take effect unanswered, and
+    ``late_s`` after they came; ``slow_s`` is how long every call waits.
     """
 
     objects: dict[str, dict[str, dict]] = field(factory=dict)
@@ -31,6 +39,8 @@
     oldest: int = 0
     down: bool = False
     lose: int = 0
+    late_s: float = 0.0
+    slow_s: float = 0.0
     calls: int = 0
     lock: threading.RLock = field(factory=threading.RLock)
     address: Address = field(init=False)
@@ -42,8 +52,9 @@
         self.server.start()
 
     def stop(self):
-        """Stop listening."""
-        self.server.stop()
+        """Stop listening, and end the connections."""
+        self.down = True
+        end(self.server)
 
     def set(self, kind, name, spec):
         """Write an object as its owner; an equal one changes nothing."""
@@ -73,15 +84,17 @@
     def answer(self, message: RequestMessage, caller: CallerConnection):
         """Answer one call."""
         self.calls += 1
+        time.sleep(self.slow_s)
         if self.down:
             raise OSError("the store is down")
         parts = urlsplit(message.target.decode())
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         names = parts.path.split("/")[2:]
-        status, value = self.call(message, names, query)
-        if message.method != b"GET" and status == 200 and self.lose:
+        if message.method != b"GET" and self.lose:
             self.lose -= 1
+            threading.Timer(self.late_s, self.call, (message, names, query)).start()
             raise OSError("the answer is lost")
+        status, value = self.call(message, names, query)
         caller.answer(status, b"", [], orjson.dumps(value))
 
     def call(self, message, names, query):
@@ -154,8 +167,8 @@
         self.server.start()
 
     def stop(self):
-        """Stop listening."""
-        self.server.stop()
+        """Stop listening, and end the connections."""
+        end(self.server)
 
     def answer(self, message: RequestMessage, caller: CallerConnection):
         """Answer one request as the script has it."""
--- a/rosemaryyoke/platform/tests/conftest.py
+++ b/rosemaryyoke/platform/tests/conftest.py
@@ -6,15 +6,15 @@
 import pytest
 
 from rosemaryyoke.core.logs import LogWriter
-from rosemaryyoke.platform.tests.builders import (
+from rosemaryyoke.platform.standins.documents import (
     make_configuration,
     make_entry,
 )
-from rosemaryyoke.platform.tests.deployment import Deployment, start_host, wait_for
-from rosemaryyoke.platform.tests.standins import (
+from rosemaryyoke.platform.standins.servers import (
     EngineStandin,
     StoreStandin,
 )
+from rosemaryyoke.platform.tests.deployment import Deployment, start_host, wait_for
 from rosemaryyoke.timeline.log_lines import follow_request, read_logs
 
 
--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -8,10 +8,10 @@
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.platform.adapter import make_adapter
 from rosemaryyoke.platform.settings_file import read_settings
-from rosemaryyoke.platform.tests.builders import (
+from rosemaryyoke.platform.standins.documents import (
     make_settings,
 )
-from rosemaryyoke.platform.tests.standins import (
+from rosemaryyoke.platform.standins.servers import (
     EngineStandin,
     StoreStandin,
     ask,
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -1,9 +1,9 @@
 """Failed requests whose causes are found in the logs alone."""
 
-from rosemaryyoke.platform.tests.deployment import break_off, script_all, silent_close
-from rosemaryyoke.platform.tests.standins import (
+from rosemaryyoke.platform.standins.servers import (
     ask,
 )
+from rosemaryyoke.platform.tests.deployment import break_off, script_all, silent_close
 
 
 def test_cause_of_a_refusal_is_in_the_logs(deployment, logged):
--- a/rosemaryyoke/platform/tests/test_documents.py
+++ b/rosemaryyoke/platform/tests/test_documents.py
@@ -6,7 +6,7 @@
 from rosemaryyoke.catalog import SAFE, STREAM, UNSAFE
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.platform.documents import PlatformSource
-from rosemaryyoke.platform.tests.builders import (
+from rosemaryyoke.platform.standins.documents import (
     MODEL,
     make_configuration,
     make_entry,
--- a/rosemaryyoke/platform/tests/test_hosts_and_store.py
+++ b/rosemaryyoke/platform/tests/test_hosts_and_store.py
@@ -5,16 +5,16 @@
 import orjson
 
 from rosemaryyoke.http1 import call_once
-from rosemaryyoke.platform.tests.builders import (
+from rosemaryyoke.platform.standins.documents import (
     make_configuration,
     make_entry,
 )
-from rosemaryyoke.platform.tests.deployment import start_host, wait_for
-from rosemaryyoke.platform.tests.standins import (
+from rosemaryyoke.platform.standins.servers import (
     StoreStandin,
     ask,
     stream_headers,
 )
+from rosemaryyoke.platform.tests.deployment import start_host, wait_for
 
 
 def test_unknown_key_is_not_refused_for_good_without_the_store(deployment):
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -7,20 +7,20 @@
 
 from attrs import evolve
 
-from rosemaryyoke.platform.tests.builders import (
+from rosemaryyoke.platform.standins.documents import (
     make_entry,
 )
+from rosemaryyoke.platform.standins.servers import (
+    ask,
+    read_answer,
+    stream_headers,
+)
 from rosemaryyoke.platform.tests.deployment import (
     break_off,
     script_all,
     silent_close,
     wait_for,
 )
-from rosemaryyoke.platform.tests.standins import (
-    ask,
-    read_answer,
-    stream_headers,
-)
 
 
 def test_stream_whole(deployment):
--- a/rosemaryyoke/platform/tests/test_settings_file.py
+++ b/rosemaryyoke/platform/tests/test_settings_file.py
@@ -6,7 +6,7 @@
 
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.platform.settings_file import load_routing_settings
-from rosemaryyoke.platform.tests.builders import make_settings
+from rosemaryyoke.platform.standins.documents import make_settings
 
 
 def load(tmp_path, value):
--- /dev/null
+++ b/rosemaryyoke/soak/scene.py
@@ -0,0 +1,277 @@
+"""A store, upstreams and hosts with a faulty link between each two of them."""
+
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import orjson
+from attrs import define, field
+from result import Ok
+
+from rosemaryyoke.http1 import Address, call_once
+from rosemaryyoke.platform.standins.documents import (
+    make_configuration,
+    make_entry,
+    make_settings,
+)
+from rosemaryyoke.platform.standins.servers import StoreStandin
+from rosemaryyoke.platform.standins.working import (
+    OrderFacts,
+    RunFacts,
+    WorkingUpstream,
+    wanted_weights,
+)
+from rosemaryyoke.soak.ledger import STREAM, UNSAFE, Ledger, Ordered, Ran, now_s
+from rosemaryyoke.soak.link import Link
+from rosemaryyoke.soak.promises import EVENTS, body_text, event_text
+from rosemaryyoke.testing.builders import free_port
+
+PORTS = 6
+HOSTS = 3
+ENGINES = 3
+RECORDS = 2
+THAW_SLACK_S = 0.3  # orders that waited in a frozen sender or a cut link arrive by then
+TERM_WAIT_S = 4.0  # the grace of the settings, and as much again
+LOOK_S = 0.05
+STEPPING_HOST = 0  # whose wall clock steps
+FAULT_MARKS = (b"Traceback", b"task failed", b"handler failed")
+
+
+@define(eq=False)
+class HostProcess:
+    """A host, its link to the store and the link of its callers."""
+
+    name: str
+    command: list[str]
+    log: Path
+    callers: Link
+    store: Link
+    readiness: Address
+    popen: subprocess.Popen | None = None
+    frozen: bool = False
+    expected_end: bool = False
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def start(self) -> None:
+        """Start the process."""
+        with open(self.log, "ab") as log:
+            self.popen = subprocess.Popen(self.command, stdout=log, stderr=log)
+        self.expected_end = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def end(self, number: signal.Signals) -> int:
+        """End the process by a signal, at the latest by SIGKILL; return its code."""
+        self.expected_end = True
+        self.send(number)
+        try:
+            return self.popen.wait(TERM_WAIT_S)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait()
+
+    def is_ready(self) -> bool:
+        """Tell whether the host says that it is ready."""
+        reply = call_once(self.readiness, "GET", "/readiness")
+        return isinstance(reply, Ok) and reply.ok_value.ok
+
+    @property
+    def ended_itself(self) -> bool:
+        """Tell whether the process ended though nothing ended it."""
+        return not self.expected_end and self.popen.poll() is not None
+
+
+@define(eq=False)
+class WorkingPlace:
+    """An upstream, the link to it and the service that it belongs to."""
+
+    upstream: WorkingUpstream
+    link: Link
+    service: str
+    generation: int = 0
+    lock: threading.Lock = field(factory=threading.Lock)
+
+
+@define(eq=False)
+class Scene:
+    """All of it, and the ledger that it fills."""
+
+    ledger: Ledger = field(factory=Ledger)
+    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="soak-")))
+    hosts: list[HostProcess] = field(factory=list)
+    places: list[WorkingPlace] = field(factory=list)
+    store: StoreStandin = field(factory=StoreStandin)
+    store_lock: threading.Lock = field(factory=threading.Lock)
+    configuration: int = 0
+    weights: int = 1
+    thawed_s: float = 0.0
+
+    def __enter__(self) -> "Scene":
+        try:
+            self.build()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.stop()
+
+    def build(self) -> None:
+        """Start everything."""
+        self.publish()
+        for number in range(ENGINES):
+            self.add_upstream(f"e{number}", "llm")
+        for number in range(RECORDS):
+            self.add_upstream(f"p{number}", "records")
+        seeds: list[str] = []
+        for number in range(HOSTS):
+            self.add_host(number, seeds)
+        for host in self.hosts:
+            host.start()
+
+    def stop(self) -> None:
+        """End every process and server."""
+        for host in self.hosts:
+            if host.popen is not None and host.popen.poll() is None:
+                host.send(signal.SIGCONT)
+                host.end(signal.SIGKILL)
+            host.callers.stop()
+            host.store.stop()
+        for place in self.places:
+            place.link.stop()
+            place.upstream.stop()
+        self.store.stop()
+
+    def add_upstream(self, name: str, service: str) -> None:
+        """Start an upstream and list it."""
+        upstream = WorkingUpstream(
+            name,
+            on_run=self.file_run,
+            on_order=self.file_order,
+            make_event=event_text,
+            make_body=body_text,
+            events=EVENTS,
+        )
+        link = Link(upstream.address, Address("127.0.0.1", free_port()))
+        link.start()
+        place = WorkingPlace(upstream, link, service)
+        upstream.on_loaded = lambda: self.list_place(place)
+        self.places.append(place)
+        self.list_place(place)
+
+    def add_host(self, number: int, seeds: list[str]) -> None:
+        """Prepare a host that knows the ones before it."""
+        name = f"front-{number}"
+        port = free_port(PORTS)
+        store = Link(self.store.address, Address("127.0.0.1", free_port()))
+        document = make_settings(name, port=port, store=str(store.address))
+        document["seeds"] = list(seeds)
+        seeds.append(document["listen"]["control"])
+        path = self.folder / f"{name}.json"
+        path.write_bytes(orjson.dumps(document))
+        near = Address("127.0.0.1", port)
+        callers = Link(near, Address("127.0.0.1", free_port()))
+        program = "rosemaryyoke.soak.clock"
+        program = program if number == STEPPING_HOST else "rosemaryyoke"
+        command = [sys.executable, "-m", program, "route", "--settings", str(path)]
+        readiness = Address("127.0.0.1", port + 1)
+        log = self.folder / f"{name}.log"
+        for link in (store, callers):
+            link.start()
+        self.hosts.append(HostProcess(name, command, log, callers, store, readiness))
+
+    def list_place(self, place: WorkingPlace, state: str = "ready") -> None:
+        """Write an upstream's entry."""
+        upstream = place.upstream
+        entry = make_entry(
+            str(place.link.address), place.service, upstream.version, state=state
+        )
+        self.store.set("servers", upstream.name, entry)
+
+    def publish(self, extra_routes: tuple[dict, ...] = ()) -> int:
+        """Put the next configuration in force and return its version."""
+        self.configuration += 1
+        document = make_configuration(self.configuration)
+        document["routes"] += extra_routes
+        self.store.set("config", "main", document)
+        return self.configuration
+
+    def name_weights(self) -> None:
+        """Name the next weights of the model."""
+        self.weights += 1
+        self.store.set(*wanted_weights(self.weights))
+
+    def heal(self) -> None:
+        """End every fault of links and of the store."""
+        self.store.down, self.store.lose, self.store.slow_s = False, 0, 0.0
+        for link in self.links():
+            link.heal()
+
+    def links(self) -> list[Link]:
+        """Return all links."""
+        links = [place.link for place in self.places]
+        return links + [
+            link for host in self.hosts for link in (host.callers, host.store)
+        ]
+
+    def thaw(self, host: HostProcess) -> None:
+        """Let a stopped host go on."""
+        host.send(signal.SIGCONT)
+        self.thawed_s = now_s()
+
+    def file_run(self, facts: RunFacts) -> None:
+        """File a run."""
+        plain = UNSAFE if facts.request.startswith(UNSAFE) else "safe"
+        self.ledger.run(
+            Ran(
+                facts.request,
+                facts.upstream,
+                STREAM if facts.streams else plain,
+                facts.account,
+                facts.key_shown,
+                facts.first_event,
+                now_s(),
+            )
+        )
+
+    def file_order(self, facts: OrderFacts) -> None:
+        """File an order; one that waited in a frozen host or a cut link is excused."""
+        at_s = now_s()
+        place = next(p for p in self.places if p.upstream.name == facts.upstream)
+        thawed_s = max(self.thawed_s, place.link.disturbed_s)
+        excused = at_s - thawed_s < THAW_SLACK_S
+        self.ledger.order(
+            Ordered(
+                facts.upstream,
+                facts.holder,
+                facts.fencing,
+                facts.version,
+                at_s,
+                excused,
+            )
+        )
+
+    def faults_in_logs(self) -> list[str]:
+        """Return the lines of hosts' logs that tell of a fault of their own."""
+        return [
+            f"{host.name}: {line[:300].decode()}"
+            for host in self.hosts
+            if host.log.exists()
+            for line in host.log.read_bytes().splitlines()
+            if any(mark in line for mark in FAULT_MARKS)
+        ]
+
+    def wait_ready(self, until_s: float) -> list[str]:
+        """Wait until every host says that it is ready; return those that do not."""
+        waiting = list(self.hosts)
+        while waiting and now_s() < until_s:
+            waiting = [host for host in waiting if not host.is_ready()]
+            time.sleep(LOOK_S)
+        return [host.name for host in waiting]
