Tables of beacons are packed rows, decoded without a call a field

A host of 84 hears 84 beacons a second; each row of a table cost several calls of the serializer. A full beacon took 1.96 ms to decode, a usual one 0.18 ms.

Change: loads, reads and names are bytes with stated rows in the message; an upstream's hash is remembered; what a host told before is forgotten by name, not by a walk over all upstreams.

--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -1,5 +1,6 @@
 """All upstreams as a host sees them."""
 
+import functools
 import hashlib
 import threading
 import time
@@ -14,6 +15,7 @@
 from rosemaryyoke.fleet.stores import CacheStores
 
 KEY_BYTES = 4
+KEYS_KEPT = 4_096  # of upstreams; the plan has 600
 LOADING_TOLD_S = 3.0  # beacons of a large fleet come each second, some are lost
 LEAST_TOLD = 0.02  # requests under way
 READS_TOLD = 12  # in one beacon
@@ -21,6 +23,7 @@
 LIST_LAG_S = 2.0  # registrations show new weights at the next heartbeat
 
 
+@functools.lru_cache(KEYS_KEPT)
 def upstream_key(name: str) -> int:
     """Return a number that stands for an upstream where its name takes much room."""
     digest = hashlib.blake2b(name.encode(), digest_size=KEY_BYTES).digest()
@@ -55,6 +58,7 @@
     untold: deque[PromptRead] = field(factory=lambda: deque(maxlen=READS_KEPT))
     states: dict[str, UpstreamState] = field(factory=dict)
     names_by_key: dict[int, str] = field(factory=dict)
+    loaded_by: dict[str, set[str]] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
     now_s: Callable[[], float] = time.monotonic
 
@@ -170,13 +174,15 @@
     def take_loads(self, host: str, loads: list[OwnLoad]) -> None:
         """Take in what another host has under way."""
         now_s = self.now_s()
-        told = {load.upstream: load for load in loads}
+        told = {load.upstream for load in loads}
         with self.lock:
-            for name, state in self.states.items():
-                load = told.get(name)
-                if load is None:
-                    state.remote.pop(host, None)
-                    continue
-                state.remote[host] = RemoteLoad(
-                    load.running, load.prefill_tokens, load.tokens, now_s
-                )
+            for name in self.loaded_by.get(host, frozenset()) - told:
+                if name in self.states:
+                    self.states[name].remote.pop(host, None)
+            self.loaded_by[host] = told
+            for load in loads:
+                state = self.states.get(load.upstream)
+                if state is not None:
+                    state.remote[host] = RemoteLoad(
+                        load.running, load.prefill_tokens, load.tokens, now_s
+                    )
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -1,12 +1,21 @@
 """Beacons as datagrams, encoded with Cap'n Proto."""
 
+import struct
 from pathlib import Path
 from typing import Mapping
 
 import capnp
 from attrs import frozen
 
-from rosemaryyoke.fleet import OwnLoad, PromptRead, ReadPart, upstream_key
+from rosemaryyoke.fleet import OwnLoad, PromptRead
+from rosemaryyoke.hosts.tables import (
+    decode_loads,
+    decode_names,
+    decode_reads,
+    encode_loads,
+    encode_names,
+    encode_reads,
+)
 from rosemaryyoke.http1 import Address
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("beacon.capnp")))
@@ -54,18 +63,10 @@
         storeAnswers=beacon.store_answers,
         configuration=beacon.configuration,
         known=[str(address) for address in beacon.known],
-        loading=[upstream_key(name) for name in beacon.loading],
+        loads=encode_loads(beacon.loads),
+        loading=encode_names(beacon.loading),
+        reads=encode_reads(beacon.reads),
     )
-    for item, load in zip(message.init("loads", len(beacon.loads)), beacon.loads):
-        item.upstream = upstream_key(load.upstream)
-        item.running = load.running
-        item.prefill = load.prefill_tokens
-        item.tokens = load.tokens
-    for item, read in zip(message.init("reads", len(beacon.reads)), beacon.reads):
-        item.upstream = upstream_key(read.upstream)
-        item.keys = [part.key for part in read.parts]
-        item.tokens = [part.tokens for part in read.parts]
-        item.saved = read.saved
     return message.to_bytes_packed()
 
 
@@ -87,26 +88,10 @@
             message.leaving,
             message.storeAnswers,
             message.configuration,
-            tuple(
-                OwnLoad(
-                    upstreams[item.upstream], item.running, item.prefill, item.tokens
-                )
-                for item in message.loads
-                if item.upstream in upstreams
-            ),
+            decode_loads(message.loads, upstreams),
             tuple(Address.parse(item) for item in message.known),
-            tuple(upstreams[key] for key in message.loading if key in upstreams),
-            tuple(
-                decode_read(item, upstreams[item.upstream])
-                for item in message.reads
-                if item.upstream in upstreams
-            ),
+            decode_names(message.loading, upstreams),
+            decode_reads(message.reads, upstreams),
         )
-    except (capnp.KjException, ValueError, OSError, MemoryError) as error:
+    except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
-
-
-def decode_read(item, upstream: str) -> PromptRead:
-    """Return a read of a beacon."""
-    parts = tuple(ReadPart(*pair) for pair in zip(item.keys, item.tokens))
-    return PromptRead(upstream, parts, item.saved)
--- /dev/null
+++ b/rosemaryyoke/hosts/tables.py
@@ -0,0 +1,66 @@
+"""Tables of beacons as packed rows, little-endian."""
+
+import struct
+from itertools import chain
+from typing import Iterable, Mapping
+
+from rosemaryyoke.fleet import OwnLoad, PromptRead, ReadPart, upstream_key
+
+NAME_ROW = struct.Struct("<I")  # an upstream's key
+LOAD_ROW = struct.Struct("<IfII")  # key, requests under way, prefill tokens, tokens
+READ_HEAD = struct.Struct("<I?B")  # key, whether it was saved, number of parts
+PART_ROW = struct.Struct("<QI")  # a part's key, its tokens
+
+
+def encode_names(names: Iterable[str]) -> bytes:
+    """Return the table of upstreams' names."""
+    return b"".join(NAME_ROW.pack(upstream_key(name)) for name in names)
+
+
+def decode_names(data: bytes, upstreams: Mapping[int, str]) -> tuple[str, ...]:
+    """Return the names of a table that are known."""
+    keys = chain.from_iterable(NAME_ROW.iter_unpack(data))
+    return tuple(upstreams[key] for key in keys if key in upstreams)
+
+
+def encode_loads(loads: Iterable[OwnLoad]) -> bytes:
+    """Return the table of loads."""
+    return b"".join(
+        LOAD_ROW.pack(
+            upstream_key(load.upstream), load.running, load.prefill_tokens, load.tokens
+        )
+        for load in loads
+    )
+
+
+def decode_loads(data: bytes, upstreams: Mapping[int, str]) -> tuple[OwnLoad, ...]:
+    """Return the loads of a table, but for upstreams that are not known."""
+    return tuple(
+        OwnLoad(upstreams[key], running, prefill_tokens, tokens)
+        for key, running, prefill_tokens, tokens in LOAD_ROW.iter_unpack(data)
+        if key in upstreams
+    )
+
+
+def encode_reads(reads: Iterable[PromptRead]) -> bytes:
+    """Return the table of reads; each is a head and a row for each part."""
+    rows = []
+    for read in reads:
+        key = upstream_key(read.upstream)
+        rows.append(READ_HEAD.pack(key, read.saved, len(read.parts)))
+        rows += [PART_ROW.pack(part.key, part.tokens) for part in read.parts]
+    return b"".join(rows)
+
+
+def decode_reads(data: bytes, upstreams: Mapping[int, str]) -> tuple[PromptRead, ...]:
+    """Return the reads of a table, but for upstreams that are not known."""
+    reads, place = [], 0
+    while place < len(data):
+        key, saved, count = READ_HEAD.unpack_from(data, place)
+        place += READ_HEAD.size
+        end = place + count * PART_ROW.size
+        parts = tuple(ReadPart(*row) for row in PART_ROW.iter_unpack(data[place:end]))
+        place = end
+        if key in upstreams:
+            reads.append(PromptRead(upstreams[key], parts, saved))
+    return tuple(reads)
