Hosts of a large fleet tell other data centres of themselves in one digest

Cause: every host told every other.

Change: from 24 hosts on, beacons go to the hosts of the own data centre. One host of it, by rendezvous, sends a digest to one of two hosts of each other data centre, in turn, who passes it on near by: hosts, sums of loads, orders under way, reads. A host that only itself tells of from afar is answered with the hosts of its data centre, so that newcomers are known within some rounds.

Ruled out: telling strangers back without end.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -1,6 +1,5 @@
 """Put the services of a routing host together and run them."""
 
-import random
 import signal
 import time
 from typing import Callable
@@ -52,7 +51,6 @@
 GAUGES_PERIOD_S = 2.0
 RELIED_ON_WATCH_S = 0.8  # a watcher that is cut off is to notice before others suffer
 UPSTREAMS_TARGET = TARGET.encode()
-KNOWN_TOLD = 4  # others of them in each beacon
 LISTED_WEIGHTS_GRACE_S = 4.0  # for engines to load what a host finds named at its start
 ORDER_CANDIDATES = 2  # one takes over where the other fails
 
@@ -113,7 +111,7 @@
         self.fleet = Fleet(self.catalog)
         self.catalog.subscribe(self.fleet.follow)
         self.catalog.subscribe(self.forget_connections)
-        self.table = HostTable(settings.peers)
+        self.table = HostTable(settings.peers, settings.name, settings.data_centre)
         self.table.add_candidates(settings.seeds, time.monotonic())
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -218,7 +216,6 @@
     def make_beacon(self, sequence: int, reads: tuple[PromptRead, ...] = ()) -> Beacon:
         """Return what this host tells the others."""
         settings = self.settings
-        known = [peer.beacon.peers for peer in self.table.live(time.monotonic())]
         configuration = self.catalog.configuration
         return Beacon(
             settings.name,
@@ -232,7 +229,7 @@
             self.catalog.is_fresh(),
             configuration.version if configuration else 0,
             tuple(self.fleet.own_loads()),
-            tuple(random.sample(known, min(KNOWN_TOLD, len(known)))),
+            self.table.addresses_to_tell(time.monotonic()),
             self.rollout.loading(),
             reads,
         )
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import deque
-from typing import Callable, Sequence
+from typing import Callable, Collection, Sequence
 
 from attrs import define, field, frozen
 
@@ -160,6 +160,35 @@
                 if state.mean_load.running > LEAST_TOLD
             ]
 
+    def loads_of(self, hosts: Collection[str]) -> list[OwnLoad]:
+        """Return what this host and some others have under way at each upstream."""
+        loads = []
+        own = {load.upstream: load for load in self.own_loads()}
+        with self.lock:
+            for name, state in self.states.items():
+                told = [item for host, item in state.remote.items() if host in hosts]
+                told += [own[name]] if name in own else []
+                if told:
+                    loads.append(
+                        OwnLoad(
+                            name,
+                            sum(item.running for item in told),
+                            sum(item.prefill_tokens for item in told),
+                            sum(item.tokens for item in told),
+                        )
+                    )
+        return loads
+
+    def loading_of(self, hosts: Collection[str]) -> list[str]:
+        """Return the upstreams that some other hosts have load weights."""
+        now_s = self.now_s()
+        with self.lock:
+            return [
+                name
+                for name, state in self.states.items()
+                if state.loading(now_s) and state.loading_told_by in hosts
+            ]
+
     def take_loading(self, host: str, names: Sequence[str], now_s: float) -> None:
         """Take in which upstreams another host has load weights now."""
         with self.lock:
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -19,3 +19,14 @@
   loading @12 :Data;
   reads @13 :Data;
 }
+
+# What a host tells another data centre of all hosts of its own, in several datagrams. Of
+# loads and loading, one datagram tells all; the others do not speak of them.
+struct Digest {
+  dataCentre @0 :Text;
+  hosts @1 :Data;
+  tellsLoads @2 :Bool;
+  loads @3 :Data;
+  loading @4 :Data;
+  reads @5 :Data;
+}
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -8,10 +8,13 @@
 from attrs import frozen
 
 from rosemaryyoke.fleet import OwnLoad, PromptRead
+from rosemaryyoke.hosts.identity import HostIdentity
 from rosemaryyoke.hosts.tables import (
+    decode_hosts,
     decode_loads,
     decode_names,
     decode_reads,
+    encode_hosts,
     encode_loads,
     encode_names,
     encode_reads,
@@ -26,29 +29,30 @@
 
 
 @frozen
-class Beacon:
+class Beacon(HostIdentity):
     """What a host tells of itself.
 
-    ``boot`` names one start of the process; a greater ``sequence`` of it is newer.
     ``loading`` names the upstreams that the host ordered to load weights.
     """
 
-    host: str
-    boot: int
-    sequence: int
-    callers: Address
-    peers: Address
-    data_centre: str
-    ready: bool = False
-    leaving: bool = False
-    store_answers: bool = False
-    configuration: int = 0
     loads: tuple[OwnLoad, ...] = ()
     known: tuple[Address, ...] = ()
     loading: tuple[str, ...] = ()
     reads: tuple[PromptRead, ...] = ()
 
 
+@frozen
+class Digest:
+    """A part of what is told of all hosts of a data centre; loads are their sums."""
+
+    data_centre: str
+    hosts: tuple[HostIdentity, ...] = ()
+    tells_loads: bool = False
+    loads: tuple[OwnLoad, ...] = ()
+    loading: tuple[str, ...] = ()
+    reads: tuple[PromptRead, ...] = ()
+
+
 def encode_beacon(beacon: Beacon) -> bytes:
     """Return a beacon's datagram."""
     message = SCHEMA.Beacon.new_message(
@@ -95,3 +99,32 @@
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Return a digest's datagram."""
+    return SCHEMA.Digest.new_message(
+        dataCentre=digest.data_centre,
+        hosts=encode_hosts(digest.hosts),
+        tellsLoads=digest.tells_loads,
+        loads=encode_loads(digest.loads),
+        loading=encode_names(digest.loading),
+        reads=encode_reads(digest.reads),
+    ).to_bytes_packed()
+
+
+def decode_digest(data: bytes, upstreams: Mapping[int, str]) -> Digest:
+    """Return the digest of a datagram; raise ``MalformedBeacon``."""
+    try:
+        message = SCHEMA.Digest.from_bytes_packed(data)
+        data_centre = message.dataCentre
+        return Digest(
+            data_centre,
+            decode_hosts(message.hosts, data_centre),
+            message.tellsLoads,
+            decode_loads(message.loads, upstreams),
+            decode_names(message.loading, upstreams),
+            decode_reads(message.reads, upstreams),
+        )
+    except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
+        raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/tests/test_beacons.py
+++ b/rosemaryyoke/hosts/tests/test_beacons.py
@@ -50,7 +50,7 @@
 
 
 def make_beacons(link):
-    table = HostTable(OWN)
+    table = HostTable(OWN, "h1", "z1")
     for number in range(2, PEERS + 2):
         table.take(make_beacon(number), time.monotonic())
     beacon = full_beacon()
--- /dev/null
+++ b/rosemaryyoke/hosts/tests/test_digests.py
@@ -0,0 +1,197 @@
+"""Pattern: a fleet so large that not every host can tell every other."""
+
+from collections import Counter
+
+import pytest
+from attrs import define, evolve, field
+
+from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.fleet import Fleet, PromptRead, upstream_key
+from rosemaryyoke.fleet.belief import ReadPart
+from rosemaryyoke.fleet.tests.builders import make_state
+from rosemaryyoke.hosts import Beacons, HostTable
+from rosemaryyoke.hosts.codec import Digest, decode_digest, encode_digest
+from rosemaryyoke.hosts.tests.test_table import make_beacon
+from rosemaryyoke.http1 import Address
+
+DATA_CENTRES = ("z0", "z1", "z2", "z3")
+HOSTS_EACH = 21
+PERIOD_S = 0.9
+ROUNDS_TO_MEET = 12
+ENGINE = "e1"
+RUNNING = 2  # at the engine, from each host
+
+
+@define(eq=False)
+class ModelHost:
+    """A host of the model, which sends through the network of the model."""
+
+    network: "Network"
+    beacons: Beacons
+    identity: object
+
+    def sendto(self, data, place):
+        """Send a datagram."""
+        self.network.deliver(self, data, Address(*place))
+
+    def make(self, sequence, reads):
+        """Return the beacon of this host."""
+        loads = tuple(self.beacons.fleet.own_loads())
+        return evolve(
+            self.identity,
+            sequence=sequence,
+            loads=loads,
+            reads=reads,
+            known=self.beacons.table.addresses_to_tell(self.network.clock_s),
+        )
+
+
+@define(eq=False)
+class Network:
+    """Hosts in four data centres; all know the same three seeds."""
+
+    hosts_each: int = HOSTS_EACH
+    clock_s: float = 100.0
+    hosts: dict[Address, ModelHost] = field(factory=dict)
+    datagrams: Counter = field(factory=Counter)
+    bytes_between: int = 0
+
+    def __attrs_post_init__(self):
+        for place, data_centre in enumerate(DATA_CENTRES):
+            for number in range(self.hosts_each):
+                self.add(place * 50 + number + 1, data_centre)
+        seeds = list(self.hosts)[:: self.hosts_each + 1][:3]
+        for host in self.hosts.values():
+            host.beacons.table.add_candidates(seeds, self.clock_s)
+
+    def add(self, number, data_centre):
+        """Add a host."""
+        identity = make_beacon(number, data_centre=data_centre, store_answers=True)
+        fleet = Fleet(Catalog(), now_s=lambda: self.clock_s)
+        fleet.states[ENGINE] = make_state(ENGINE)
+        fleet.names_by_key = {upstream_key(ENGINE): ENGINE}
+        table = HostTable(identity.peers, identity.host, data_centre)
+        beacons = Beacons(table, fleet, None, now_s=lambda: self.clock_s)
+        host = ModelHost(self, beacons, identity)
+        beacons.channel, beacons.make = host, host.make
+        self.hosts[identity.peers] = host
+
+    def deliver(self, sender, data, address):
+        """Deliver a datagram at once."""
+        receiver = self.hosts.get(address)
+        if receiver is None:
+            return
+        self.datagrams[address] += 1
+        if receiver.identity.data_centre != sender.identity.data_centre:
+            self.bytes_between += len(data)
+        receiver.beacons.take_datagram(data[:1], data[1:])
+
+    def play(self, rounds):
+        """Let every host send as often as there are rounds."""
+        for _ in range(rounds):
+            for host in list(self.hosts.values()):
+                host.beacons.send_now()
+                self.pass_on()
+                self.clock_s += PERIOD_S / len(self.hosts)
+
+    def pass_on(self):
+        """Let hosts pass on the digests that wait."""
+        for host in self.hosts.values():
+            while not host.beacons.to_pass_on.empty():
+                host.beacons.pass_on_one(host.beacons.to_pass_on.get())
+
+    def seen(self, host):
+        """Return how many others a host holds to be live."""
+        return len(host.beacons.table.live(self.clock_s))
+
+    def digest_sender(self, data_centre):
+        """Return the host that tells others of a data centre."""
+        senders = [
+            host
+            for host in self.hosts.values()
+            if host.identity.data_centre == data_centre
+            and host.beacons.table.digest_receivers(self.clock_s, 0)
+        ]
+        assert len(senders) == 1
+        return senders[0]
+
+
+@pytest.fixture()
+def network():
+    """Return a network whose hosts met."""
+    network = Network()
+    network.play(ROUNDS_TO_MEET)
+    return network
+
+
+def test_hosts_of_a_large_fleet_all_know_one_another(network):
+    others = len(network.hosts) - 1
+    assert {network.seen(host) for host in network.hosts.values()} == {others}
+
+
+def test_hosts_of_a_large_fleet_hear_few_datagrams(network):
+    network.datagrams.clear()
+    network.bytes_between = 0
+    network.play(4)
+    most = max(network.datagrams.values()) / 4
+    assert most <= HOSTS_EACH + 6 * len(DATA_CENTRES)
+    direct = 300 * len(network.hosts) * (len(network.hosts) - HOSTS_EACH)
+    assert network.bytes_between / 4 < direct / 20
+
+
+def test_loads_of_all_hosts_are_known_once(network):
+    for host in network.hosts.values():
+        fleet = host.beacons.fleet
+        for _ in range(RUNNING):
+            fleet.begin(fleet.states[ENGINE], tokens=100, prefill_tokens=0)
+    network.play(8)
+    for host in network.hosts.values():
+        remote = host.beacons.fleet.states[ENGINE].remote.values()
+        fresh = [item for item in remote if network.clock_s - item.heard_s < 2.0]
+        others = len(network.hosts) - 1
+        assert sum(item.running for item in fresh) == pytest.approx(
+            RUNNING * others, 0.01
+        )
+
+
+def test_reads_are_told_to_every_data_centre(network):
+    parts = (ReadPart(7, 600), ReadPart(8, 900))
+    first = next(iter(network.hosts.values()))
+    first.beacons.fleet.untold.append(PromptRead(ENGINE, parts))
+    network.play(2)
+    for host in network.hosts.values():
+        if host is not first:
+            assert host.beacons.fleet.states[ENGINE].belief.held_tokens(parts) == 1500
+
+
+def test_another_host_tells_where_the_first_is_gone(network):
+    gone = network.digest_sender("z2")
+    del network.hosts[gone.identity.peers]
+    network.play(8)
+    others = len(network.hosts) - 1
+    assert {network.seen(host) for host in network.hosts.values()} == {others}
+
+
+def test_host_that_starts_anew_is_soon_known_to_all(network):
+    data_centre = "z3"
+    network.add(199, data_centre)
+    new = list(network.hosts.values())[-1]
+    seeds = list(network.hosts)[:3]
+    new.beacons.table.add_candidates(seeds, network.clock_s)
+    network.play(6)
+    others = len(network.hosts) - 1
+    assert {network.seen(host) for host in network.hosts.values()} == {others}
+
+
+def test_small_fleet_tells_directly():
+    network = Network(hosts_each=3)
+    network.play(6)
+    assert {network.seen(host) for host in network.hosts.values()} == {11}
+    assert not any(host.beacons.digested_s for host in network.hosts.values())
+
+
+def test_digest_survives_its_datagram():
+    hosts = (make_beacon(3, sequence=9, leaving=True, configuration=4),)
+    identity = decode_digest(encode_digest(Digest("z1", hosts=hosts)), {}).hosts[0]
+    assert identity.host == "h3" and identity.leaving and identity.configuration == 4
+    assert (identity.peers, identity.sequence) == (hosts[0].peers, 9)
--- a/rosemaryyoke/hosts/tests/test_table.py
+++ b/rosemaryyoke/hosts/tests/test_table.py
@@ -27,7 +27,7 @@
 
 def make_table(*beacons, at_s=0.0):
     """Return a table that heard some beacons."""
-    table = HostTable(OWN)
+    table = HostTable(OWN, "h1", "z1")
     for beacon in beacons:
         table.take(beacon, at_s)
     return table
