Rounds of beacons twice as often, now that few hosts are told in each

Change: 20 ms a host told in place of 40: 0.46 s at the grown sites. Loads are mutable records, which are made faster.

--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -30,7 +30,7 @@
     return int.from_bytes(digest, "big")
 
 
-@frozen
+@define
 class OwnLoad:
     """What this host has under way at an upstream on average, for other hosts."""
 
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -3,7 +3,7 @@
 import math
 from typing import Collection
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from rosemaryyoke.catalog import EngineTraits, Upstream
 from rosemaryyoke.fleet.belief import CacheBelief
@@ -28,7 +28,7 @@
     started_s: float
 
 
-@frozen
+@define
 class RemoteLoad:
     """What another host had under way at an upstream, on average."""
 
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -26,7 +26,7 @@
 from rosemaryyoke.http1 import Address
 
 PERIOD_S = 0.3
-PERIOD_S_PER_HOST = 0.04  # that is told; more would cost more than they tell
+PERIOD_S_PER_HOST = 0.02  # that is told; more would cost more than they tell
 MAX_DATAGRAM_BYTES = 65_507
 BURST_BYTES = 16_384  # a quarter of what a link of 5 Mbit/s took at once
 BURST_PAUSE_S = 0.03
