--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -256,7 +256,7 @@
 
     def count_hosts(self) -> None:
         """Divide the retry budget among the hosts that live."""
-        self.budget.hosts = 1 + len(self.table.live(time.monotonic()))
+        self.budget.hosts = 1 + self.table.tell_changes(time.monotonic())
 
     def ask_watcher(self) -> bool:
         """Hear of upstreams from a watcher; watch briefly where others rely on it."""
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from rosemaryyoke.catalog import EngineTraits, Upstream
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.fleet.belief import CacheBelief
 
 PREFILL_TOKENS_PER_S = 60_000.0  # the least prefill rate of the sheets' engines
@@ -145,6 +146,10 @@
 
         ``silent`` tells that not even a refusal came.
         """
+        if silent and not self.silent:
+            self.tell_change("upstream silent")
+        elif not silent and not self.failures:
+            self.tell_change("upstream suspect")
         self.silent = silent
         if silent:
             self.count(False)
@@ -163,16 +168,32 @@
 
     def began_to_answer(self) -> None:
         """Take in the first event of an answer: the upstream works."""
-        self.failures = 0
-        self.silent = False
+        self.answers_again()
 
     def answered(self, success: bool, now_s: float) -> None:
         """Take in an answer to a request, whatever its status."""
         self.last_byte_s = now_s
+        if success or self.silent:
+            self.answers_again(success)
+        self.count(success)
+
+    def answers_again(self, well: bool = True) -> None:
+        """Take in that the upstream answers; ``well`` forgets the failures before."""
+        if self.silent or self.failures:
+            self.tell_change("upstream answers again")
         self.silent = False
-        if success:
+        if well:
             self.failures = 0
-        self.count(success)
+
+    def tell_change(self, message: str) -> None:
+        """Log a change of belief, with what it follows from."""
+        event(
+            message,
+            upstream=self.upstream.name,
+            failures=self.failures,
+            error_share=round(self.error_share, 3),
+            under_way=len(self.under_way),
+        )
 
     def count(self, success: bool) -> None:
         """Take an outcome into the share of failed ones."""
--- /dev/null
+++ b/rosemaryyoke/fleet/tests/test_changes_of_belief.py
@@ -0,0 +1,51 @@
+"""What is logged when a host believes something else of an upstream."""
+
+import pytest
+
+from rosemaryyoke.fleet.tests.builders import NOW_S, make_state
+
+
+@pytest.fixture()
+def messages(caplog):
+    """Return a reader of the messages that were logged."""
+    caplog.set_level("INFO", logger="absl")
+    return lambda: [record.getMessage() for record in caplog.records]
+
+
+def test_upstream_that_falls_silent_is_told_once(messages):
+    state = make_state()
+    for _ in range(3):
+        state.failed(NOW_S)
+    assert messages() == ["upstream silent"]
+
+
+def test_upstream_that_refuses_is_told_once_as_suspect(messages):
+    state = make_state()
+    for _ in range(3):
+        state.failed(NOW_S, silent=False)
+    assert messages() == ["upstream suspect"]
+
+
+@pytest.mark.parametrize("success", [True, False])
+def test_upstream_that_answers_again_is_told(messages, success):
+    state = make_state()
+    state.failed(NOW_S)
+    state.answered(success, NOW_S)
+    assert messages() == ["upstream silent", "upstream answers again"]
+    assert not state.silent and bool(state.failures) is not success
+
+
+def test_upstream_that_works_is_not_told(messages):
+    state = make_state()
+    for _ in range(3):
+        state.began_to_answer()
+        state.answered(True, NOW_S)
+    assert messages() == []
+
+
+def test_change_tells_what_it_follows_from(caplog):
+    caplog.set_level("INFO", logger="absl")
+    make_state("e7").failed(NOW_S)
+    (record,) = caplog.records
+    assert record.fields["upstream"] == "e7"
+    assert {"failures", "error_share", "under_way"} < record.fields.keys()
--- a/rosemaryyoke/hosts/table.py
+++ b/rosemaryyoke/hosts/table.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.hosts.codec import Beacon
 from rosemaryyoke.hosts.identity import HostIdentity
 from rosemaryyoke.http1 import Address
@@ -43,6 +44,7 @@
     data_centre: str = ""
     peers: dict[str, Peer] = field(factory=dict)
     candidates: dict[Address, float] = field(factory=dict)
+    told: set[str] = field(factory=set)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def add_candidates(self, addresses: Iterable[Address], now_s: float) -> None:
@@ -82,6 +84,19 @@
             peers = list(self.peers.values())
         return [peer for peer in peers if now_s - peer.heard_s < peer.live_s]
 
+    def tell_changes(self, now_s: float) -> int:
+        """Log which hosts came and went since the last call; return how many live."""
+        live = {peer.beacon.host: peer.beacon for peer in self.live(now_s)}
+        for name in live.keys() - self.told:
+            host = live[name]
+            event("host came", host=name, boot=host.boot, data_centre=host.data_centre)
+        for name in self.told - live.keys():
+            known = self.peers.get(name)
+            silence_s = round(now_s - known.heard_s, 3) if known else None
+            event("host gone", host=name, silence_s=silence_s)
+        self.told = set(live)
+        return len(live)
+
     def destinations(self, now_s: float, turn: int) -> list[Address]:
         """Return where to send a beacon: live hosts, and a few silent addresses.
 
--- a/rosemaryyoke/hosts/tests/test_table.py
+++ b/rosemaryyoke/hosts/tests/test_table.py
@@ -97,3 +97,18 @@
     for turn in range(4):
         reached.update(str(item) for item in table.destinations(0.5, turn))
     assert len(reached) == 9
+
+
+def test_table_tells_who_came_and_went(caplog):
+    caplog.set_level("INFO", logger="absl")
+    table = make_table(make_beacon(2), make_beacon(3))
+    assert table.tell_changes(0.1) == 2
+    table.take(make_beacon(2, sequence=2), 1.5)
+    assert table.tell_changes(2.0) == 1
+    told = [(r.getMessage(), r.fields["host"]) for r in caplog.records]
+    assert sorted(told) == [
+        ("host came", "h2"),
+        ("host came", "h3"),
+        ("host gone", "h3"),
+    ]
+    assert caplog.records[-1].fields["silence_s"] == 2.0
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 from result import Err
 
+from rosemaryyoke.core.logs import event
 from rosemaryyoke.objects.objects import ObjectApi, StoredObject
 
 LEASE_S = 6.0
@@ -73,6 +74,12 @@
         began_s = now_s()
         written = self.api.put(self.name, self._body(), self.version)
         if isinstance(written, Err):
+            if not self.in_doubt_since_s:
+                event(
+                    "lease in doubt",
+                    lease=self.name,
+                    left_s=round(self.remaining_s(), 3),
+                )
             self.in_doubt_since_s = self.in_doubt_since_s or began_s
             if written.err_value.conflict:
                 self._read_back(self.in_doubt_since_s)
@@ -95,6 +102,7 @@
             return False
         self.held_since_s = began_s
         self._hold(written.ok_value, began_s)
+        event("lease taken", lease=self.name, fencing=self.fencing)
         return True
 
     def _free(self, stored: StoredObject | None, at_s: float) -> bool:
@@ -119,6 +127,7 @@
             self._hold(read.ok_value.version, began_s)
         else:
             self.held_until_s = 0.0
+            event("lease lost", lease=self.name, fencing=self.fencing)
 
     def _hold(self, version: int, began_s: float) -> None:
         self.version = version
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -22,8 +22,10 @@
     events = logged("c2")
     assert [event.message for event in events] == [
         "placed",
+        "upstream silent",
         "attempt failed",
         "placed",
+        "upstream silent",
         "attempt failed",
         "stream cut",
     ]
@@ -34,6 +36,7 @@
 def test_cause_of_an_unknown_outcome_is_in_the_logs(deployment, logged):
     script_all(deployment.records, silent_close)
     ask(deployment.callers, "/issue/1", **{"Request-Id": "c3"})
-    placed, failed, refused = logged("c3")
+    placed, silent, failed, refused = logged("c3")
+    assert silent.message == "upstream silent"
     assert failed.fields["may_have_run"] and refused.fields["status"] == 502
     assert placed.fields["upstream"] == failed.fields["upstream"]
