Hosts tell one another which engines are silent to them

Each of 65 hosts learnt each dark engine by a request of its own, some 1,170 requests that lost a second or more, and one in ten requests went on trying.

Change: beacons and digests name the upstreams that are silent to a host. Two tellers make an upstream silent here too, unless there was a sign of its work in the last 1.5 s: its answer to this host, or a read told by another. Hosts of a large fleet try silent ones for one another: a tenth of requests at up to 10 hosts, less beyond.

The model asked one prompt only, which hid it; now sessions.

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -126,6 +126,7 @@
             wanted,
             self.fleet.stores,
             wait_bound_s(exchange.route),
+            self.fleet.trial_share(),
         )
 
     def states(self, exchange: Exchange) -> list[UpstreamState]:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -232,6 +232,7 @@
             self.table.addresses_to_tell(time.monotonic()),
             self.rollout.loading(),
             reads,
+            tuple(self.fleet.silent_of(())),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
@@ -257,6 +258,7 @@
     def count_hosts(self) -> None:
         """Divide the retry budget among the hosts that live."""
         self.budget.hosts = 1 + self.table.tell_changes(time.monotonic())
+        self.fleet.hosts = self.budget.hosts
 
     def ask_watcher(self) -> bool:
         """Hear of upstreams from a watcher; watch briefly where others rely on it."""
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -11,7 +11,13 @@
 
 from rosemaryyoke.catalog import Catalog, Upstream
 from rosemaryyoke.fleet.belief import ReadPart
-from rosemaryyoke.fleet.state import RemoteLoad, UpstreamState, Work
+from rosemaryyoke.fleet.state import (
+    SILENCE_TOLD_S,
+    TRIAL_SHARE,
+    RemoteLoad,
+    UpstreamState,
+    Work,
+)
 from rosemaryyoke.fleet.stores import CacheStores
 
 KEY_BYTES = 4
@@ -20,6 +26,7 @@
 LEAST_TOLD = 0.02  # requests under way
 READS_TOLD = 12  # in one beacon
 READS_KEPT = 64
+TRIAL_HOSTS = 10  # of a fleet in which each host tries by itself
 LIST_LAG_S = 2.0  # registrations show new weights at the next heartbeat
 
 
@@ -58,6 +65,7 @@
     untold: deque[PromptRead] = field(factory=lambda: deque(maxlen=READS_KEPT))
     states: dict[str, UpstreamState] = field(factory=dict)
     names_by_key: dict[int, str] = field(factory=dict)
+    hosts: int = 1
     loaded_by: dict[str, set[str]] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
     now_s: Callable[[], float] = time.monotonic
@@ -189,6 +197,37 @@
                 if state.loading(now_s) and state.loading_told_by in hosts
             ]
 
+    def silent_of(self, hosts: Collection[str]) -> list[str]:
+        """Return the upstreams that are silent to this host or to some others."""
+        oldest_s = self.now_s() - SILENCE_TOLD_S
+        with self.lock:
+            return [
+                name
+                for name, state in self.states.items()
+                if state.silent
+                or any(
+                    told_s >= oldest_s and host in hosts
+                    for host, told_s in state.silence_told_s.items()
+                )
+            ]
+
+    def take_silent(self, host: str, names: Collection[str]) -> None:
+        """Take in which upstreams are silent to another host."""
+        now_s = self.now_s()
+        with self.lock:
+            for name, state in self.states.items():
+                if name in names:
+                    state.silence_told_s[host] = now_s
+                else:
+                    state.silence_told_s.pop(host, None)
+
+    def trial_share(self) -> float:
+        """Return the share of requests that may try an upstream which was silent.
+
+        The hosts of a large fleet try for one another.
+        """
+        return TRIAL_SHARE * min(1.0, TRIAL_HOSTS / self.hosts)
+
     def take_loading(self, host: str, names: Sequence[str], now_s: float) -> None:
         """Take in which upstreams another host has load weights now."""
         with self.lock:
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -74,6 +74,7 @@
     wanted_weights: int = 0
     stores: CacheStores = field(factory=CacheStores)
     wait_bound_s: float = math.inf
+    trial_share: float = TRIAL_SHARE
 
 
 @frozen
@@ -99,13 +100,13 @@
         now_s: float,
     ) -> Result[Placement, NoUpstream]:
         """Return the upstream of the least predicted cost, or why there is none."""
-        tries = random.random() < TRIAL_SHARE
+        tries = random.random() < request.trial_share
         usable = [
             state
             for state in states
             if state.upstream.name not in excluded
             and state.usable(now_s)
-            and (tries or not state.silent)
+            and (tries or not state.held_silent(now_s))
         ]
         if not usable:
             usable = self.least_suspect(states, excluded)
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -16,6 +16,9 @@
 REMOTE_LOAD_S = 1.5  # three beacons of a host that is silent
 MEAN_LOAD_S = 0.5  # half a beacon's period in a large fleet
 TRIAL_SHARE = 0.1  # of the requests that may try an upstream which was silent
+SILENCE_TOLD_S = 2.5  # several beacons of a host that tells of it may be lost
+SILENCE_TELLERS = 2  # one may be cut off itself
+SIGN_S = 1.5  # answers to other hosts are told within a second
 ERROR_WEIGHT = 0.08  # of one answer in the share of failed answers
 CACHE_SHARE = 0.85  # of an engine's memory that running requests leave to its cache
 
@@ -83,6 +86,7 @@
     weights_seen_s: float = 0.0
     last_byte_s: float = 0.0
     read_heard_s: float = 0.0
+    silence_told_s: dict[str, float] = field(factory=dict)
     mean_load: MeanLoad = field(factory=MeanLoad)
     belief: CacheBelief = field(init=False)
 
@@ -99,9 +103,20 @@
         return (
             not self.upstream.draining
             and now_s >= self.suspect_until_s
-            and not (self.silent and self.under_way)
+            and not (self.held_silent(now_s) and self.under_way)
         )
 
+    def held_silent(self, now_s: float) -> bool:
+        """Tell whether the upstream is silent to this host, or to several others.
+
+        What others tell does not count where there was a sign of its work lately.
+        """
+        if self.silent:
+            return True
+        oldest_s = now_s - SILENCE_TOLD_S
+        tellers = sum(told_s >= oldest_s for told_s in self.silence_told_s.values())
+        return tellers >= SILENCE_TELLERS and now_s - self.last_sign_s() > SIGN_S
+
     def loading(self, now_s: float) -> bool:
         """Tell whether an order to load weights is believed to be under way."""
         return now_s < self.loading_until_s
--- a/rosemaryyoke/fleet/tests/test_dark_engines.py
+++ b/rosemaryyoke/fleet/tests/test_dark_engines.py
@@ -7,11 +7,11 @@
 import heapq
 import random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rosemaryyoke.catalog import Catalog
-from rosemaryyoke.fleet import Chooser, Fleet
-from rosemaryyoke.fleet.tests.builders import NOW_S, make_request, make_state
+from rosemaryyoke.fleet import Chooser, Fleet, PromptRead
+from rosemaryyoke.fleet.tests.builders import NOW_S, make_ask, make_request, make_state
 
 HOSTS = 16
 ENGINES = 18
@@ -29,6 +29,13 @@
     """Hosts that place requests at engines, some of which never answer."""
 
     seed: int
+    hosts: int = HOSTS
+    engines: int = ENGINES
+    dark: int = DARK
+    requests_per_s: int = REQUESTS_PER_S
+    noticed_s: float = NOTICED_S
+    tells_each_s: float = 0.0
+    sessions: int = 1
     clock_s: float = NOW_S
     wasted: int = 0
     events: list = field(factory=list)
@@ -37,9 +44,10 @@
     def __attrs_post_init__(self):
         self.random = random.Random(self.seed)
         self.chooser = Chooser()
-        for _ in range(HOSTS):
+        for _ in range(self.hosts):
             fleet = Fleet(Catalog(), now_s=lambda: self.clock_s)
-            fleet.states = {f"e{n}": make_state(f"e{n}") for n in range(ENGINES)}
+            fleet.states = {f"e{n}": make_state(f"e{n}") for n in range(self.engines)}
+            fleet.hosts = self.hosts
             self.fleets.append(fleet)
 
     def plan(self, delay_s, action, *arguments):
@@ -48,30 +56,47 @@
 
     def play(self):
         """Return the share that met a dark engine, of the requests after a second."""
-        for number in range(REQUESTS_PER_S * SECONDS):
-            self.plan(number / REQUESTS_PER_S, self.request)
+        for number in range(self.requests_per_s * SECONDS):
+            self.plan(number / self.requests_per_s, self.request)
+        for number in range(self.hosts if self.tells_each_s else 0):
+            self.plan(self.tells_each_s * number / self.hosts, self.tell, number)
         until_s = self.clock_s + SECONDS
         while self.events and self.events[0][0] < until_s:
             self.clock_s, _, _, action, arguments = heapq.heappop(self.events)
             action(*arguments)
-        return self.wasted / (REQUESTS_PER_S * (SECONDS - NOTICED_S))
+        return self.wasted / (self.requests_per_s * (SECONDS - self.noticed_s))
 
     def request(self):
         """Place a request; it is answered, or fails after a while."""
         fleet = self.random.choice(self.fleets)
         states = list(fleet.states.values())
-        chosen = self.chooser.choose(make_request(), states, set(), self.clock_s)
+        session = f"s{self.random.randrange(self.sessions)}"
+        request = evolve(
+            make_request(make_ask(session)), trial_share=fleet.trial_share()
+        )
+        chosen = self.chooser.choose(request, states, set(), self.clock_s)
         state = chosen.ok_value.state
         work = fleet.begin(state, 0, 0)
-        if int(state.upstream.name[1:]) >= DARK:
+        if int(state.upstream.name[1:]) >= self.dark:
             self.plan(ANSWER_S, self.answered, fleet, state, work)
             return
-        self.wasted += self.clock_s >= NOW_S + NOTICED_S
+        self.wasted += self.clock_s >= NOW_S + self.noticed_s
         self.plan(CONNECT_S, self.failed, fleet, state, work)
 
+    def tell(self, number):
+        """Tell the other hosts which engines are silent, and which answered."""
+        silent = self.fleets[number].silent_of(())
+        reads = self.fleets[number].reads_to_tell()
+        for fleet in self.fleets[:number] + self.fleets[number + 1 :]:
+            fleet.take_silent(f"h{number}", silent)
+            for read in reads:
+                fleet.hear_read(read)
+        self.plan(self.tells_each_s, self.tell, number)
+
     def answered(self, fleet, state, work):
         fleet.end(state, work)
         state.answered(True, self.clock_s)
+        fleet.untold.append(PromptRead(state.upstream.name, ()))
 
     def failed(self, fleet, state, work):
         fleet.end(state, work)
@@ -83,6 +108,38 @@
     assert max(shares) <= WASTED_TARGET
 
 
+def test_dark_engines_cost_a_large_fleet_few_requests():
+    shares = [
+        DarkFleet(
+            seed=1,
+            hosts=32,
+            engines=35,
+            dark=9,
+            requests_per_s=175,
+            noticed_s=2.0,
+            tells_each_s=tells_each_s,
+            sessions=245,
+        ).play()
+        for tells_each_s in (0.0, 0.46)
+    ]
+    assert shares[1] <= WASTED_TARGET < shares[0]
+
+
+def test_engine_that_two_hosts_hold_silent_is_silent_without_a_sign():
+    fleet = Fleet(Catalog(), now_s=lambda: NOW_S)
+    state = fleet.states["e1"] = make_state("e1")
+    fleet.take_silent("h1", ["e1"])
+    assert not state.held_silent(NOW_S)
+    fleet.take_silent("h2", ["e1"])
+    assert state.held_silent(NOW_S)
+    assert not state.held_silent(NOW_S + 3.0)
+    state.read_heard_s = NOW_S - 0.5
+    assert not state.held_silent(NOW_S)
+    fleet.take_silent("h2", [])
+    state.read_heard_s = 0.0
+    assert not state.held_silent(NOW_S)
+
+
 def test_silent_engine_is_tried_by_one_request_at_a_time():
     fleet = Fleet(Catalog())
     state = fleet.states["e1"] = make_state("e1")
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -18,10 +18,11 @@
   known @11 :List(Text);
   loading @12 :Data;
   reads @13 :Data;
+  silent @14 :Data;
 }
 
 # What a host tells another data centre of all hosts of its own, in several datagrams. Of
-# loads and loading, one datagram tells all; the others do not speak of them.
+# loads, loading and silent, one datagram tells all; the others do not speak of them.
 struct Digest {
   dataCentre @0 :Text;
   hosts @1 :Data;
@@ -29,4 +30,5 @@
   loads @3 :Data;
   loading @4 :Data;
   reads @5 :Data;
+  silent @6 :Data;
 }
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -189,6 +189,7 @@
         if near or now_s - digested_s > DIGESTED_S:
             self.fleet.take_loads(beacon.host, list(beacon.loads))
             self.fleet.take_loading(beacon.host, beacon.loading, now_s)
+            self.fleet.take_silent(beacon.host, beacon.silent)
 
     def take_digest(self, digest: Digest) -> None:
         """Take in a digest: a data centre's hosts, and what they have under way."""
@@ -204,3 +205,4 @@
             everyone = f"all of {digest.data_centre}"
             self.fleet.take_loads(everyone, list(digest.loads))
             self.fleet.take_loading(everyone, digest.loading, now_s)
+            self.fleet.take_silent(everyone, digest.silent)
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -32,13 +32,15 @@
 class Beacon(HostIdentity):
     """What a host tells of itself.
 
-    ``loading`` names the upstreams that the host ordered to load weights.
+    ``loading`` names the upstreams that the host ordered to load weights, ``silent``
+    those from which it gets no answers.
     """
 
     loads: tuple[OwnLoad, ...] = ()
     known: tuple[Address, ...] = ()
     loading: tuple[str, ...] = ()
     reads: tuple[PromptRead, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 @frozen
@@ -51,6 +53,7 @@
     loads: tuple[OwnLoad, ...] = ()
     loading: tuple[str, ...] = ()
     reads: tuple[PromptRead, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -70,6 +73,7 @@
         loads=encode_loads(beacon.loads),
         loading=encode_names(beacon.loading),
         reads=encode_reads(beacon.reads),
+        silent=encode_names(beacon.silent),
     )
     return message.to_bytes_packed()
 
@@ -96,6 +100,7 @@
             tuple(Address.parse(item) for item in message.known),
             decode_names(message.loading, upstreams),
             decode_reads(message.reads, upstreams),
+            decode_names(message.silent, upstreams),
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
@@ -110,6 +115,7 @@
         loads=encode_loads(digest.loads),
         loading=encode_names(digest.loading),
         reads=encode_reads(digest.reads),
+        silent=encode_names(digest.silent),
     ).to_bytes_packed()
 
 
@@ -125,6 +131,7 @@
             decode_loads(message.loads, upstreams),
             decode_names(message.loading, upstreams),
             decode_reads(message.reads, upstreams),
+            decode_names(message.silent, upstreams),
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -26,7 +26,13 @@
     yield from digest_hosts(centre, [own, *(peer.beacon for peer in near)])
     loading = {*own.loading, *fleet.loading_of(names)}
     loads = tuple(fleet.loads_of(names))
-    yield Digest(centre, tells_loads=True, loads=loads, loading=tuple(loading))
+    yield Digest(
+        centre,
+        tells_loads=True,
+        loads=loads,
+        loading=tuple(loading),
+        silent=tuple(fleet.silent_of(names)),
+    )
     for part in slices(reads, READS_TOLD):
         yield Digest(centre, reads=part)
 
