--- a/rosemaryyoke/platform/standins/working.py
+++ b/rosemaryyoke/platform/standins/working.py
@@ -112,20 +112,20 @@
         self.on_loaded()
 
     def work(self, message: RequestMessage, caller: CallerConnection) -> None:
-        """Run a request to its end."""
-        headers = message.headers
+        """Run a request to its end, under the name that it began with."""
+        name, headers = self.name, message.headers
         request = find_header(headers, names.REQUEST_ID.lower()).decode()
         streams = find_header(headers, names.MODEL.lower()) is not None
         after = int(find_header(headers, names.LAST_EVENT.lower()) or 0)
         account = find_header(headers, names.ACCOUNT.lower()) or b""
         shown = find_header(headers, names.KEY.lower()) is not None
         self.on_run(
-            RunFacts(request, self.name, account.decode(), shown, after + 1, streams)
+            RunFacts(request, name, account.decode(), shown, after + 1, streams)
         )
-        sealed = [(names.REQUEST_ID, request.encode()), (names.SEAL, self.seal)]
+        sealed = [(names.REQUEST_ID, request.encode()), (names.SEAL, name.encode())]
         if not streams:
             time.sleep(EVENT_S)
-            caller.answer(200, b"", sealed, self.make_body(request, self.name))
+            caller.answer(200, b"", sealed, self.make_body(request, name))
             return
         sealed.append((names.WEIGHTS_SERVED, b"%d" % self.version))
         head = caller.begin_stream(200, b"OK", sealed)
@@ -135,11 +135,6 @@
             head = b""
         caller.end_stream(head)
 
-    @property
-    def seal(self) -> bytes:
-        """Return the signature, which is the name."""
-        return self.name.encode()
-
 
 def request_bytes(
     request: str, path: str, method: str, key: str, deadline_s: float, streams: bool
