--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -69,17 +69,22 @@
         yield place if free else None
 
 
-@faults.register("host killed")
-def kill_host(cause: Cause) -> None:
-    """Kill a host, and start it again."""
+def end_and_start(cause: Cause, number: signal.Signals, gone_s: tuple) -> None:
+    """End a host by a signal, and start it again after a while."""
     with a_host(cause) as host:
         if host is not None:
-            host.end(signal.SIGKILL)
-            cause.wait(LONG_S)
+            host.end(number)
+            cause.wait(gone_s)
             host.start()
             cause.wait(LONG_S)
 
 
+@faults.register("host killed")
+def kill_host(cause: Cause) -> None:
+    """Kill a host, and start it again."""
+    end_and_start(cause, signal.SIGKILL, LONG_S)
+
+
 @faults.register("host frozen")
 def freeze_host(cause: Cause) -> None:
     """Stop a host for a while."""
@@ -94,12 +99,7 @@
 @faults.register("host stopped in good order")
 def stop_host(cause: Cause) -> None:
     """Ask a host to stop, and start it again."""
-    with a_host(cause) as host:
-        if host is not None:
-            host.end(signal.SIGTERM)
-            cause.wait(SHORT_S)
-            host.start()
-            cause.wait(LONG_S)
+    end_and_start(cause, signal.SIGTERM, SHORT_S)
 
 
 @faults.register("host told to reload")
