Read the store from three hosts and hand the catalog on to the others

Cause: every host watched configuration and weights itself, two hosts a data centre watched the upstreams, and every host registered at each start. In an outage each follower turned to the store by itself, for three kinds, with at most 1 s between calls. So calls to the store grew with hosts, restarts and retries. Followers also got the whole list of upstreams with every heartbeat, since any registration written anew counted as a change.

Change: three hosts of the fleet, by rendezvous over those that are ready and have not lost the store, read all kinds; two relays a data centre poll them in fleets of 25 hosts or more, and the others poll the relays. An answer bears the age of the store's last confirmation, so that hosts can't confirm each other. The follower of upstreams decides whether the store responds; the other kinds are read only while it does. A host that gets no state from others calls the store after 0.4 to 1.2 s, then every 2 to 4 s; the watchers every second. The pause between calls is a fifth of the drain that the deployment promises (was 0.3 s). Only watchers and hosts without a live peer register. A host whose lease call fails counts as cut off, as its watch did before. Registrations that are written anew without a change no longer count as one.

The test of hosts beyond the watchers starts five hosts in place of four, since three now watch: still two that hear of upstreams from others.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -11,7 +11,7 @@
 from rosemaryyoke.core.logs import log_event
 
 MAX_VERSION_HISTORY = 16
-CONFIRMATION_TTL_S = 1.5  # hosts without access to the store poll a peer every 0.5 s
+CONFIRMATION_TTL_S = 1.9  # two long polls, and less than a change may take to apply
 
 
 @frozen
@@ -37,7 +37,7 @@
     upstreams_loaded: bool = False
     changes: int = 0
     boot: str = field(factory=lambda: f"{time.time_ns():x}")
-    failing_kinds: set[str] = field(factory=set)
+    unread_kinds: set[str] = field(factory=set)
     confirmed_s: float = -math.inf
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
@@ -54,14 +54,20 @@
                 return False
             self.configuration = newer
             self.configuration_source = source
+            self.changes += 1
             self.changed.notify_all()
         log_event("configuration applied", version=newer.version)
         self._notify_listeners()
         return True
 
     def replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
-        """Replace all upstreams and log the differences."""
+        """Replace all upstreams and log the differences.
+
+        Registrations are written anew all the time; most writes change nothing here.
+        """
         with self.changed:
+            if self.upstreams_loaded and upstreams == self.upstreams:
+                return
             before, self.upstreams = self.upstreams, upstreams
             self.upstreams_loaded = True
             self.changes += 1
@@ -80,6 +86,8 @@
             self.declared_versions[wanted.model] = [*versions, named][
                 -MAX_VERSION_HISTORY:
             ]
+            self.changes += 1
+            self.changed.notify_all()
         log_event(
             "weights version declared", model=wanted.model, version=wanted.version
         )
@@ -92,29 +100,37 @@
                 return now_s - named.declared_s
         return 0.0
 
-    def record_store_status(self, kind: str, answers: bool) -> None:
-        """Record whether the store responds to the follower of a kind."""
+    def record_store_status(self, kind: str, is_read: bool) -> None:
+        """Record whether this host reads a kind from the store at present."""
         with self.changed:
-            if answers:
-                self.failing_kinds.discard(kind)
+            if is_read == (kind not in self.unread_kinds):
+                return
+            if is_read:
+                self.unread_kinds.discard(kind)
             else:
-                self.failing_kinds.add(kind)
+                self.unread_kinds.add(kind)
+            self.changed.notify_all()
+
+    def follows_store(self) -> bool:
+        """Return whether this host itself reads every kind from the store."""
+        return self.is_loaded() and not self.unread_kinds
 
     def is_fresh(self) -> bool:
-        """Return whether data is loaded and the store responds for every kind."""
-        return self.is_loaded() and not self.failing_kinds
+        """Return whether the view is current.
 
-    def record_confirmation(self) -> None:
-        """Record state received from a peer whose own view of the store is current."""
-        self.confirmed_s = time.monotonic()
+        Either this host reads the store, or a host that does confirmed the view.
+        """
+        return self.is_loaded() and self.age_s() < CONFIRMATION_TTL_S
 
-    def may_reject_unknown(self) -> bool:
-        """Return whether an unknown route or key may be rejected permanently.
+    def age_s(self) -> float:
+        """Return how long ago the store confirmed the view to this or another host."""
+        if self.follows_store():
+            return 0.0
+        return time.monotonic() - self.confirmed_s
 
-        The view must be current, or recently confirmed by a peer whose view is.
-        """
-        confirmed = time.monotonic() - self.confirmed_s < CONFIRMATION_TTL_S
-        return self.is_fresh() or (self.is_loaded() and confirmed)
+    def record_confirmation(self, age_s: float = 0.0) -> None:
+        """Record state of another host that the store confirmed ``age_s`` ago."""
+        self.confirmed_s = max(self.confirmed_s, time.monotonic() - age_s)
 
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait until a configuration and upstreams are loaded."""
@@ -123,14 +139,14 @@
 
     @property
     def generation(self) -> str:
-        """Return an identifier of the upstreams' state, valid for this process only."""
+        """Return an identifier of the catalog's state, valid for this process only."""
         return f"{self.boot}.{self.changes}"
 
     def wait_changed(self, generation: str, timeout_s: float) -> bool:
-        """Wait until the generation differs from the given one."""
+        """Wait until the generation differs and the view is current."""
         with self.changed:
             return self.changed.wait_for(
-                lambda: self.generation != generation, timeout_s
+                lambda: self.is_fresh() and self.generation != generation, timeout_s
             )
 
     def is_loaded(self) -> bool:
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -20,8 +20,17 @@
 IDLE_WATCH_S = 25.0  # below the store's 30 s limit on a watch
 UPSTREAMS_WATCH_S = 4.0  # longest wait before a host may switch to a peer
 RECOVERY_WATCH_S = 0.1  # short, to detect soon that the store responds again
-# Pause between calls; a drain must apply within 2 s of its acknowledgement.
-UPSTREAMS_PAUSE_S = 0.3
+# Share of a drain's duration between calls, so that it applies in time.
+UPSTREAMS_PAUSE_SHARE = 0.2
+DEFAULT_DRAIN_S = 2.0
+# A host that usually polls a peer tries the store less often, and not with all others.
+ORPHAN_DELAY_S = (0.4, 1.2)
+ORPHAN_BACKOFF_S = 2.0
+MAX_ORPHAN_BACKOFF_S = 4.0
+PEER_RETRY_S = 0.2
+PASSIVE_CHECK_S = 0.1
+# A host that starts reads the store until it knows its peers; it watches later.
+SETTLING_S = 1.5
 # Live upstreams register again within 2 s of the store's recovery.
 REREGISTRATION_GRACE_S = 2.2
 MIN_OUTAGE_S = 1.0
@@ -49,8 +58,10 @@
 class KindFollower:
     """Lists one kind, then watches it for changes after the listing's position.
 
-    ``fetch_from_peer`` tries to fetch the state from a peer instead of the store and
-    returns whether it succeeded.
+    ``poll_peer`` tries to fetch the state from a peer instead of the store and returns
+    whether it succeeded. ``may_call`` tells whether the store may be called now, given
+    whether the next call is a watch. ``is_orphan`` tells whether this host should have
+    got its state from a peer; such a host spares the store.
     """
 
     feed: ObjectFeed
@@ -60,20 +71,26 @@
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[FeedChanges], None]
     on_success: Callable[[float], None] = lambda outage_s: None
-    on_store_status: Callable[[str, bool], None] = lambda kind, answers: None
-    fetch_from_peer: Callable[[], bool] = lambda: False
+    on_store_status: Callable[[str, bool], None] = lambda kind, is_read: None
+    on_call: Callable[[bool], None] = lambda success: None
+    poll_peer: Callable[[], bool] = lambda: False
+    may_call: Callable[[bool], bool] = lambda is_watch: True
+    is_orphan: Callable[[], bool] = lambda: False
     position: int | None = None
     failed_since_s: float | None = None
+    peer_success_s: float | None = None
     backoff_s: float = FIRST_BACKOFF_S
+    retry_at_s: float = 0.0
     stopping: threading.Event = field(factory=threading.Event)
 
     def run(self) -> None:
         """List and watch until stopped, with backoff after errors."""
         while not self.stopping.is_set():
             try:
-                if self.fetch_from_peer():
-                    self.position = None
-                    self._record_success()
+                if self.poll_peer():
+                    self._record_peer_success()
+                    continue
+                if not self.is_due(time.monotonic()):
                     continue
                 outcome = self.step()
             except Exception as error:
@@ -84,6 +101,19 @@
             elif self.pause_s:
                 self.stopping.wait(self.pause_s)
 
+    def is_due(self, now_s: float) -> bool:
+        """Return whether to call the store now; otherwise wait for a while."""
+        if not self.may_call(self.position is not None):
+            self.stopping.wait(PASSIVE_CHECK_S)
+            return False
+        if self.is_orphan() and self.peer_success_s is not None:
+            self.peer_success_s = None
+            self.retry_at_s = now_s + random.uniform(*ORPHAN_DELAY_S)
+        if now_s < self.retry_at_s:
+            self.stopping.wait(min(PEER_RETRY_S, self.retry_at_s - now_s))
+            return False
+        return True
+
     def step(self) -> Result[object, FeedError]:
         """Make one list or watch call and apply its result."""
         if self.position is None:
@@ -105,32 +135,57 @@
         self.position = value.position
         return outcome
 
+    def stop_reading(self) -> None:
+        """Forget the position; the kind is no longer read from the store."""
+        self.position = None
+        self.on_store_status(self.kind, False)
+
+    def _record_peer_success(self) -> None:
+        self.stop_reading()
+        self.failed_since_s = None
+        self.peer_success_s = time.monotonic()
+        self.backoff_s = FIRST_BACKOFF_S
+
     def _record_success(self) -> None:
+        now_s = time.monotonic()
         outage_s = 0.0
         if self.failed_since_s is not None:
-            outage_s = time.monotonic() - self.failed_since_s
+            outage_s = now_s - self.failed_since_s
             log_event(
                 "store reachable again", kind=self.kind, outage_s=round(outage_s, 3)
             )
-        self.failed_since_s = None
+        elif self.peer_success_s is not None:
+            outage_s = now_s - self.peer_success_s
+        self.failed_since_s = self.peer_success_s = None
         self.backoff_s = FIRST_BACKOFF_S
+        self.on_call(True)
         self.on_store_status(self.kind, True)
         self.on_success(outage_s)
 
     def _record_failure(self, error: FeedError) -> None:
+        now_s = time.monotonic()
         if self.failed_since_s is None:
-            self.failed_since_s = time.monotonic()
+            self.failed_since_s = now_s
             log_event("store unreachable", kind=self.kind, error=error.message)
+        self.on_call(False)
         self.on_store_status(self.kind, False)
-        self.stopping.wait(self.backoff_s * random.uniform(0.5, 1.0))
-        self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
+        longest_s = MAX_BACKOFF_S
+        if self.is_orphan():
+            self.backoff_s = max(self.backoff_s, ORPHAN_BACKOFF_S)
+            longest_s = MAX_ORPHAN_BACKOFF_S
+        self.retry_at_s = now_s + self.backoff_s * random.uniform(0.5, 1.0)
+        self.backoff_s = min(2 * self.backoff_s, longest_s)
 
 
 class Follower:
     """Updates the catalog from the store.
 
+    The follower of upstreams decides whether this host reads the store: the other kinds
+    are read only while it does, so that one call tells whether the store responds.
+
     A listing does not contain the time at which weights were declared; their age is
-    assumed to be ``assumed_weights_age_s``.
+    assumed to be ``assumed_weights_age_s``. ``drain_s`` is how long an upstream serves
+    on after its registration says that it is draining.
     """
 
     def __init__(
@@ -138,6 +193,7 @@
         source: CatalogSource,
         catalog: Catalog,
         assumed_weights_age_s: float = 0.0,
+        drain_s: float = DEFAULT_DRAIN_S,
     ):
         self.assumed_weights_age_s = assumed_weights_age_s
         self.source = source
@@ -145,39 +201,67 @@
         self.upstreams: dict[str, Upstream] = {}
         self.expired: set[str] = set()
         self.grace_until_s = 0.0
+        self.reading_since_s: float | None = None
         self.lock = threading.RLock()
-        feed = source.feed
         self.upstream_follower = KindFollower(
-            feed,
+            source.feed,
             source.upstreams_kind,
             UPSTREAMS_WATCH_S,
-            UPSTREAMS_PAUSE_S,
+            UPSTREAMS_PAUSE_SHARE * drain_s,
             self.apply_upstream_listing,
             self.apply_upstream_changes,
             self.handle_store_success,
-            catalog.record_store_status,
+            self.record_upstreams_status,
         )
         self.followers = [
-            KindFollower(
-                feed,
+            self.upstream_follower,
+            self.make_dependent_follower(
                 source.configuration_kind,
-                IDLE_WATCH_S,
-                0.0,
                 self.apply_configuration_listing,
                 self.apply_configuration_changes,
-                on_store_status=catalog.record_store_status,
             ),
-            self.upstream_follower,
-            KindFollower(
-                feed,
+            self.make_dependent_follower(
                 source.weights_kind,
-                IDLE_WATCH_S,
-                0.0,
                 self.apply_wanted_listing,
                 self.apply_wanted_changes,
-                on_store_status=catalog.record_store_status,
             ),
         ]
+        catalog.unread_kinds.update(item.kind for item in self.followers)
+
+    def make_dependent_follower(
+        self,
+        kind: str,
+        on_listing: Callable[[Listing], None],
+        on_changes: Callable[[FeedChanges], None],
+    ) -> KindFollower:
+        """Return a follower that calls the store only while upstreams are read."""
+        follower = KindFollower(
+            self.source.feed,
+            kind,
+            IDLE_WATCH_S,
+            0.0,
+            on_listing,
+            on_changes,
+            on_store_status=self.catalog.record_store_status,
+        )
+
+        def may_call(is_watch: bool) -> bool:
+            if self.reading_since_s is None:
+                follower.stop_reading()
+                return False
+            settling_s = SETTLING_S if is_watch else 0.0
+            return time.monotonic() - self.reading_since_s >= settling_s
+
+        follower.may_call = may_call
+        return follower
+
+    def record_upstreams_status(self, kind: str, is_read: bool) -> None:
+        """Record whether upstreams are read from the store, and since when."""
+        if not is_read:
+            self.reading_since_s = None
+        elif self.reading_since_s is None:
+            self.reading_since_s = time.monotonic()
+        self.catalog.record_store_status(kind, is_read)
 
     def start(self) -> None:
         """Start one thread per kind."""
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -7,7 +7,9 @@
 from result import Err, Ok
 
 from rosemaryyoke.catalog import Catalog, Follower, Upstream, WantedWeights
-from rosemaryyoke.catalog.follower import KindFollower
+from rosemaryyoke.catalog.catalog import CONFIRMATION_TTL_S
+from rosemaryyoke.catalog.follower import SETTLING_S, KindFollower
+from rosemaryyoke.catalog.model import Configuration
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.objects.feed import FeedChange, FeedChanges, FeedError, Listing
 from rosemaryyoke.objects.objects import StoredObject
@@ -57,6 +59,14 @@
         return Ok(Upstream(stored.name, "s", address, "z", 1, draining))
 
 
+def make_loaded_catalog():
+    """Return a catalog of a host that does not read the store itself."""
+    catalog = Catalog(unread_kinds={"upstreams"})
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    catalog.replace_upstreams({})
+    return catalog
+
+
 def make_object(name, body=b"ready"):
     return StoredObject(name, 1, body)
 
@@ -142,3 +152,59 @@
     assert catalog.wanted == {"m": 3}
     assert 9.9 < catalog.outdated_s("m", 2, now_s) < 10.5
     assert catalog.outdated_s("m", 3, now_s) == 0.0
+
+
+def test_orphaned_follower_spares_store_in_outage():
+    feed = ScriptedFeed()
+    answers = [True]
+    task = KindFollower(feed, "kind", 0.0, 0.0, print, print)
+    task.poll_peer = lambda: bool(answers and answers.pop())
+    task.is_orphan = lambda: True
+    threading.Thread(target=task.run, daemon=True).start()
+    time.sleep(0.3)
+    assert feed.calls == []
+    time.sleep(2.0)
+    task.stopping.set()
+    assert 1 <= len(feed.calls) <= 2
+
+
+def test_other_kinds_are_read_only_while_upstreams_are():
+    follower, upstreams, catalog, feed = make_follower(Ok(Listing(1)))
+    configuration = follower.followers[1]
+    assert not configuration.is_due(time.monotonic())
+    upstreams.step()
+    assert configuration.is_due(time.monotonic())
+    configuration.position = 1
+    assert not configuration.is_due(time.monotonic())
+    follower.reading_since_s -= SETTLING_S
+    assert configuration.is_due(time.monotonic())
+    upstreams._record_failure(FeedError("down"))
+    assert not configuration.is_due(time.monotonic())
+    assert catalog.unread_kinds == {"configuration", "upstreams", "weights"}
+
+
+def test_unchanged_registrations_keep_generation():
+    listing = Ok(Listing(1, [make_object("u1")]))
+    again = Ok(FeedChanges(2, [FeedChange(make_object("u1"))]))
+    drain = Ok(FeedChanges(3, [FeedChange(make_object("u1", b"draining"))]))
+    _, task, catalog, _ = make_follower(listing, again, drain)
+    task.step()
+    generation = catalog.generation
+    task.step()
+    assert catalog.generation == generation
+    task.step()
+    assert catalog.generation != generation
+
+
+def test_confirmations_between_hosts_expire():
+    first, second = make_loaded_catalog(), make_loaded_catalog()
+    first.record_confirmation(age_s=1.5)
+    for _ in range(4):
+        second.record_confirmation(first.age_s())
+        first.record_confirmation(second.age_s())
+    assert first.is_fresh() and second.is_fresh()
+    assert first.age_s() >= 1.5 and second.age_s() >= 1.5
+    stale = make_loaded_catalog()
+    assert not stale.is_fresh()
+    stale.record_confirmation(age_s=CONFIRMATION_TTL_S)
+    assert not stale.is_fresh()
--- a/rosemaryyoke/exchanges/exchange_factory.py
+++ b/rosemaryyoke/exchanges/exchange_factory.py
@@ -117,6 +117,6 @@
 
     def not_found_error(self, status: int, code: str, message: str) -> ErrorResponse:
         """Return the error response for an entry missing from the configuration."""
-        if self.catalog.may_reject_unknown():
+        if self.catalog.is_fresh():
             return ErrorResponse(status, code, message)
         return ErrorResponse(503, "stale_configuration", message, STALE_RETRY_AFTER_S)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -33,10 +33,11 @@
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.hosts import Beacon, BeaconService, HostTable
 from rosemaryyoke.hosts.registration import Registration
-from rosemaryyoke.hosts.relay import UPSTREAMS_PATH, UpstreamRelay, answer_upstreams
+from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
+from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
-from rosemaryyoke.objects import ObjectApi
+from rosemaryyoke.objects import ObjectApi, ReportingObjectApi
 from rosemaryyoke.placement.rendezvous import rank
 from rosemaryyoke.rollout import EngineClient
 from rosemaryyoke.rollout.rollout import TICK_INTERVAL_S, Rollout
@@ -54,7 +55,7 @@
 SHARED_WATCH_TIMEOUT_S = (
     0.8  # lets a disconnected watcher notice before it affects others
 )
-UPSTREAMS_TARGET = UPSTREAMS_PATH.encode()
+CATALOG_TARGET = CATALOG_PATH.encode()
 INITIAL_WEIGHTS_GRACE_S = (
     4.0  # for engines to load weights already announced when a host starts
 )
@@ -119,6 +120,8 @@
         self.catalog.subscribe(self.close_removed_upstreams)
         self.table = HostTable(settings.peers, settings.name, settings.data_centre)
         self.table.add_candidates(settings.seeds, time.monotonic())
+        self.roles = WatcherRoles(settings.name, settings.data_centre, self.table)
+        api = ReportingObjectApi(adapter.api, self.record_store_call)
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -129,7 +132,7 @@
         self.rollout = Rollout(
             f"{settings.name}-{self.boot:x}",
             settings.lease_s,
-            adapter.api,
+            api,
             adapter.engines,
             self.catalog,
             self.fleet,
@@ -137,25 +140,21 @@
             self.order_rank,
             self.beacons.send_now,
         )
-        self.transfer = StateTransfer(adapter.source, self.catalog, self.table)
+        self.follower = self.make_follower()
+        self.transfer = StateTransfer(
+            adapter.source, self.catalog, self.roles, self.follower.replace_upstreams
+        )
+        self.relay = CatalogRelay(self.roles, self.catalog, self.transfer)
         self.registration = Registration(
-            adapter.api,
+            api,
             adapter.source.feed,
-            self.table,
+            self.roles,
             settings.name,
             settings.peers,
         )
         add("metrics", self.metrics)
         add("pool", pool)
         add("timer", self.timer)
-        self.follower = self.make_follower()
-        self.relay = UpstreamRelay(
-            settings.name,
-            settings.data_centre,
-            self.table,
-            self.follower.replace_upstreams,
-        )
-        self.follower.upstream_follower.fetch_from_peer = self.poll_watcher
         add("follower", self.follower)
         add("beacons", self.beacons)
         add("peers", self.peers_server())
@@ -166,9 +165,15 @@
             add("metrics_server", OptionalService("metrics", self.metrics_server()))
 
     def make_follower(self) -> Follower:
-        """Return the tasks that follow the store."""
+        """Return the tasks that follow the store or a watcher."""
         age_s = max(0.0, self.settings.weights_bound_s - INITIAL_WEIGHTS_GRACE_S)
-        return Follower(self.adapter.source, self.catalog, age_s)
+        source, drain_s = self.adapter.source, self.settings.drain_s
+        follower = Follower(source, self.catalog, age_s, drain_s)
+        upstreams = follower.upstream_follower
+        upstreams.poll_peer = self.poll_watcher
+        upstreams.on_call = self.record_store_call
+        upstreams.is_orphan = self.is_orphan
+        return follower
 
     def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
@@ -236,7 +241,7 @@
             settings.data_centre,
             self.is_ready(),
             self.leaving,
-            self.catalog.is_fresh(),
+            self.roles.reaches_store(time.monotonic()),
             configuration.version if configuration else 0,
             tuple(self.fleet.own_loads()),
             self.table.sample_addresses(time.monotonic()),
@@ -252,9 +257,11 @@
 
     def order_rank(self, model: str) -> int | None:
         """Return this host's rank among those that may order a model's engines."""
-        if self.leaving or not self.catalog.is_fresh():
+        now_s = time.monotonic()
+        reachable = self.roles.reaches_store(now_s) and self.catalog.is_fresh()
+        if self.leaving or not reachable:
             return None
-        live = self.table.live_peers(time.monotonic())
+        live = self.table.live_peers(now_s)
         names = [
             peer.beacon.host
             for peer in live
@@ -271,11 +278,20 @@
         self.fleet.hosts = self.budget.hosts
 
     def poll_watcher(self) -> bool:
-        """Poll a watcher for upstreams; watch briefly if others rely on it."""
-        shared = self.relay.may_have_followers(time.monotonic())
+        """Poll another host for changes; watch briefly if others rely on this one."""
+        shared = self.roles.is_watcher(time.monotonic()) and self.fleet.hosts > 1
         wait_s = SHARED_WATCH_TIMEOUT_S if shared else UPSTREAMS_WATCH_S
         self.follower.upstream_follower.wait_s = wait_s
-        return self.catalog.is_loaded() and self.relay.poll()
+        return self.relay.poll()
+
+    def is_orphan(self) -> bool:
+        """Return whether this host reads the store only for lack of a watcher."""
+        now_s = time.monotonic()
+        return not (self.roles.is_watcher(now_s) or self.roles.is_first_choice(now_s))
+
+    def record_store_call(self, success: bool) -> None:
+        """Record whether the store answered a call of this host."""
+        self.roles.record_store_call(success, time.monotonic())
 
     def update_gauges(self) -> None:
         """Set the gauges of this host's state."""
@@ -351,8 +367,8 @@
         """Return the server of queries from other hosts."""
 
         def handler(message, caller) -> None:
-            if message.target.startswith(UPSTREAMS_TARGET):
-                answer_upstreams(self.catalog, message, caller)
+            if message.target.startswith(CATALOG_TARGET):
+                answer_catalog_poll(self.catalog, message, caller)
             else:
                 answer_state(self.catalog, message, caller)
 
--- a/rosemaryyoke/exchanges/settings.py
+++ b/rosemaryyoke/exchanges/settings.py
@@ -15,6 +15,7 @@
     ``weights_bound_s`` is how long a request may start on weights after newer ones were
     announced. ``retry_ratio`` and ``retry_slack`` limit the retries of all
     hosts together in ``retry_window_s``. ``grace_s`` limits the time of a shutdown.
+    ``drain_s`` is how long an upstream serves on after it announced that it leaves.
     """
 
     name: str
@@ -28,6 +29,7 @@
     seeds: tuple[Address, ...] = ()
     metrics_port: int = DEFAULT_METRICS_PORT
     grace_s: float = 8.0
+    drain_s: float = 2.0
     lease_s: float = 3.0
     weights_bound_s: float = 15.0
     retry_ratio: float = 0.2
--- a/rosemaryyoke/hosts/registration.py
+++ b/rosemaryyoke/hosts/registration.py
@@ -7,7 +7,7 @@
 from attrs import define
 from result import Err
 
-from rosemaryyoke.hosts.table import HostTable
+from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.objects import ObjectApi
 from rosemaryyoke.objects.feed import ObjectFeed
@@ -19,11 +19,15 @@
 
 @define(eq=False)
 class Registration:
-    """Registers this host's address once; lists the others while no peer is live."""
+    """Registers this host's address once; lists the others while no peer is live.
+
+    Only watchers and hosts without a live peer register: a few addresses are enough to
+    find the others.
+    """
 
     api: ObjectApi
     feed: ObjectFeed
-    table: HostTable
+    roles: WatcherRoles
     host: str
     address: Address
     registered: bool = False
@@ -35,12 +39,17 @@
         if now_s < self.next_attempt_s:
             return
         self.next_attempt_s = now_s + RETRY_S
-        if not self.registered:
+        if not self.registered and self.is_needed(now_s):
             self.registered = self.register()
             self.next_attempt_s = now_s + SEED_WAIT_S
-        elif not self.table.live_peers(now_s):
+        elif not self.roles.table.live_peers(now_s):
             self.discover_hosts(now_s)
 
+    def is_needed(self, now_s: float) -> bool:
+        """Return whether others may have to find this host through the store."""
+        no_peers = not self.roles.table.live_peers(now_s)
+        return no_peers or self.roles.is_watcher(now_s)
+
     def register(self) -> bool:
         """Write this host's address; return whether the store holds it."""
         name = f"{OBJECT_PREFIX}/{self.host}"
@@ -76,4 +85,4 @@
                     "registration entry %s is malformed: %s", stored.name, error
                 )
                 continue
-            self.table.add_candidates([address], now_s)
+            self.roles.table.add_candidates([address], now_s)
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from typing import Callable
 
 import orjson
 from absl import logging
@@ -10,7 +11,8 @@
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Upstream, WantedWeights
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.hosts.table import HostTable
+from rosemaryyoke.hosts.host_state import HostState
+from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, RequestMessage, send_request
 from rosemaryyoke.objects.objects import StoredObject
 
@@ -20,12 +22,16 @@
 
 
 def encode_state(catalog: Catalog) -> bytes:
-    """Encode the catalog as JSON for another host."""
+    """Encode the catalog as JSON for another host.
+
+    ``age_s`` is null if this host has no current view of the store.
+    """
     return orjson.dumps(
         {
             "configuration": catalog.configuration_source.decode(),
             "upstreams": [encode_upstream(i) for i in catalog.upstreams.values()],
             "wanted": catalog.wanted,
+            "age_s": catalog.age_s() if catalog.is_fresh() else None,
         }
     )
 
@@ -65,41 +71,63 @@
 
     source: CatalogSource
     catalog: Catalog
-    table: HostTable
+    roles: WatcherRoles
+    set_upstreams: Callable[[dict[str, Upstream]], None]
 
     def fetch(self) -> None:
-        """Fetch and apply a live host's state if this one cannot reach the store."""
+        """Fetch and apply a live host's state if this one has no current view."""
+        now_s = time.monotonic()
         if self.catalog.is_fresh():
             return
-        peers = self.table.live_peers(time.monotonic())
-        answering = [peer for peer in peers if peer.beacon.store_reachable]
-        chosen = answering or [peer for peer in peers if peer.beacon.configuration]
-        if not chosen:
+        peer = self.choose_peer(now_s)
+        if peer is None:
             return
-        peer = random.choice(chosen)
         reply = send_request(
-            peer.beacon.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
+            peer.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
         )
         if isinstance(reply, Err) or not reply.ok_value.ok:
-            logging.warning("state transfer from host=%s failed", peer.beacon.host)
+            logging.warning("state transfer from host=%s failed", peer.host)
+            return
+        value = reply.ok_value.json()
+        self.apply(value, value.get("age_s"))
+
+    def choose_peer(self, now_s: float) -> HostState | None:
+        """Return a watcher, else a host with a newer configuration.
+
+        Without a watcher, a transfer is of use only if the other host knows more.
+        """
+        known = self.catalog.configuration
+        version = known.version if known is not None else 0
+        live = [peer.beacon for peer in self.roles.table.live_peers(now_s)]
+        chosen = self.roles.watchers(now_s) or [
+            state for state in live if state.configuration > version
+        ]
+        return random.choice(chosen) if chosen else None
+
+    def apply(self, value: dict, age_s: float | None) -> None:
+        """Apply another host's state, in which unchanged parts may be missing.
+
+        ``age_s`` is how long ago the store confirmed that state, if it did lately.
+        """
+        source = value.get("configuration")
+        if source is not None and not self.apply_configuration(source.encode()):
             return
-        self.apply_state(reply.ok_value.body, bool(answering))
+        for model, version in value.get("wanted", {}).items():
+            self.catalog.update_wanted(WantedWeights(model, version))
+        current = age_s is not None
+        if "upstreams" in value and (current or not self.catalog.upstreams_loaded):
+            upstreams = [decode_upstream(item) for item in value["upstreams"]]
+            self.set_upstreams({item.name: item for item in upstreams})
+        if current:
+            self.catalog.record_confirmation(age_s)
 
-    def apply_state(self, body: bytes, current: bool) -> None:
-        """Apply another host's state; ``current`` if that host reaches the store."""
-        value = orjson.loads(body)
-        stored = StoredObject("", 0, value["configuration"].encode())
-        decoded = self.source.decode_configuration(stored)
+    def apply_configuration(self, source: bytes) -> bool:
+        """Apply an encoded configuration; return whether it is valid."""
+        decoded = self.source.decode_configuration(StoredObject("", 0, source))
         if isinstance(decoded, Err):
             logging.error(
                 "configuration received from a host is invalid: %s", decoded.err_value
             )
-            return
-        self.catalog.update_configuration(decoded.ok_value, stored.body)
-        if current:
-            self.catalog.record_confirmation()
-        for model, version in value["wanted"].items():
-            self.catalog.update_wanted(WantedWeights(model, version))
-        if current or not self.catalog.upstreams_loaded:
-            upstreams = [decode_upstream(item) for item in value["upstreams"]]
-            self.catalog.replace_upstreams({item.name: item for item in upstreams})
+            return False
+        self.catalog.update_configuration(decoded.ok_value, source)
+        return True
--- a/rosemaryyoke/objects/__init__.py
+++ b/rosemaryyoke/objects/__init__.py
@@ -11,6 +11,7 @@
     PlatformError,
     StoredObject,
 )
+from rosemaryyoke.objects.reporting import ReportingObjectApi
 from rosemaryyoke.objects.updates import Abandoned, update_object
 
 __all__ = [
@@ -23,6 +24,7 @@
     "ListedHost",
     "ObjectApi",
     "PlatformError",
+    "ReportingObjectApi",
     "StoredObject",
     "update_object",
 ]
--- a/rosemaryyoke/platform/tests/test_hosts_and_store.py
+++ b/rosemaryyoke/platform/tests/test_hosts_and_store.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from rosemaryyoke.hosts.watchers import WATCHERS
 from rosemaryyoke.http1 import send_request
 from rosemaryyoke.platform.standins.documents import (
     make_configuration,
@@ -117,12 +118,13 @@
 
 def test_hosts_beyond_the_watchers_hear_of_upstreams_from_one(deployment):
     seeds = [deployment.host.settings.peers]
-    others = [start_host(deployment.store, seeds) for _ in range(3)]
+    others = [start_host(deployment.store, seeds) for _ in range(WATCHERS + 1)]
     hosts = [deployment.host, *others]
     try:
         wait_for(
             lambda: all(
-                len(host.table.live_peers(time.monotonic())) == 3 for host in hosts
+                len(host.table.live_peers(time.monotonic())) == len(others)
+                for host in hosts
             )
         )
         wait_for(lambda: sum(bool(host.relay.generation) for host in hosts) == 2, 8.0)
