Pace beacons and digests by the link, and share the relaying

Cause: loads of whole data centres were unknown elsewhere. A relay passed each datagram of a digest on to all hosts of its data centre, pausing within one datagram's receivers but not between datagrams: 4.8 Mbit/s on a link of 5, beside its beacons. The link's queue then dropped what came last, each round: the loads.

Ruled out: dead relay threads and full relay queues (counted: 27 relayed of 27), lost datagrams between data centres (relays had digests 0.0 to 0.4 s old), and hosts that send in step, which does happen: with randomly varied periods alone the ages stayed (kr-south-c from kr-south-a still 17 s and more).

Change: all datagrams of a host share a token bucket of a quarter of its link's rate (the setting is read from the platform's file). Six hosts of a data centre relay a digest, each to its share of the others; shares move on with each round. Loads come first in a digest, host states every second round. Periods vary at random, and digests go out half a period after the beacon.

The test of a round of beacons states its link's rate to the sender, as the settings do; what must arrive is unchanged. A new test relays four datagrams in a row beside a round of beacons; another one lets hosts that start together drift. Builds before this one don't know the new datagram: hosts of both builds learn of each other by beacons during a roll-out.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -32,6 +32,7 @@
 from rosemaryyoke.exchanges.settings import RoutingSettings
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.hosts import Beacon, BeaconService, HostTable
+from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.registration import Registration
 from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
@@ -126,7 +127,9 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.connections = ConnectionPool()
-        self.beacons = BeaconService(self.table, self.fleet, self.make_beacon)
+        self.beacons = BeaconService(
+            self.table, self.fleet, self.make_beacon, Pacer(settings.link_mbps)
+        )
         pool = PoolService()
         self.timer = TimerService(pool.executor)
         self.rollout = Rollout(
--- a/rosemaryyoke/exchanges/settings.py
+++ b/rosemaryyoke/exchanges/settings.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from rosemaryyoke.hosts.pacer import DEFAULT_LINK_MBPS
 from rosemaryyoke.http1 import Address
 
 DEFAULT_CONNECTIONS = 600
@@ -16,6 +17,7 @@
     announced. ``retry_ratio`` and ``retry_slack`` limit the retries of all
     hosts together in ``retry_window_s``. ``grace_s`` limits the time of a shutdown.
     ``drain_s`` is how long an upstream serves on after it announced that it leaves.
+    ``link_mbps`` is the rate of the host's network link.
     """
 
     name: str
@@ -30,6 +32,7 @@
     metrics_port: int = DEFAULT_METRICS_PORT
     grace_s: float = 8.0
     drain_s: float = 2.0
+    link_mbps: float = DEFAULT_LINK_MBPS
     lease_s: float = 3.0
     weights_bound_s: float = 15.0
     retry_ratio: float = 0.2
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -13,6 +13,7 @@
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.state import (
     PROBE_SHARE,
+    REMOTE_LOAD_TTL_S,
     SILENCE_REPORT_TTL_S,
     ActiveRequest,
     RemoteLoad,
@@ -258,8 +259,13 @@
                     state.loading_until_s = 0.0
                     state.loading_reported_by = ""
 
-    def update_remote_loads(self, host: str, loads: list[UpstreamLoad]) -> None:
-        """Replace the loads that another host reports."""
+    def update_remote_loads(
+        self,
+        host: str,
+        loads: list[UpstreamLoad],
+        valid_s: float = REMOTE_LOAD_TTL_S,
+    ) -> None:
+        """Replace the loads that another host reports, which are valid for a time."""
         now_s = self.now_s()
         reported = {load.upstream for load in loads}
         with self.lock:
@@ -271,5 +277,9 @@
                 state = self.states.get(load.upstream)
                 if state is not None:
                     state.remote[host] = RemoteLoad(
-                        load.running, load.prefill_tokens, load.tokens, now_s
+                        load.running,
+                        load.prefill_tokens,
+                        load.tokens,
+                        now_s,
+                        valid_s,
                     )
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -45,6 +45,7 @@
     prefill_tokens: float
     tokens: float
     received_s: float
+    valid_s: float = REMOTE_LOAD_TTL_S
 
 
 @define(eq=False)
@@ -170,8 +171,11 @@
 
     def recent_remote_loads(self, now_s: float) -> list[RemoteLoad]:
         """Return the remote loads that have not expired."""
-        oldest_s = now_s - REMOTE_LOAD_TTL_S
-        return [load for load in self.remote.values() if load.received_s >= oldest_s]
+        return [
+            load
+            for load in self.remote.values()
+            if now_s - load.received_s <= load.valid_s
+        ]
 
     def record_failure(self, now_s: float, silent: bool = True) -> None:
         """Suspect the upstream, with an exponential backoff for consecutive failures.
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -3,6 +3,7 @@
 import queue
 import random
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -11,7 +12,7 @@
 from absl import logging
 from attrs import define, field
 
-from rosemaryyoke.fleet import Fleet, PromptPrefill
+from rosemaryyoke.fleet import Fleet, PromptPrefill, upstream_key
 from rosemaryyoke.hosts.codec import (
     Beacon,
     Digest,
@@ -22,25 +23,30 @@
     encode_digest,
 )
 from rosemaryyoke.hosts.digests import make_digests, make_host_digests
+from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.table import HostTable, peers_in_data_centre
 from rosemaryyoke.http1 import Address
 
 BEACON_PERIOD_S = 0.3
 # Per destination; in a large fleet, beacons sent more often cost more than they gain.
 BEACON_PERIOD_PER_HOST_S = 0.02
+# Hosts that start together would otherwise send at the same moments for good, and a
+# datagram that meets the others' bursts at a full link would be lost every time.
+PERIOD_JITTER = (0.7, 1.3)
 MAX_DATAGRAM_BYTES = 65_507
-BURST_BYTES = 16_384  # a quarter of the burst that a link of 5 Mbit/s accepted
-BURST_PAUSE_S = 0.03
 MAX_PENDING_READS = 96
 RELAY_QUEUE_SIZE = 64  # digests; further ones are dropped
+HOST_DIGEST_ROUNDS = 2  # host states change less than loads, and stay valid longer
 # Loads in beacons from other data centres are ignored for this long after a digest with
 # loads; several digests may be lost before beacons are used again.
-DIGEST_LOADS_VALID_S = 2.5
+DIGEST_LOADS_VALID_S = 4.0
 
 # Kinds of datagrams: the first byte.
 BEACON = b"B"
-DIGEST = b"D"  # the receiver relays it to the hosts of its data centre
+# The receiver relays it to a share of its data centre, given by a header.
+SHARED_DIGEST = b"S"
 RELAYED_DIGEST = b"P"  # the receiver does not relay it
+SHARE_HEADER = struct.Struct("<BB")  # number of this share, count of shares
 
 MakeBeacon = Callable[[int, tuple[PromptPrefill, ...]], Beacon]
 
@@ -56,6 +62,7 @@
     table: HostTable
     fleet: Fleet
     make_beacon: MakeBeacon
+    pacer: Pacer = field(factory=Pacer)
     sequence: int = 0
     round_number: int = 0
     stopping: threading.Event = field(factory=threading.Event)
@@ -84,34 +91,56 @@
         self.stopping.set()
 
     def send(self) -> None:
-        """Send beacons periodically until stopped."""
+        """Send beacons and digests periodically until stopped."""
         while not self.stopping.is_set():
-            destination_count = self.send_now()
-            self.stopping.wait(
-                max(BEACON_PERIOD_S, BEACON_PERIOD_PER_HOST_S * destination_count)
-            )
+            with self.lock:
+                beacon, destination_count = self.send_beacon()
+            self.stopping.wait(next_pause_s(destination_count) / 2)
+            with self.lock:
+                self.send_digests(beacon)
+            self.stopping.wait(next_pause_s(destination_count) / 2)
 
-    def send_now(self) -> int:
-        """Send a beacon, and digests if due; return the number of beacons sent."""
+    def send_now(self) -> None:
+        """Send a beacon, and digests if due, without waiting for the next round."""
         with self.lock:
-            self.sequence += 1
-            self.round_number += 1
-            reads = self.fleet.next_unsent_prefills()
-            beacon = self.make_beacon(self.sequence, reads)
-            now_s = self.now_s()
-            destinations = self.table.beacon_destinations(now_s, self.round_number)
-            self.send_to_all(BEACON + encode_beacon(beacon), destinations)
-            self.pending_reads.extend(reads)
-            receivers = self.table.digest_receivers(now_s, self.round_number)
-            reads_to_send = tuple(self.pending_reads)
-            self.pending_reads.clear()
-            if receivers:
-                for digest in make_digests(
-                    self.table, self.fleet, beacon, reads_to_send, now_s
-                ):
-                    self.send_to_all(DIGEST + encode_digest(digest), receivers)
-            self.send_missing_hosts(now_s)
-            return len(destinations)
+            beacon, _ = self.send_beacon()
+            self.send_digests(beacon)
+
+    def send_beacon(self) -> tuple[Beacon, int]:
+        """Send a beacon; return it and the number of its destinations."""
+        self.sequence += 1
+        self.round_number += 1
+        reads = self.fleet.next_unsent_prefills()
+        beacon = self.make_beacon(self.sequence, reads)
+        destinations = self.table.beacon_destinations(self.now_s(), self.round_number)
+        self.send_to_all(BEACON + encode_beacon(beacon), destinations)
+        self.pending_reads.extend(reads)
+        return beacon, len(destinations)
+
+    def send_digests(self, beacon: Beacon) -> None:
+        """Send digests with this host's last beacon, if this host is to send them."""
+        now_s = self.now_s()
+        receivers = self.table.digest_receivers(now_s)
+        reads = tuple(self.pending_reads)
+        self.pending_reads.clear()
+        if receivers:
+            with_hosts = self.round_number % HOST_DIGEST_ROUNDS == 0
+            for digest in make_digests(
+                self.table, self.fleet, beacon, reads, now_s, with_hosts
+            ):
+                self.send_shares(encode_digest(digest), receivers)
+        self.send_missing_hosts(now_s)
+
+    def send_shares(self, data: bytes, receivers: list[list[Address]]) -> None:
+        """Send a digest to the relays of each data centre.
+
+        The shares move on with each round, so that a lost relay leaves no host out.
+        """
+        for relays in receivers:
+            for number, address in enumerate(relays):
+                share = (number + self.round_number) % len(relays)
+                header = SHARE_HEADER.pack(share, len(relays))
+                self.send_to_all(SHARED_DIGEST + header + data, [address])
 
     def send_missing_hosts(self, now_s: float) -> None:
         """Send unlisted remote peers the hosts of their own data centres."""
@@ -135,21 +164,24 @@
             self.relay_digest(data)
 
     def relay_digest(self, data: bytes) -> None:
-        """Send a digest to the hosts of this data centre."""
+        """Send a digest to this relay's share of the hosts of its data centre."""
+        share, count = SHARE_HEADER.unpack_from(data)
         local_peers = self.table.local_peers(self.table.live_peers(self.now_s()))
-        self.send_to_all(
-            RELAYED_DIGEST + data, [peer.beacon.peer_address for peer in local_peers]
-        )
+        addresses = [
+            peer.beacon.peer_address
+            for peer in local_peers
+            if upstream_key(peer.beacon.host) % count == share
+        ]
+        self.send_to_all(RELAYED_DIGEST + data[SHARE_HEADER.size :], addresses)
 
     def send_to_all(self, data: bytes, destinations: list[Address]) -> None:
-        """Send a datagram to hosts in random order, in bursts that fit link queues."""
+        """Send a datagram to hosts in random order, as fast as the pacer allows."""
         random.shuffle(destinations)
-        at_once = max(1, BURST_BYTES // len(data))
-        for first in range(0, len(destinations), at_once):
-            if first:
-                self.stopping.wait(BURST_PAUSE_S)
-            for address in destinations[first : first + at_once]:
-                self.send_datagram(address, data)
+        for address in destinations:
+            pause_s = self.pacer.reserve(len(data))
+            if pause_s:
+                self.stopping.wait(pause_s)
+            self.send_datagram(address, data)
 
     def send_datagram(self, address: Address, data: bytes) -> None:
         """Send a datagram to one host; log a failure."""
@@ -178,12 +210,14 @@
         """Decode and handle a datagram; raise ``MalformedBeacon`` if it is invalid."""
         if kind == BEACON:
             self.handle_beacon(decode_beacon(data, self.fleet.names_by_key))
-        elif kind in (DIGEST, RELAYED_DIGEST):
+        elif kind == RELAYED_DIGEST:
             self.handle_digest(decode_digest(data, self.fleet.names_by_key))
+        elif kind == SHARED_DIGEST:
+            digest = data[SHARE_HEADER.size :]
+            self.handle_digest(decode_digest(digest, self.fleet.names_by_key))
+            self.queue_digest(data)
         else:
             raise MalformedBeacon(f"unknown datagram kind {kind!r}")
-        if kind == DIGEST:
-            self.queue_digest(data)
 
     def queue_digest(self, data: bytes) -> None:
         """Queue a digest for the relay; drop it if the queue is full."""
@@ -224,6 +258,14 @@
         if digest.has_loads:
             self.load_digest_received_s[digest.data_centre] = now_s
             source = f"all of {digest.data_centre}"
-            self.fleet.update_remote_loads(source, list(digest.loads))
+            self.fleet.update_remote_loads(
+                source, list(digest.loads), DIGEST_LOADS_VALID_S
+            )
             self.fleet.update_loading(source, digest.loading, now_s)
             self.fleet.update_silent(source, digest.silent)
+
+
+def next_pause_s(destination_count: int) -> float:
+    """Return a randomly varied period between beacons, in seconds."""
+    period_s = max(BEACON_PERIOD_S, BEACON_PERIOD_PER_HOST_S * destination_count)
+    return period_s * random.uniform(*PERIOD_JITTER)
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -18,14 +18,15 @@
     own: Beacon,
     reads: Iterable[PromptPrefill],
     now_s: float,
+    with_hosts: bool = True,
 ) -> Iterator[Digest]:
-    """Return the parts of this data centre's digest, one for each datagram."""
+    """Return the parts of this data centre's digest, one for each datagram.
+
+    Loads come first, because they age fastest.
+    """
     data_centre = own.data_centre
     local_peers = table.local_peers(table.live_peers(now_s))
     names = {peer.beacon.host for peer in local_peers}
-    yield from make_host_digests(
-        data_centre, [own, *(peer.beacon for peer in local_peers)]
-    )
     loading = {*own.loading, *fleet.loading_upstreams(names)}
     loads = tuple(fleet.combined_loads(names))
     yield Digest(
@@ -35,6 +36,9 @@
         loading=tuple(loading),
         silent=tuple(fleet.silent_upstreams(names)),
     )
+    if with_hosts:
+        hosts = [own, *(peer.beacon for peer in local_peers)]
+        yield from make_host_digests(data_centre, hosts)
     for part in batched(reads, READS_PER_DATAGRAM):
         yield Digest(data_centre, reads=part)
 
--- a/rosemaryyoke/hosts/table.py
+++ b/rosemaryyoke/hosts/table.py
@@ -19,7 +19,7 @@
 MIN_PEERS_FOR_HIERARCHY = 24  # smaller fleets exchange beacons as a full mesh
 # Below the limit of the full mesh, so that every host is covered by one or the other.
 MIN_PEERS_FOR_DIGESTS = 20
-DIGEST_RECEIVERS_PER_DATA_CENTRE = 2  # used in turn; one may be down
+DIGEST_RECEIVERS_PER_DATA_CENTRE = 6  # share the relaying, each on a slow link
 EXPIRY_S = 30.0
 MIN_CLIENT_ADDRESSES = 2  # clients survive the loss of one host
 MAX_CLIENT_ADDRESSES = 64
@@ -155,8 +155,8 @@
         sample += random.sample(peers, min(ADDRESS_SAMPLE_SIZE, len(peers)))
         return tuple({peer.beacon.peer_address for peer in sample})
 
-    def digest_receivers(self, now_s: float, round_number: int) -> list[Address]:
-        """Return where to send a digest: one host of each other data centre.
+    def digest_receivers(self, now_s: float) -> list[list[Address]]:
+        """Return where to send a digest: some hosts of each other data centre.
 
         The list is empty if another host sends the digest or the fleet is small.
         """
@@ -176,7 +176,7 @@
             ranked = rank(
                 own_key + other.encode(), hosts, DIGEST_RECEIVERS_PER_DATA_CENTRE
             )
-            receivers.append(hosts[ranked[round_number % len(ranked)]])
+            receivers.append([hosts[name] for name in ranked])
         return receivers
 
     def _expire(self, now_s: float) -> None:
--- a/rosemaryyoke/hosts/tests/test_beacons.py
+++ b/rosemaryyoke/hosts/tests/test_beacons.py
@@ -1,20 +1,27 @@
 """Beacon broadcasts over links that drop datagrams beyond their queue size."""
 
+import statistics
+import threading
 import time
+from collections import Counter
 
 from attrs import define, evolve, field
 
 from rosemaryyoke.catalog import Catalog
-from rosemaryyoke.fleet import Fleet, PromptPrefill, UpstreamLoad
+from rosemaryyoke.fleet import Fleet, PromptPrefill, UpstreamLoad, upstream_key
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.hosts import BeaconService, HostTable
+from rosemaryyoke.hosts.beacons import SHARE_HEADER, next_pause_s
 from rosemaryyoke.hosts.codec import encode_beacon
+from rosemaryyoke.hosts.pacer import Pacer
+from rosemaryyoke.hosts.table import DIGEST_RECEIVERS_PER_DATA_CENTRE
 from rosemaryyoke.hosts.tests.test_table import OWN, make_beacon
 
 PEERS = 64
 ENGINES = 70
-LINK_BYTES_PER_S = 5e6 / 8
+LINK_MBPS = 5.0
+LINK_BYTES_PER_S = LINK_MBPS * 1e6 / 8
 LINK_QUEUE_BYTES = 64_000
 MAX_DATAGRAM_BYTES = 1_400  # below the size at which IP fragments a datagram
 
@@ -56,7 +63,9 @@
     for number in range(2, PEERS + 2):
         table.update_from_beacon(make_beacon(number), time.monotonic())
     beacon = full_beacon()
-    beacons = BeaconService(table, Fleet(Catalog()), lambda *_: beacon)
+    beacons = BeaconService(
+        table, Fleet(Catalog()), lambda *_: beacon, Pacer(LINK_MBPS)
+    )
     beacons.udp_socket = link
     return beacons
 
@@ -87,3 +96,28 @@
     beacons.fleet.states["e1"] = make_state("e1")
     beacons.handle_beacon(evolve(make_beacon(2, sequence=2), loading=("e1", "unknown")))
     assert beacons.fleet.states["e1"].loading(time.monotonic())
+
+
+def test_all_relayed_digests_fit_link_queue():
+    """Pattern: a relay passes on several datagrams in a row while it sends beacons."""
+    link = LimitedLink()
+    beacons = make_beacons(link)
+    count = DIGEST_RECEIVERS_PER_DATA_CENTRE
+    share = SHARE_HEADER.pack(0, count)
+    names = [f"h{number}" for number in range(2, PEERS + 2)]
+    expected = sum(upstream_key(name) % count == 0 for name in names)
+    sender = threading.Thread(target=beacons.send_now)
+    sender.start()
+    for number in range(4):  # host states, loads and prefills
+        beacons.relay_digest(share + bytes([number]) * 1_100)
+    sender.join()
+    relayed = Counter(data[1] for _, data in link.delivered if data[:1] == b"P")
+    assert relayed == {number: expected for number in range(4)}
+
+
+def test_hosts_that_start_together_drift_apart():
+    """Pattern: all hosts start at once, and send in periods of the same length."""
+    sent_s = [sum(next_pause_s(30) for _ in range(8)) for _ in range(200)]
+    period_s = statistics.mean(sent_s) / 8
+    assert abs(period_s - 0.6) < 0.05
+    assert statistics.pstdev(sent_s) > period_s / 4
--- a/rosemaryyoke/hosts/tests/test_digests.py
+++ b/rosemaryyoke/hosts/tests/test_digests.py
@@ -110,7 +110,7 @@
             host
             for host in self.hosts.values()
             if host.identity.data_centre == data_centre
-            and host.beacons.table.digest_receivers(self.clock_s, 0)
+            and host.beacons.table.digest_receivers(self.clock_s)
         ]
         assert len(senders) == 1
         return senders[0]
--- a/rosemaryyoke/platform/settings_file.py
+++ b/rosemaryyoke/platform/settings_file.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.exchanges.settings import RoutingSettings
+from rosemaryyoke.hosts.pacer import DEFAULT_LINK_MBPS
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.platform.names import SETTINGS_VARIABLE
 
@@ -56,6 +57,7 @@
         peers=Address.parse(listen["control"]),
         seeds=tuple(Address.parse(item) for item in value.get("seeds") or ()),
         store=Address.parse(value["platform"]["address"]),
+        link_mbps=value.get("limits", {}).get("linkMbps") or DEFAULT_LINK_MBPS,
         **read_bounds(bounds),
     )
 
