Give the chooser its own random generator, seeded in the models

Cause: placement drew from the global generator, and the model's event queue broke ties by object addresses, so that test_load_herding_is_avoided_during_rolling_loads gave other shares in each run.

Change: the chooser has a generator; the models seed it, and number their events.

--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -96,6 +96,7 @@
     """Predicts the cost of each upstream and chooses the lowest."""
 
     rankings: RankingCache = field(factory=lambda: RankingCache(HOMES_PER_PREFIX))
+    generator: random.Random = field(factory=random.Random)
 
     def choose(
         self,
@@ -105,7 +106,7 @@
         now_s: float,
     ) -> Result[Placement, NoUpstream]:
         """Return the upstream with the lowest predicted cost, or why there is none."""
-        probes = random.random() < request.probe_share
+        probes = self.generator.random() < request.probe_share
         usable = [
             state
             for state in states
@@ -122,14 +123,16 @@
         placements = [
             self.predict(request, state, home, prompts, now_s) for state in usable
         ]
-        candidates = sample_candidates(placements, home, request.ask.shared_tokens)
+        candidates = sample_candidates(
+            placements, home, request.ask.shared_tokens, self.generator
+        )
         max_wait_s = min(request.max_wait_s, MAX_WAIT_SHARE * request.time_left_s)
         eligible = [item for item in candidates if item.wait_s <= max_wait_s]
         if not eligible:
             least_s = min(item.wait_s for item in candidates)
             wait_s = least_s - max_wait_s / 2
             return Err(NoUpstream("every queue compared is too long", wait_s))
-        return Ok(min(eligible, key=lambda item: (item.cost_s, random.random())))
+        return Ok(min(eligible, key=lambda item: (item.cost_s, self.generator.random())))
 
     def earliest_suspect(
         self, states: Sequence[UpstreamState], excluded: set[str]
@@ -237,7 +240,10 @@
 
 
 def sample_candidates(
-    placements: list[Placement], home: str, shared_tokens: int
+    placements: list[Placement],
+    home: str,
+    shared_tokens: int,
+    generator: random.Random,
 ) -> list[Placement]:
     """Return the home, a sample of engines with the shared prefix, and a random sample.
 
@@ -251,9 +257,9 @@
     chosen = [item for item in placements if item.state.upstream.name == home]
     needed = max(HOME_MIN_TOKENS, shared_tokens)
     holders = [item for item in placements if item.hit_tokens >= needed]
-    chosen += random.sample(holders, min(HOLDER_SAMPLE_SIZE, len(holders)))
+    chosen += generator.sample(holders, min(HOLDER_SAMPLE_SIZE, len(holders)))
     others = [item for item in placements if not item.loading]
-    chosen += random.sample(others, min(RANDOM_SAMPLE_SIZE, len(others)))
+    chosen += generator.sample(others, min(RANDOM_SAMPLE_SIZE, len(others)))
     return chosen or placements
 
 
--- a/rosemaryyoke/fleet/tests/engine_model.py
+++ b/rosemaryyoke/fleet/tests/engine_model.py
@@ -1,6 +1,7 @@
 """Simulated engines whose running requests take memory from the prefix cache."""
 
 import heapq
+import itertools
 import random
 from collections import deque
 
@@ -98,7 +99,8 @@
     def __attrs_post_init__(self):
         self.random = random.Random(self.seed)
         self.fleet = Fleet(Catalog(), now_s=lambda: self.clock_s)
-        self.chooser = Chooser()
+        self.chooser = Chooser(generator=random.Random(self.seed))
+        self.event_numbers = itertools.count()
         self.by_name = {}
         for number in range(self.engines):
             state = make_state(f"e{number}")
@@ -189,7 +191,7 @@
         return self.by_name[placement.state.upstream.name]
 
     def schedule(self, at_s, action):
-        heapq.heappush(self.scheduled, (at_s, id(action), action))
+        heapq.heappush(self.scheduled, (at_s, next(self.event_numbers), action))
 
     def run_event(self, item):
         item[2]()
--- a/rosemaryyoke/fleet/tests/test_silent_engines.py
+++ b/rosemaryyoke/fleet/tests/test_silent_engines.py
@@ -43,7 +43,7 @@
 
     def __attrs_post_init__(self):
         self.random = random.Random(self.seed)
-        self.chooser = Chooser()
+        self.chooser = Chooser(generator=random.Random(self.seed))
         for _ in range(self.hosts):
             fleet = Fleet(Catalog(), now_s=lambda: self.clock_s)
             fleet.states = {f"e{n}": make_state(f"e{n}") for n in range(self.engines)}
