Probe a silent engine before a request is rejected, and log the queues

The log line of a rejection didn't say which engines were compared.

Change: a request that is about to be rejected is offered to a silent engine whose backoff is over, one at a time. Rejections log the queues compared: engine, wait, running requests, age of the newest load.

Three tests of that state; the first one is refused on the code before.

--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -1,11 +1,12 @@
 """Log the routing decisions of an exchange with their inputs."""
 
 import time
+from typing import Sequence
 
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import AttemptFailed, NotRun
 from rosemaryyoke.exchanges.exchange import Exchange
-from rosemaryyoke.fleet import Placement
+from rosemaryyoke.fleet import ComparedQueue, Placement
 
 MS_PER_S = 1_000
 
@@ -49,6 +50,19 @@
     )
 
 
+def log_queues(compared: Sequence[ComparedQueue]) -> list[dict]:
+    """Return the queues that led to a rejection, as fields of a log line."""
+    return [
+        {
+            "upstream": item.upstream,
+            "wait_ms": round(item.wait_s * MS_PER_S),
+            "running": round(item.running, 1),
+            "age_ms": None if item.age_s is None else round(item.age_s * MS_PER_S),
+        }
+        for item in compared
+    ]
+
+
 def log_response(exchange: Exchange, status: int) -> None:
     """Log an upstream response that was forwarded to the caller."""
     age_ms = exchange.age_ms()
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -52,4 +52,4 @@
     if exchange.may_have_run or exchange.run_count:
         return ErrorResponse(502, "upstream_failed", reason.message)
     wait_s = jittered_retry_after_s(reason.retry_after_s)
-    return ErrorResponse(503, "no_upstream", reason.message, wait_s)
+    return ErrorResponse(503, "no_upstream", reason.message, wait_s, reason.compared)
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -21,7 +21,12 @@
 from rosemaryyoke.exchanges.attempt_timeout import attempt_timeout_s
 from rosemaryyoke.exchanges.caller import CallerConnection, CallerDisconnected
 from rosemaryyoke.exchanges.connections import ConnectionPool
-from rosemaryyoke.exchanges.decision_log import log_outcome, log_placement, log_response
+from rosemaryyoke.exchanges.decision_log import (
+    log_outcome,
+    log_placement,
+    log_queues,
+    log_response,
+)
 from rosemaryyoke.exchanges.error_responses import (
     error_for_outcome,
     is_server_error,
@@ -349,5 +354,6 @@
             code=error.code,
             reason=error.message,
             retry_after_s=error.retry_after_s,
+            compared=log_queues(error.compared),
         )
         caller.send_error(error.status, error.code, error.message, error.retry_after_s)
--- a/rosemaryyoke/fleet/__init__.py
+++ b/rosemaryyoke/fleet/__init__.py
@@ -5,6 +5,7 @@
 from rosemaryyoke.fleet.fleet import Fleet, PromptPrefill, UpstreamLoad, upstream_key
 from rosemaryyoke.fleet.placement import (
     Chooser,
+    ComparedQueue,
     NoUpstream,
     Placement,
     PlacementRequest,
@@ -16,6 +17,7 @@
     "ActiveRequest",
     "CacheStores",
     "Chooser",
+    "ComparedQueue",
     "Fleet",
     "HashedPart",
     "NoUpstream",
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -56,12 +56,26 @@
     loading: bool = False
 
 
+@frozen
+class ComparedQueue:
+    """A queue that was too long, and the age of the newest load that others reported.
+
+    The age is ``None`` if no other host reports a load there.
+    """
+
+    upstream: str
+    wait_s: float
+    running: float
+    age_s: float | None
+
+
 @frozen
 class NoUpstream:
     """Why no upstream is available, and when to retry."""
 
     message: str
     retry_after_s: float
+    compared: tuple[ComparedQueue, ...] = ()
 
 
 @frozen
@@ -128,11 +142,39 @@
         )
         max_wait_s = min(request.max_wait_s, MAX_WAIT_SHARE * request.time_left_s)
         eligible = [item for item in candidates if item.wait_s <= max_wait_s]
+        if not eligible:
+            eligible = self.due_probes(request, states, excluded, prompts, now_s)
         if not eligible:
             least_s = min(item.wait_s for item in candidates)
             wait_s = least_s - max_wait_s / 2
-            return Err(NoUpstream("every queue compared is too long", wait_s))
-        return Ok(min(eligible, key=lambda item: (item.cost_s, self.generator.random())))
+            compared = tuple(compared_queue(item, now_s) for item in candidates)
+            return Err(NoUpstream("every queue compared is too long", wait_s, compared))
+        return Ok(
+            min(eligible, key=lambda item: (item.cost_s, self.generator.random()))
+        )
+
+    def due_probes(
+        self,
+        request: PlacementRequest,
+        states: Sequence[UpstreamState],
+        excluded: set[str],
+        prompts: dict[bytes, HashedPrompt],
+        now_s: float,
+    ) -> list[Placement]:
+        """Return the silent upstreams whose backoff is over.
+
+        A request that would be rejected is better used to find out whether one of them
+        responds again. In a large fleet only some are, since hosts report recoveries.
+        """
+        if self.generator.random() >= request.probe_share / PROBE_SHARE:
+            return []
+        return [
+            self.predict(request, state, "", prompts, now_s)
+            for state in states
+            if state.upstream.name not in excluded
+            and state.considered_silent(now_s)
+            and state.usable(now_s)
+        ]
 
     def earliest_suspect(
         self, states: Sequence[UpstreamState], excluded: set[str]
@@ -224,6 +266,16 @@
         return cost_s
 
 
+def compared_queue(placement: Placement, now_s: float) -> ComparedQueue:
+    """Return what the decision knew of an upstream's queue."""
+    state = placement.state
+    loads = state.recent_remote_loads(now_s)
+    age_s = min((now_s - load.received_s for load in loads), default=None)
+    return ComparedQueue(
+        state.upstream.name, placement.wait_s, state.running(now_s), age_s
+    )
+
+
 def hash_prompt(request: PlacementRequest, salt: bytes, now_s: float) -> HashedPrompt:
     """Return a prompt hashed with a salt, and how much of it is stored."""
     parts = hash_parts(salt, request.ask.parts)
--- a/rosemaryyoke/fleet/tests/test_placement.py
+++ b/rosemaryyoke/fleet/tests/test_placement.py
@@ -1,11 +1,14 @@
 """Choice of the upstream for a request."""
 
 from collections import Counter
+from random import Random
 
+from attrs import evolve
 from result import Err
 
 from rosemaryyoke.fleet import ActiveRequest, Chooser
 from rosemaryyoke.fleet.cache_estimate import hash_parts
+from rosemaryyoke.fleet.state import INITIAL_BACKOFF_S, PROBE_SHARE, RemoteLoad
 from rosemaryyoke.fleet.tests.builders import (
     NOW_S,
     make_ask,
@@ -94,3 +97,61 @@
 def test_placement_never_refuses_while_an_engine_is_free():
     for time_left_s in (5.0, 1.0, 0.2, 0.05):
         assert choose(make_states(2), make_request(time_left_s=time_left_s))
+
+
+def make_overloaded_and_silent(failed_s):
+    """Return an engine with a long queue, and one that fell silent at a time."""
+    overloaded, silent = make_states(2)
+    load(overloaded, 48, prefill=9_190)
+    silent.record_failure(failed_s)
+    return overloaded, silent
+
+
+def make_chooser():
+    """Return a chooser whose first draw does not let a request probe by chance."""
+    chooser = Chooser(generator=Random(1))
+    assert Random(1).random() >= PROBE_SHARE
+    return chooser
+
+
+def test_request_about_to_be_rejected_probes_silent_engine():
+    """Pattern: a lost engine is back, and the others are still full of its load."""
+    states = make_overloaded_and_silent(NOW_S - INITIAL_BACKOFF_S - 0.1)
+    request = make_request(time_left_s=1.0)
+    assert choose(states, request, chooser=make_chooser()) == "e1"
+
+
+def test_silent_engine_is_not_probed_before_its_backoff_or_twice_at_once():
+    request = make_request(time_left_s=1.0)
+    recent = make_overloaded_and_silent(NOW_S)
+    assert isinstance(make_chooser().choose(request, recent, set(), NOW_S), Err)
+    probed = make_overloaded_and_silent(NOW_S - INITIAL_BACKOFF_S - 0.1)
+    load(probed[1], 1)
+    assert isinstance(make_chooser().choose(request, probed, set(), NOW_S), Err)
+
+
+def test_rejected_requests_of_a_large_fleet_rarely_probe():
+    """Pattern: an overloaded fleet with dead engines; a probe costs a caller time."""
+    request = evolve(make_request(time_left_s=1.0), probe_share=PROBE_SHARE / 20)
+    chooser = Chooser(generator=Random(2))
+    chosen = [
+        chooser.choose(
+            request,
+            make_overloaded_and_silent(NOW_S - INITIAL_BACKOFF_S - 0.1),
+            set(),
+            NOW_S,
+        )
+        for _ in range(400)
+    ]
+    assert sum(not isinstance(item, Err) for item in chosen) <= 400 / 10
+
+
+def test_rejection_names_the_queues_compared():
+    states = make_states(2)
+    for state in states:
+        load(state, 48, prefill=9_190)
+    states[0].remote["h2"] = RemoteLoad(3.0, 0.0, 0.0, NOW_S - 0.4)
+    refused = Chooser().choose(make_request(time_left_s=1.0), states, set(), NOW_S)
+    compared = {item.upstream: item for item in refused.err_value.compared}
+    assert compared["e0"].running == 51 and 0.39 < compared["e0"].age_s < 0.41
+    assert compared["e1"].age_s is None and compared["e1"].wait_s > 1.0
