Bound a watch at 4 s, now that three hosts read the store for all

Cause: found by reading. A watch of the configuration waited for 25 s. If its connection hangs, as it may after a silent outage of the store, the change is missed until the watch ends; each host had its own watch before, now all depend on three.

Change: a watch waits for 4 s at most, as that of the upstreams did. Not measured by itself.

--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -17,7 +17,7 @@
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
-IDLE_WATCH_S = 25.0  # below the store's 30 s limit on a watch
+IDLE_WATCH_S = 4.0  # bounds how long a change is missed on a connection that hangs
 UPSTREAMS_WATCH_S = 4.0  # longest wait before a host may switch to a peer
 RECOVERY_WATCH_S = 0.1  # short, to detect soon that the store responds again
 # Share of a drain's duration between calls, so that it applies in time.
@@ -59,9 +59,9 @@
     """Lists one kind, then watches it for changes after the listing's position.
 
     ``poll_peer`` tries to fetch the state from a peer instead of the store and returns
-    whether it succeeded. ``may_call`` tells whether the store may be called now, given
-    whether the next call is a watch. ``is_orphan`` tells whether this host should have
-    got its state from a peer; such a host spares the store.
+    whether it succeeded. ``may_call`` tells whether the store may be called now; its
+    argument is whether the next call is a watch. ``is_orphan`` tells whether this host
+    should have received its state from a peer; it then calls the store less often.
     """
 
     feed: ObjectFeed
