Check the share of a digest, and time the digests of hosts

Cause: found by reading. A datagram that names zero shares would have ended the relay's thread with a division by zero. Host states went out every second round, and a round grows with the hosts of a data centre: at 57 hosts 2.3 s apart, of 4 s for which they count as live, so that two losses would take a host out.

Change: the share is checked as the datagram is decoded; host states go out once a second or once a round, whichever is longer. Tests: malformed shares; a relay that dies leaves no host of its data centre without loads for two periods.

--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -1,5 +1,6 @@
 """Beacons and digests over UDP: threads to send, receive and relay them."""
 
+import math
 import queue
 import random
 import socket
@@ -36,7 +37,7 @@
 MAX_DATAGRAM_BYTES = 65_507
 MAX_PENDING_READS = 96
 RELAY_QUEUE_SIZE = 64  # digests; further ones are dropped
-HOST_DIGEST_ROUNDS = 2  # host states change less than loads, and stay valid longer
+HOST_DIGEST_PERIOD_S = 1.0  # host states change less than loads, and are valid for 4 s
 # Loads in beacons from other data centres are ignored for this long after a digest with
 # loads; several digests may be lost before beacons are used again.
 DIGEST_LOADS_VALID_S = 4.0
@@ -74,6 +75,7 @@
         factory=lambda: queue.Queue(RELAY_QUEUE_SIZE)
     )
     load_digest_received_s: dict[str, float] = field(factory=dict)
+    host_digest_sent_s: float = -math.inf
     udp_socket: socket.socket | None = None
     now_s: Callable[[], float] = time.monotonic
 
@@ -124,7 +126,9 @@
         reads = tuple(self.pending_reads)
         self.pending_reads.clear()
         if receivers:
-            with_hosts = self.round_number % HOST_DIGEST_ROUNDS == 0
+            with_hosts = now_s - self.host_digest_sent_s >= HOST_DIGEST_PERIOD_S
+            if with_hosts:
+                self.host_digest_sent_s = now_s
             for digest in make_digests(
                 self.table, self.fleet, beacon, reads, now_s, with_hosts
             ):
@@ -165,7 +169,7 @@
 
     def relay_digest(self, data: bytes) -> None:
         """Send a digest to this relay's share of the hosts of its data centre."""
-        share, count = SHARE_HEADER.unpack_from(data)
+        share, count = decode_share(data)
         local_peers = self.table.local_peers(self.table.live_peers(self.now_s()))
         addresses = [
             peer.beacon.peer_address
@@ -213,6 +217,7 @@
         elif kind == RELAYED_DIGEST:
             self.handle_digest(decode_digest(data, self.fleet.names_by_key))
         elif kind == SHARED_DIGEST:
+            decode_share(data)
             digest = data[SHARE_HEADER.size :]
             self.handle_digest(decode_digest(digest, self.fleet.names_by_key))
             self.queue_digest(data)
@@ -265,6 +270,16 @@
             self.fleet.update_silent(source, digest.silent)
 
 
+def decode_share(data: bytes) -> tuple[int, int]:
+    """Return the number of a share and their count; raise ``MalformedBeacon``."""
+    if len(data) < SHARE_HEADER.size:
+        raise MalformedBeacon("the share of a digest is missing")
+    share, count = SHARE_HEADER.unpack_from(data)
+    if share >= count:
+        raise MalformedBeacon(f"share {share} of {count} does not exist")
+    return share, count
+
+
 def next_pause_s(destination_count: int) -> float:
     """Return a randomly varied period between beacons, in seconds."""
     period_s = max(BEACON_PERIOD_S, BEACON_PERIOD_PER_HOST_S * destination_count)
--- a/rosemaryyoke/hosts/table.py
+++ b/rosemaryyoke/hosts/table.py
@@ -156,9 +156,9 @@
         return tuple({peer.beacon.peer_address for peer in sample})
 
     def digest_receivers(self, now_s: float) -> list[list[Address]]:
-        """Return where to send a digest: some hosts of each other data centre.
+        """Return the relays of a digest, one list for each other data centre.
 
-        The list is empty if another host sends the digest or the fleet is small.
+        There is none if another host sends the digest or the fleet is small.
         """
         peers = self.live_peers(now_s)
         local_hosts = [peer.beacon.host for peer in self.local_peers(peers)]
--- a/rosemaryyoke/hosts/tests/test_digests.py
+++ b/rosemaryyoke/hosts/tests/test_digests.py
@@ -10,7 +10,13 @@
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.hosts import BeaconService, HostTable
-from rosemaryyoke.hosts.codec import Digest, decode_digest, encode_digest
+from rosemaryyoke.hosts.beacons import SHARED_DIGEST
+from rosemaryyoke.hosts.codec import (
+    Digest,
+    MalformedBeacon,
+    decode_digest,
+    encode_digest,
+)
 from rosemaryyoke.hosts.tests.test_table import make_beacon
 from rosemaryyoke.http1 import Address
 
@@ -208,3 +214,28 @@
     identity = decode_digest(encode_digest(Digest("z1", hosts=hosts)), {}).hosts[0]
     assert identity.host == "h3" and identity.leaving and identity.configuration == 4
     assert (identity.peer_address, identity.sequence) == (hosts[0].peer_address, 9)
+
+
+@pytest.mark.parametrize("header", [b"", b"\x00", b"\x00\x00", b"\x06\x06"])
+def test_digest_with_malformed_share_is_not_relayed(network, header):
+    beacons = next(iter(network.hosts.values())).beacons
+    digest = header + (encode_digest(Digest("z1")) if len(header) > 1 else b"")
+    with pytest.raises(MalformedBeacon):
+        beacons.handle_datagram(SHARED_DIGEST, digest)
+    assert beacons.relay_queue.empty()
+
+
+def test_lost_relay_leaves_no_host_without_loads(network):
+    """Pattern: a host dies that relays the digests of another data centre."""
+    sender = network.digest_sender("z2")
+    relays = next(
+        addresses
+        for addresses in sender.beacons.table.digest_receivers(network.clock_s)
+        if network.hosts[addresses[0]].identity.data_centre == "z0"
+    )
+    del network.hosts[relays[0]]
+    network.run_rounds(2)
+    for host in network.hosts.values():
+        if host.identity.data_centre == "z0":
+            received_s = host.beacons.load_digest_received_s["z2"]
+            assert network.clock_s - received_s < 2 * PERIOD_S
