Log and count the end of every request by its cause

What an operator saw: of the requests that callers lost, no line of any host said who had ended them.

Each placed request now has one closing line: answered, refused, stream cut (cause, last upstream, sends, runs, events delivered, time left), caller left (closed or half-closed, reset, not reading) or request failed; requests_ended_total counts them by cause. Requests rejected during a shutdown are logged and carry their own identifier. Closing a response early is an exception of its own, no longer that of a caller who left, and an OSError that ends a connection is logged at debug level.

No decision changes. The three new tests fail on the code before: no closing line.

--- a/rosemaryyoke/core/metrics.py
+++ b/rosemaryyoke/core/metrics.py
@@ -13,6 +13,7 @@
     "first_event_seconds": "Time to the first event of a streamed answer.",
     "hosts_live": "Hosts that are heard, this one included.",
     "refusals_total": "Answers of this host's own, by code.",
+    "requests_ended_total": "Requests that ended, by cause.",
     "requests_under_way": "Requests that this host is answering.",
     "store_answers": "Whether the store answers this host, 1 or 0.",
     "upstreams_usable": "Upstreams that may get new work.",
--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -9,7 +9,11 @@
 
 from attrs import define, field, frozen
 
-from rosemaryyoke.exchanges.caller import CallerConnection, CallerDisconnected
+from rosemaryyoke.exchanges.caller import (
+    CallerConnection,
+    CallerDisconnected,
+    hangup_cause,
+)
 from rosemaryyoke.exchanges.connections import ConnectionPool, UpstreamConnection
 from rosemaryyoke.exchanges.events import EventRelay
 from rosemaryyoke.exchanges.messages import HeaderCodec, ResponseMetadata
@@ -156,7 +160,7 @@
                 return self._timeout_outcome(deadline_s)
             for descriptor, events in poller.poll((deadline_s - now_s) * MS_PER_S + 1):
                 if descriptor != upstream.fileno():
-                    raise CallerDisconnected("the caller closed its connection")
+                    raise CallerDisconnected(hangup_cause(events))
                 if self.unsent and events & select.POLLOUT:
                     self._send(upstream)
                     poller.modify(upstream, self._poll_events())
--- a/rosemaryyoke/exchanges/caller.py
+++ b/rosemaryyoke/exchanges/caller.py
@@ -29,8 +29,30 @@
 WRITE_TIMEOUT_S = 20.0
 
 
+CALLER_CLOSED = "caller closed"  # or half-closed, which looks the same
+CALLER_RESET = "caller reset"
+CALLER_NOT_READING = "caller not reading"
+
+
 class CallerDisconnected(Exception):
-    """The caller closed its connection or stopped reading the response."""
+    """The caller closed its connection or stopped reading the response.
+
+    ``cause`` is one of the constants above.
+    """
+
+    def __init__(self, cause: str, detail: str = ""):
+        super().__init__(detail or cause)
+        self.cause = cause
+
+
+class ResponseAborted(Exception):
+    """This host closes a connection instead of completing the response on it."""
+
+
+def hangup_cause(events: int) -> str:
+    """Return the cause for poll events that say that a caller is gone."""
+    reset = events & (select.POLLHUP | select.POLLERR)
+    return CALLER_RESET if reset else CALLER_CLOSED
 
 
 @define(eq=False)
@@ -103,15 +125,17 @@
             except BlockingIOError:
                 self._wait_writable(deadline_s)
             except OSError as error:
-                raise CallerDisconnected(str(error)) from error
+                raise CallerDisconnected(CALLER_RESET, str(error)) from error
 
     def _wait_writable(self, deadline_s: float) -> None:
         poller = select.poll()
         poller.register(self.socket, select.POLLOUT | select.POLLRDHUP)
         wait_s = max(0.0, deadline_s - time.monotonic())
         events = poller.poll(wait_s * MS_PER_S)
-        if not events or events[0][1] & HANGUP_EVENTS:
-            raise CallerDisconnected("the caller stopped reading the response")
+        if not events:
+            raise CallerDisconnected(CALLER_NOT_READING)
+        if events[0][1] & HANGUP_EVENTS:
+            raise CallerDisconnected(hangup_cause(events[0][1]))
 
     def _connection_header(self) -> tuple[bytes, bytes]:
         return (b"Connection", b"keep-alive" if self.keep_alive else b"close")
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -1,14 +1,23 @@
 """Log the routing decisions of an exchange with their inputs."""
 
-import time
 from typing import Sequence
 
 from rosemaryyoke.core.logs import log_event
-from rosemaryyoke.exchanges.attempt import AttemptFailed, NotRun
-from rosemaryyoke.exchanges.exchange import Exchange
+from rosemaryyoke.exchanges.attempt import (
+    AttemptFailed,
+    NotRun,
+    Outcome,
+    ResponseReceived,
+)
+from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange
 from rosemaryyoke.fleet import ComparedQueue, Placement
 
 MS_PER_S = 1_000
+CUT_AT_DEADLINE = "deadline"
+CUT_WITHOUT_PROGRESS = "no progress"
+CUT_BY_UPSTREAM = "upstream failed"
+CUT_BY_REFUSAL = "not run"
+CUT_WITHOUT_UPSTREAM = "no upstream"
 
 
 def log_placement(exchange: Exchange, placement: Placement) -> None:
@@ -26,7 +35,7 @@
         wait_ms=round(placement.wait_s * MS_PER_S),
         cost_ms=round(placement.cost_s * MS_PER_S),
         resumed_from=exchange.resumed_from,
-        left_ms=round((exchange.response_deadline_s - time.monotonic()) * MS_PER_S),
+        left_ms=exchange.left_ms(),
     )
 
 
@@ -67,3 +76,54 @@
     """Log an upstream response that was forwarded to the caller."""
     age_ms = exchange.age_ms()
     log_event("answered", request=exchange.request_id, status=status, age_ms=age_ms)
+
+
+def log_refusal(request: str, error: ErrorResponse) -> None:
+    """Log an error response of this host."""
+    log_event(
+        "refused",
+        request=request,
+        status=error.status,
+        code=error.code,
+        reason=error.message,
+        retry_after_s=error.retry_after_s,
+        compared=log_queues(error.compared),
+    )
+
+
+def log_end(message: str, exchange: Exchange, cause: str, reason: str) -> None:
+    """Log why a response ended early, and what was tried until then."""
+    log_event(
+        message,
+        request=exchange.request_id,
+        cause=cause,
+        reason=reason,
+        age_ms=exchange.age_ms(),
+        left_ms=exchange.left_ms(),
+        sends=exchange.send_count,
+        runs=exchange.run_count,
+        upstream=exchange.last_upstream,
+        events=exchange.relay.events if exchange.relay is not None else None,
+    )
+
+
+def cut_cause(outcome: Outcome) -> str:
+    """Return why a stream that has begun cannot continue after an attempt."""
+    if isinstance(outcome, NotRun):
+        return CUT_BY_REFUSAL
+    if isinstance(outcome, AttemptFailed) and outcome.deadline_exceeded:
+        return CUT_AT_DEADLINE
+    if isinstance(outcome, AttemptFailed) and outcome.timed_out:
+        return CUT_WITHOUT_PROGRESS
+    return CUT_BY_UPSTREAM
+
+
+def outcome_reason(outcome: Outcome) -> str:
+    """Return the reason of an outcome as text."""
+    if isinstance(outcome, AttemptFailed):
+        return outcome.reason
+    if isinstance(outcome, NotRun):
+        return f"status {outcome.status}"
+    if isinstance(outcome, ResponseReceived):
+        return f"status {outcome.message.status}"
+    return "completed"
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -10,6 +10,7 @@
 
 HTTP_SERVER_ERROR = 500
 NOT_RUN_RETRY_AFTER_S = 0.2
+TIMEOUT_CODE = "timeout"
 
 
 def is_server_error(outcome: ResponseReceived) -> bool:
@@ -38,7 +39,7 @@
 def timeout_error(exchange: Exchange) -> ErrorResponse:
     """Return the error response for an expired deadline."""
     if exchange.may_have_run or exchange.send_count:
-        return ErrorResponse(504, "timeout", "the upstream did not answer in time")
+        return ErrorResponse(504, TIMEOUT_CODE, "the upstream did not answer in time")
     return ErrorResponse(
         503,
         "not_run",
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -12,6 +12,7 @@
 from rosemaryyoke.fleet import ComparedQueue
 from rosemaryyoke.http1 import RequestMessage
 
+MS_PER_S = 1_000
 RETRY_AFTER_JITTER = (0.6, 1.4)
 MIN_RETRY_AFTER_S = 0.05
 QUEUE_WAIT_OBJECTIVES = 0.8  # longer queues fill engine memory and evict cache entries
@@ -57,6 +58,7 @@
     may_have_run: bool = False
     excluded_upstreams: set[str] = field(factory=set)
     resumed_from: bytes | None = None
+    last_upstream: str | None = None
 
     @property
     def request_id(self) -> str:
@@ -65,7 +67,11 @@
 
     def age_ms(self) -> int:
         """Return the age of the exchange in milliseconds."""
-        return round((time.monotonic() - self.started_s) * 1000)
+        return round((time.monotonic() - self.started_s) * MS_PER_S)
+
+    def left_ms(self) -> int:
+        """Return the time left until the response deadline in milliseconds."""
+        return round((self.response_deadline_s - time.monotonic()) * MS_PER_S)
 
     @property
     def service(self) -> str:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -3,6 +3,7 @@
 import math
 import random
 import time
+from typing import NoReturn
 
 from attrs import define, evolve, field
 from result import Err
@@ -19,15 +20,25 @@
     StreamCompleted,
 )
 from rosemaryyoke.exchanges.attempt_timeout import attempt_timeout_s
-from rosemaryyoke.exchanges.caller import CallerConnection, CallerDisconnected
+from rosemaryyoke.exchanges.caller import (
+    CallerConnection,
+    CallerDisconnected,
+    ResponseAborted,
+)
 from rosemaryyoke.exchanges.connections import ConnectionPool
 from rosemaryyoke.exchanges.decision_log import (
+    CUT_AT_DEADLINE,
+    CUT_WITHOUT_UPSTREAM,
+    cut_cause,
+    log_end,
     log_outcome,
     log_placement,
-    log_queues,
+    log_refusal,
     log_response,
+    outcome_reason,
 )
 from rosemaryyoke.exchanges.error_responses import (
+    TIMEOUT_CODE,
     error_for_outcome,
     is_server_error,
     no_upstream_error,
@@ -58,6 +69,8 @@
 from rosemaryyoke.rollout import EngineClient
 
 HTTP_OK = 200
+INTERNAL_ERROR = "internal error"
+SHUTDOWN_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 STREAM_STALL_TIMEOUT_S = 1.0  # Longest gap between events of a resumable stream.
 HEALTH_CHECK_TIMEOUT_S = 0.25  # an engine that runs answers within milliseconds
 MAX_SENDS = 4  # attempts per exchange, including refused ones
@@ -92,9 +105,34 @@
         started_s = time.monotonic()
         try:
             exchange = self.exchange_factory.open(message, caller, started_s)
-            self.forward(exchange)
         except RequestRejected as rejection:
             self.reject(caller, rejection.error)
+            return
+        try:
+            self.forward(exchange)
+        except RequestRejected as rejection:
+            self.reject_exchange(exchange, rejection.error)
+        except CallerDisconnected as departure:
+            self.record_departure(exchange, departure)
+            raise
+        except ResponseAborted:
+            raise
+        except Exception:
+            log_end("request failed", exchange, INTERNAL_ERROR, "see the error logged")
+            self.count_end(INTERNAL_ERROR)
+            raise
+
+    def reject_leaving(self, message: RequestMessage, caller: CallerConnection) -> None:
+        """Reject a request because this host shuts down."""
+        error = ErrorResponse(
+            503, "leaving", "this host is leaving", SHUTDOWN_RETRY_AFTER_S
+        )
+        try:
+            metadata = self.exchange_factory.parse_request_headers(message)
+            caller.request_id = metadata.request_id
+        except RequestRejected as rejection:
+            error = rejection.error
+        self.reject(caller, error)
 
     def forward(self, exchange: Exchange) -> None:
         """Send the exchange until it completes or is rejected."""
@@ -168,6 +206,7 @@
         """Send the exchange to an upstream and record the outcome."""
         state = placement.state
         exchange.send_count += 1
+        exchange.last_upstream = state.upstream.name
         exchange.excluded_upstreams.add(state.upstream.name)
         log_placement(exchange, placement)
         saves_to_store = self.writer.saves_to_store(exchange, placement)
@@ -318,10 +357,7 @@
     def complete(self, exchange: Exchange, outcome: Outcome) -> None:
         """Send the last outcome to the caller."""
         if exchange.caller.streaming:
-            log_event(
-                "stream cut", request=exchange.request_id, age_ms=exchange.age_ms()
-            )
-            raise CallerDisconnected("the stream was interrupted and cannot be resumed")
+            self.cut_stream(exchange, cut_cause(outcome), outcome_reason(outcome))
         if isinstance(outcome, ResponseReceived):
             message = outcome.message
             headers = [
@@ -339,21 +375,38 @@
     def record_response(self, exchange: Exchange, status: int) -> None:
         """Log and count a response forwarded to the caller."""
         log_response(exchange, status)
+        self.count_end("answered")
         elapsed_s = time.monotonic() - exchange.started_s
         self.metrics.observe("answer_seconds", elapsed_s, kind=exchange.route.kind)
 
+    def record_departure(
+        self, exchange: Exchange, departure: CallerDisconnected
+    ) -> None:
+        """Log and count a caller that left before the end of its response."""
+        log_end("caller left", exchange, departure.cause, str(departure))
+        self.count_end(departure.cause)
+
+    def reject_exchange(self, exchange: Exchange, error: ErrorResponse) -> None:
+        """Send an error response, or cut a stream that has begun."""
+        if exchange.caller.streaming:
+            expired = error.code == TIMEOUT_CODE
+            cause = CUT_AT_DEADLINE if expired else CUT_WITHOUT_UPSTREAM
+            self.cut_stream(exchange, cause, error.message)
+        self.reject(exchange.caller, error)
+
     def reject(self, caller: CallerConnection, error: ErrorResponse) -> None:
-        """Send an error response, or abort a stream that has started."""
-        if caller.streaming:
-            raise CallerDisconnected(error.message)
+        """Send an error response."""
         self.metrics.count("refusals_total", code=error.code)
-        log_event(
-            "refused",
-            request=caller.request_id.decode("latin-1"),
-            status=error.status,
-            code=error.code,
-            reason=error.message,
-            retry_after_s=error.retry_after_s,
-            compared=log_queues(error.compared),
-        )
+        self.count_end("refused")
+        log_refusal(caller.request_id.decode("latin-1"), error)
         caller.send_error(error.status, error.code, error.message, error.retry_after_s)
+
+    def cut_stream(self, exchange: Exchange, cause: str, reason: str) -> NoReturn:
+        """End a stream that cannot continue; raise ``ResponseAborted``."""
+        log_end("stream cut", exchange, cause, reason)
+        self.count_end(f"stream cut: {cause}")
+        raise ResponseAborted(reason)
+
+    def count_end(self, cause: str) -> None:
+        """Count the end of a request by its cause."""
+        self.metrics.count("requests_ended_total", cause=cause)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -348,6 +348,7 @@
             forwarder.handle,
             self.settings.max_connections,
             limits=self.request_limits,
+            rejection_handler=forwarder.reject_leaving,
         )
 
     def directory(self) -> Directory:
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -10,7 +10,11 @@
 from attrs import define, field
 
 from rosemaryyoke.core.pools import make_pool
-from rosemaryyoke.exchanges.caller import CallerConnection, CallerDisconnected
+from rosemaryyoke.exchanges.caller import (
+    CallerConnection,
+    CallerDisconnected,
+    ResponseAborted,
+)
 from rosemaryyoke.http1 import (
     Address,
     MalformedMessage,
@@ -30,7 +34,6 @@
 BACKLOG = 512
 TCP_USER_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 0.5
-SHUTDOWN_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 OVERLOADED_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
@@ -40,6 +43,11 @@
 Handler = Callable[[RequestMessage, CallerConnection], None]
 
 
+def reject_leaving(message: RequestMessage, caller: CallerConnection) -> None:
+    """Reject a request because the server shuts down."""
+    caller.send_error(503, "leaving", "this host is leaving")
+
+
 @define
 class RequestLimits:
     """Size limits and timeouts for callers' requests."""
@@ -60,6 +68,7 @@
     limits: Callable[[], RequestLimits] = RequestLimits
     keep_alive_disabled: bool = False
     rejecting_requests: bool = False
+    rejection_handler: Handler = reject_leaving
     open_connections: int = 0
     requests_in_progress: int = 0
     accepted_connections: int = 0
@@ -139,8 +148,10 @@
         try:
             set_tcp_options(connection, TCP_USER_TIMEOUT_S)
             self._serve_requests(CallerConnection(connection, peer))
-        except (CallerDisconnected, OSError):
+        except (CallerDisconnected, ResponseAborted):
             pass
+        except OSError as error:
+            logging.debug("connection lost server=%s error=%s", self.name, error)
         except Exception:
             logging.exception("a connection's task failed")
         finally:
@@ -170,12 +181,10 @@
             self.requests_in_progress += 1
         try:
             if self.rejecting_requests:
-                caller.send_error(
-                    503, "leaving", "this host is leaving", SHUTDOWN_RETRY_AFTER_S
-                )
+                self.rejection_handler(message, caller)
                 return
             self.handler(message, caller)
-        except (CallerDisconnected, OSError):
+        except (CallerDisconnected, ResponseAborted, OSError):
             raise
         except Exception:
             logging.exception("a request's handler failed")
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -1,12 +1,17 @@
 """Checks that logs alone show the cause of a failed request."""
 
+import socket
+import time
+
 from rosemaryyoke.platform.standins.servers import (
     send_client_request,
+    stream_headers,
 )
 from rosemaryyoke.platform.tests.deployment import (
     abort_after,
     run_and_drop_answer,
     script_all,
+    wait_for,
 )
 
 
@@ -44,3 +49,37 @@
     assert silent.message == "upstream silent"
     assert failed.fields["may_have_run"] and refused.fields["status"] == 502
     assert placed.fields["upstream"] == failed.fields["upstream"]
+
+
+def test_cause_of_a_stream_cut_for_lack_of_upstreams_is_in_the_logs(deployment, logged):
+    script_all(deployment.engines, abort_after(2), 503)
+    deployment.stream(**{"Request-Id": "c4"})
+    last = logged("c4")[-1]
+    assert last.message == "stream cut"
+    assert last.fields["cause"] == "no upstream"
+    assert last.fields["events"] == 2 and last.fields["left_ms"] > 0
+    count = deployment.host.metrics.value
+    assert count("requests_ended_total", cause="stream cut: no upstream") == 1
+
+
+def test_caller_that_leaves_is_in_the_logs(deployment, logged):
+    script_all(deployment.engines, lambda engine, message, caller: time.sleep(0.5))
+    address, lines = deployment.callers, ["POST /chat/1 HTTP/1.1", "Host: a.example"]
+    lines += ["Request-Id: c5", "Authorization: Bearer k1", "Content-Length: 0"]
+    lines += [f"{key}: {value}" for key, value in stream_headers()]
+    with socket.create_connection((address.ip, address.port)) as connection:
+        connection.sendall("\r\n".join([*lines, "", ""]).encode())
+        wait_for(lambda: any(engine.received for engine in deployment.engines))
+    count = deployment.host.metrics.value
+    wait_for(lambda: count("requests_ended_total", cause="caller closed"))
+    placed, left = logged("c5")
+    assert left.message == "caller left" and left.fields["sends"] == 1
+    assert left.fields["upstream"] == placed.fields["upstream"]
+
+
+def test_request_rejected_at_shutdown_is_in_the_logs(deployment, logged):
+    deployment.host.kernel.get("callers").reject_new_requests()
+    answer = deployment.stream(**{"Request-Id": "c6"}).responses[0]
+    assert answer.status == 503 and dict(answer.headers)[b"Request-Id"] == b"c6"
+    (refused,) = logged("c6")
+    assert refused.fields["code"] == "leaving"
