Forget a request's identifier and deadline before the next one on its connection

Callers saw: an error on a kept connection, sent before the request's own headers were parsed (400, 408, 413, 431), carried the Request-Id of the request before it. Found by reading, while looking for ends of answers without a cause.

Cause: begin_request reset the response's state only. The write deadline of the earlier request stayed too, so that an error to a caller who reads slowly could be given up at once. The test sends a malformed request after an answered one on the same connection; before the change the 400 named c7, the answered request.

--- a/rosemaryyoke/exchanges/caller.py
+++ b/rosemaryyoke/exchanges/caller.py
@@ -68,8 +68,10 @@
     write_deadline_s: float = field(default=0.0)
 
     def begin_request(self, keep_alive: bool) -> None:
-        """Reset the state of the previous response."""
+        """Reset the state of the previous request and response."""
         self.keep_alive = keep_alive
+        self.request_id = b""
+        self.write_deadline_s = 0.0
         self.streaming = False
         self.response_sent = False
 
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -4,6 +4,7 @@
 import time
 
 from rosemaryyoke.platform.standins.servers import (
+    read_answer,
     send_client_request,
     stream_headers,
 )
@@ -83,3 +84,16 @@
     assert answer.status == 503 and dict(answer.headers)[b"Request-Id"] == b"c6"
     (refused,) = logged("c6")
     assert refused.fields["code"] == "leaving"
+
+
+# An answer that names another request must not be taken for that one's.
+def test_error_on_a_kept_connection_does_not_name_the_previous_request(deployment):
+    address = deployment.callers
+    lines = ["GET /read/1 HTTP/1.1", "Host: a.example", "Authorization: Bearer k1"]
+    request = "\r\n".join([*lines, "Request-Id: c7", "", ""]).encode()
+    with socket.create_connection((address.ip, address.port)) as connection:
+        connection.sendall(request)
+        assert read_answer(connection).responses[0].status == 200
+        connection.sendall(b"not a request\r\n\r\n")
+        error = read_answer(connection).responses[0]
+    assert error.status == 400 and b"Request-Id" not in dict(error.headers)
