Leave an upstream without progress only once another has accepted the request

Cause: an attempt that made no progress for a second, or sent no event for 1.0 to 1.6 s, was given up and its connection closed before the host knew whether the number of attempts, the retry budget, the placement or the next engine allowed it to continue elsewhere. Where one of them did not, the answer was over: without a line if the placement failed, as "stream cut" otherwise, as 502 before the first event. Engines pause by themselves when they preempt a long prompt of a less urgent kind; a version that moves traffic makes that likelier, and queues at the other engines longer.

Evidence: in a host with stand-ins six tests lose the answer for a pause of 1.3 s alone, each with another of those reasons.

The fix: at a stall the engine's health is recorded, and another upstream is reserved, with its attempt and its retry in the budget; without one the attempt continues and looks again every 0.25 s. With one, the first connection stays open until the second upstream has delivered an event or a response, or 0.3 s have passed since it was sent the request, so that two engines never work on it for longer; if the second refuses, is gone or fails, the first attempt is resumed with its incomplete event. An engine that is silent or suspect is no alternative.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -24,6 +24,9 @@
 
 CONNECT_TIMEOUT_S = 0.3
 HTTP_OK = 200
+STALL_CHECK_INTERVAL_S = 0.25
+# An upstream that refuses does so at once. Two upstreams must not work on one request.
+HANDOVER_S = 0.3
 
 
 @frozen
@@ -52,8 +55,11 @@
     """No complete response arrived. ``may_have_run`` is false only if that is certain.
 
     ``stale_connection`` means that the upstream had closed an idle connection, which
-    says nothing about the health of the upstream. ``upstream_responds`` means that the
-    upstream answered a health check after the timeout, so that it is merely slow.
+    says nothing about the health of the upstream. ``timed_out`` means that another
+    upstream is reserved for the request; the connection stays open until that one has
+    accepted it. ``upstream_responds`` means that the upstream answered a health check
+    after the timeout, so that it is merely slow; ``health_recorded`` that its state has
+    been updated already.
     """
 
     reason: str
@@ -62,6 +68,7 @@
     timed_out: bool = False
     stale_connection: bool = False
     upstream_responds: bool = False
+    health_recorded: bool = False
 
 
 Outcome = ResponseReceived | StreamCompleted | NotRun | AttemptFailed
@@ -71,9 +78,11 @@
 class Attempt:
     """Sends one request to one upstream and reads its response.
 
-    ``progress_deadline_s`` is the deadline for the first byte or event, after which
-    another upstream may be tried; ``stall_timeout_s`` limits the time between events;
-    ``response_deadline_s`` is the deadline of the whole exchange.
+    ``progress_deadline_s`` is the deadline for the first byte or event, and
+    ``stall_timeout_s`` limits the time between events. After either, ``on_stall`` is
+    called at intervals until it returns that another upstream is reserved; without one
+    the attempt continues. ``response_deadline_s`` is the deadline of the whole
+    exchange. ``predecessor`` is the attempt that this one takes over from.
     """
 
     state: UpstreamState
@@ -93,6 +102,10 @@
     last_byte_s: float = 0.0
     started_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
+    on_stall: Callable[[], bool] = lambda: False
+    stall_checked_s: float = -math.inf
+    predecessor: "Attempt | None" = None
+    handover_end_s: float = math.inf
     max_idle_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
@@ -109,10 +122,31 @@
             )
         except OSError as error:
             return AttemptFailed(f"no connection: {error}", may_have_run=False)
+        if self.predecessor is not None:
+            self.handover_end_s = time.monotonic() + HANDOVER_S
+        return self._await_outcome()
+
+    def resume(self) -> Outcome:
+        """Continue to receive after the upstream that was to take over did not."""
+        self.stall_checked_s = time.monotonic()
+        return self._await_outcome()
+
+    def abandon(self) -> None:
+        """Close the connection, which ends the upstream's work on the request."""
+        if self.connection is not None:
+            close(self.connection.socket)
+            self.connection = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the upstream may still work on the request."""
+        return self.connection is not None
+
+    def _await_outcome(self) -> Outcome:
         try:
             outcome = self._send_and_receive()
         except CallerDisconnected:
-            close(self.connection.socket)
+            self.abandon()
             raise
         except OSError as error:
             stale_connection = (
@@ -122,7 +156,8 @@
             outcome = AttemptFailed(
                 reason, self._sent_whole(), stale_connection=stale_connection
             )
-        self._release_connection(outcome)
+        if not (isinstance(outcome, AttemptFailed) and outcome.timed_out):
+            self._release_connection(outcome)
         return outcome
 
     def _is_stale_connection(self) -> bool:
@@ -144,8 +179,9 @@
         )
         if clean:
             self.pool.release(self.connection, message)
+            self.connection = None
         else:
-            close(self.connection.socket)
+            self.abandon()
 
     def _send_and_receive(self) -> Outcome:
         upstream = self.connection.socket
@@ -155,10 +191,16 @@
         poller.register(upstream, self._poll_events())
         while True:
             now_s = time.monotonic()
-            deadline_s = min(self.response_deadline_s, self._progress_deadline_s())
-            if now_s >= deadline_s:
-                return self._timeout_outcome(deadline_s)
-            for descriptor, events in poller.poll((deadline_s - now_s) * MS_PER_S + 1):
+            if now_s >= self.handover_end_s:
+                self._end_handover()
+            outcome = self._check_deadlines(now_s)
+            if outcome is not None:
+                return outcome
+            wake_s = min(
+                self.response_deadline_s, self._stall_deadline_s(), self.handover_end_s
+            )
+            wait_ms = max(0.0, wake_s - time.monotonic()) * MS_PER_S + 1
+            for descriptor, events in poller.poll(wait_ms):
                 if descriptor != upstream.fileno():
                     raise CallerDisconnected(hangup_cause(events))
                 if self.unsent and events & select.POLLOUT:
@@ -169,6 +211,34 @@
                     if outcome is not None:
                         return outcome
 
+    def _end_handover(self) -> None:
+        """End the attempt that this one took over from."""
+        self.handover_end_s = math.inf
+        if self.predecessor is not None:
+            self.predecessor.abandon()
+
+    def _check_deadlines(self, now_s: float) -> AttemptFailed | None:
+        """Return the outcome if the attempt ends now for lack of time or progress."""
+        if now_s >= self.response_deadline_s:
+            return AttemptFailed(
+                "the deadline expired", self._sent_whole(), deadline_exceeded=True
+            )
+        if now_s < self._stall_deadline_s():
+            return None
+        if self.on_stall():
+            return AttemptFailed(
+                "no progress before the timeout",
+                self._sent_whole(),
+                timed_out=True,
+                health_recorded=True,
+            )
+        self.stall_checked_s = time.monotonic()
+        return None
+
+    def _stall_deadline_s(self) -> float:
+        next_check_s = self.stall_checked_s + STALL_CHECK_INTERVAL_S
+        return max(self._progress_deadline_s(), next_check_s)
+
     def _progress_deadline_s(self) -> float:
         if not self._has_progress():
             return self.progress_deadline_s
@@ -184,15 +254,6 @@
     def _poll_events(self) -> int:
         return select.POLLIN | (select.POLLOUT if self.unsent else 0)
 
-    def _timeout_outcome(self, deadline_s: float) -> AttemptFailed:
-        if deadline_s < self.response_deadline_s:
-            return AttemptFailed(
-                "no progress before the timeout", self._sent_whole(), timed_out=True
-            )
-        return AttemptFailed(
-            "the deadline expired", self._sent_whole(), deadline_exceeded=True
-        )
-
     def _send(self, upstream: socket.socket) -> None:
         try:
             while self.unsent:
@@ -260,6 +321,7 @@
         data = message.drain_body()
         if data:
             before = self.relay.events
+            self._end_handover()
             self.relay.feed(data)
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -45,9 +45,10 @@
             head = b""
         self.caller.end_stream(head)
 
-    def discard_partial_event(self) -> None:
-        """Discard the buffered part of an incomplete event."""
-        self.buffer = b""
+    def take_partial_event(self) -> bytes:
+        """Remove and return the buffered part of an incomplete event."""
+        partial, self.buffer = self.buffer, b""
+        return partial
 
     def _take_head(self) -> bytes:
         head, self.head = self.head, b""
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -6,10 +6,11 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import ClientAccount, Configuration, ExchangeRoute
+from rosemaryyoke.exchanges.attempt import Attempt
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.exchanges.events import EventRelay
 from rosemaryyoke.exchanges.messages import RequestMetadata
-from rosemaryyoke.fleet import ComparedQueue
+from rosemaryyoke.fleet import ActiveRequest, ComparedQueue, Placement
 from rosemaryyoke.http1 import RequestMessage
 
 MS_PER_S = 1_000
@@ -38,9 +39,28 @@
         self.error = error
 
 
+@define(eq=False)
+class SentAttempt:
+    """An attempt, where it was placed, and its work in the fleet's accounts.
+
+    ``partial_event`` is the incomplete event received before it was suspended.
+    """
+
+    placement: Placement
+    attempt: Attempt
+    work: ActiveRequest | None = None
+    stall_recorded: bool = False
+    counted_as_run: bool = False
+    partial_event: bytes = b""
+
+
 @define(eq=False)
 class Exchange:
-    """One request in progress."""
+    """One request in progress.
+
+    ``reserved`` is where it goes next. ``suspended`` is an attempt without progress, to
+    which it returns if the upstream that was reserved does not accept it.
+    """
 
     message: RequestMessage
     metadata: RequestMetadata
@@ -59,6 +79,8 @@
     excluded_upstreams: set[str] = field(factory=set)
     resumed_from: bytes | None = None
     last_upstream: str | None = None
+    reserved: Placement | None = None
+    suspended: SentAttempt | None = None
 
     @property
     def request_id(self) -> str:
@@ -78,6 +100,39 @@
         """Return the service whose retry budget the exchange uses."""
         return self.route.targets[0].service
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another upstream may continue the response."""
+        if self.relay is None or not self.relay.events:
+            return True
+        return self.route.resumable and self.relay.last_event_id is not None
+
+    def prepare_resume(self) -> bytes:
+        """Resume after the last whole event; return the incomplete one."""
+        if self.relay is None:
+            return b""
+        partial_event = self.relay.take_partial_event()
+        if self.relay.events:
+            self.resumed_from = self.relay.last_event_id
+        return partial_event
+
+    def take_reserved(self) -> Placement | None:
+        """Remove and return the reserved placement."""
+        reserved, self.reserved = self.reserved, None
+        return reserved
+
+    def suspend(self, sent: SentAttempt) -> None:
+        """Keep an attempt open until another upstream has accepted the request."""
+        self.abandon_suspended()
+        sent.partial_event = self.prepare_resume()
+        self.suspended = sent
+
+    def abandon_suspended(self) -> None:
+        """Close the connection of the suspended attempt."""
+        if self.suspended is not None:
+            self.suspended.attempt.abandon()
+            self.suspended = None
+
 
 def jittered_retry_after_s(mean_s: float) -> float:
     """Return a retry delay with jitter, which spreads the retries of callers."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -3,10 +3,10 @@
 import math
 import random
 import time
-from typing import NoReturn
+from typing import Callable, NoReturn
 
 from attrs import define, evolve, field
-from result import Err
+from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.core import Metrics
@@ -48,6 +48,7 @@
     ErrorResponse,
     Exchange,
     RequestRejected,
+    SentAttempt,
     cache_scope,
     max_queue_wait_s,
 )
@@ -57,6 +58,7 @@
 from rosemaryyoke.fleet import (
     Chooser,
     Fleet,
+    NoUpstream,
     Placement,
     PlacementRequest,
     PromptPrefill,
@@ -137,35 +139,72 @@
     def forward(self, exchange: Exchange) -> None:
         """Send the exchange until it completes or is rejected."""
         self.budget.record_request(exchange.service, exchange.started_s)
+        try:
+            self.send_until_complete(exchange)
+        finally:
+            exchange.abandon_suspended()
+
+    def send_until_complete(self, exchange: Exchange) -> None:
+        """Send the exchange to one upstream after the other."""
         while True:
-            placement = self.choose_upstream(exchange)
+            placement = exchange.take_reserved() or self.choose_upstream(exchange)
             outcome = self.send_attempt(exchange, placement)
             if isinstance(outcome, StreamCompleted):
                 self.record_response(exchange, HTTP_OK)
                 return
-            if self.should_retry(exchange, outcome):
-                continue
-            self.complete(exchange, outcome)
-            return
+            if exchange.reserved is None and not self.should_retry(exchange, outcome):
+                self.complete(exchange, outcome)
+                return
 
     def choose_upstream(self, exchange: Exchange) -> Placement:
         """Choose an upstream for the exchange; raise ``RequestRejected``."""
         now_s = time.monotonic()
         if now_s >= exchange.response_deadline_s:
             raise RequestRejected(timeout_error(exchange))
-        request = self.placement_request(exchange, now_s)
+        chosen = self.choose(exchange, now_s, self.fleet.probe_share())
+        if isinstance(chosen, Err):
+            raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
+        return chosen.ok_value
+
+    def choose(
+        self, exchange: Exchange, now_s: float, probe_share: float
+    ) -> Result[Placement, NoUpstream]:
+        """Return the best upstream that was not tried, or why there is none."""
+        request = self.placement_request(exchange, now_s, probe_share)
         with self.fleet.lock:
             candidates = self.with_usable_weights(
                 exchange, self.candidates(exchange), now_s
             )
-            chosen = self.chooser.choose(
+            return self.chooser.choose(
                 request, candidates, exchange.excluded_upstreams, now_s
             )
-        if isinstance(chosen, Err):
-            raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
-        return chosen.ok_value
 
-    def placement_request(self, exchange: Exchange, now_s: float) -> PlacementRequest:
+    def reserve_alternative(self, exchange: Exchange) -> bool:
+        """Reserve another upstream for a request whose upstream makes no progress.
+
+        Return whether there is one, so that the request need not stay where it is.
+        """
+        now_s = time.monotonic()
+        may_repeat = exchange.run_count + 1 < exchange.route.max_attempts
+        if not may_repeat or not self.may_send_again(exchange, now_s):
+            return False
+        if not exchange.is_resumable:
+            return False
+        chosen = self.choose(exchange, now_s, probe_share=0.0)
+        if isinstance(chosen, Err) or not is_healthy(chosen.ok_value.state, now_s):
+            return False
+        if not self.budget.try_retry(exchange.service, now_s):
+            return False
+        exchange.reserved = chosen.ok_value
+        return True
+
+    def may_send_again(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether sends and time are left for another attempt."""
+        return exchange.send_count < MAX_SENDS and now_s < exchange.response_deadline_s
+
+    def placement_request(
+        self, exchange: Exchange, now_s: float, probe_share: float
+    ) -> PlacementRequest:
         """Return the placement request for an exchange."""
         wanted = self.catalog.wanted.get(exchange.metadata.model, 0)
         return PlacementRequest(
@@ -177,7 +216,7 @@
             wanted,
             self.fleet.stores,
             max_queue_wait_s(exchange.route),
-            self.fleet.probe_share(),
+            probe_share,
         )
 
     def candidates(self, exchange: Exchange) -> list[UpstreamState]:
@@ -203,7 +242,38 @@
         ]
 
     def send_attempt(self, exchange: Exchange, placement: Placement) -> Outcome:
-        """Send the exchange to an upstream and record the outcome."""
+        """Send the exchange to an upstream and record the outcome.
+
+        If this upstream was to take over from one that made no progress, and does not
+        accept the request, the exchange continues at the earlier upstream.
+        """
+        sent = self.prepare_attempt(exchange, placement)
+        outcome = self.run_attempt(exchange, sent, sent.attempt.run)
+        suspended = exchange.suspended
+        if suspended is None or suspended is sent:
+            return outcome
+        if is_success(outcome) or not suspended.attempt.is_open:
+            exchange.abandon_suspended()
+            return outcome
+        return self.resume_attempt(exchange, suspended)
+
+    def resume_attempt(self, exchange: Exchange, sent: SentAttempt) -> Outcome:
+        """Continue at the upstream of a suspended attempt, and record the outcome."""
+        exchange.suspended = None
+        if sent.counted_as_run:  # it counts again at its end
+            exchange.run_count -= 1
+        if exchange.relay is not None:
+            exchange.relay.buffer = sent.partial_event
+        log_event(
+            "attempt resumed",
+            request=exchange.request_id,
+            upstream=sent.placement.state.upstream.name,
+            age_ms=exchange.age_ms(),
+        )
+        return self.run_attempt(exchange, sent, sent.attempt.resume)
+
+    def prepare_attempt(self, exchange: Exchange, placement: Placement) -> SentAttempt:
+        """Return the attempt to send the exchange to an upstream."""
         state = placement.state
         exchange.send_count += 1
         exchange.last_upstream = state.upstream.name
@@ -212,9 +282,6 @@
         saves_to_store = self.writer.saves_to_store(exchange, placement)
         request = self.writer.encode(exchange, placement, saves_to_store)
         read = PromptPrefill(state.upstream.name, placement.parts, saves_to_store)
-        tokens = exchange.metadata.prompt_tokens + exchange.metadata.output_tokens
-        prefill_tokens = int(placement.prefill_s * PREFILL_TOKENS_PER_S)
-        work = self.fleet.begin(state, tokens, prefill_tokens)
         now_s = time.monotonic()
         attempt = Attempt(
             state,
@@ -231,22 +298,51 @@
                 math.inf if exchange.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
             ),
         )
+        if exchange.suspended is not None:
+            attempt.predecessor = exchange.suspended.attempt
+        sent = SentAttempt(placement, attempt)
 
         def first_event() -> None:
-            self.fleet.prefilled(state, work, read)
+            self.fleet.prefilled(state, sent.work, read)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.started_s
             )
 
         attempt.on_first_event = first_event
+        attempt.on_stall = lambda: self.handle_stall(exchange, sent)
+        return sent
+
+    def run_attempt(
+        self, exchange: Exchange, sent: SentAttempt, run: Callable[[], Outcome]
+    ) -> Outcome:
+        """Run an attempt until its outcome, and record both."""
+        state = sent.placement.state
+        tokens = exchange.metadata.prompt_tokens + exchange.metadata.output_tokens
+        prefill_tokens = int(sent.placement.prefill_s * PREFILL_TOKENS_PER_S)
+        if sent.attempt.on_first_event is None:
+            prefill_tokens = 0
+        sent.work = self.fleet.begin(state, tokens, prefill_tokens)
         try:
-            outcome = attempt.run()
+            outcome = run()
         finally:
-            self.fleet.end(state, work)
-        outcome = self.check_health(exchange, state, outcome)
-        self.record_outcome(exchange, placement, attempt, outcome)
+            self.fleet.end(state, sent.work)
+        self.record_outcome(exchange, sent.placement, sent.attempt, outcome)
+        if isinstance(outcome, AttemptFailed) and outcome.timed_out:
+            sent.counted_as_run = outcome.may_have_run
+            exchange.suspend(sent)
         return outcome
 
+    def handle_stall(self, exchange: Exchange, sent: SentAttempt) -> bool:
+        """Record that an upstream makes no progress; return whether to leave it."""
+        if not sent.stall_recorded:
+            sent.stall_recorded = True
+            state = sent.placement.state
+            stall = AttemptFailed("no progress", may_have_run=True, timed_out=True)
+            stall = self.check_health(exchange, state, stall)
+            with self.fleet.lock:
+                self.record_health(state, sent.attempt, stall)
+        return self.reserve_alternative(exchange)
+
     def check_health(
         self, exchange: Exchange, state: UpstreamState, outcome: Outcome
     ) -> Outcome:
@@ -287,13 +383,8 @@
                 if outcome.may_have_run:
                     exchange.may_have_run = True
                     exchange.run_count += 1
-                is_slow = outcome.upstream_responds or (
-                    outcome.timed_out and state.last_activity_s() > attempt.started_s
-                )
-                if is_slow:
-                    state.mark_slow(now_s)
-                elif not outcome.deadline_exceeded:
-                    state.record_failure(now_s)
+                if not outcome.health_recorded:
+                    self.record_health(state, attempt, outcome)
             elif isinstance(outcome, NotRun):
                 self.record_not_run(exchange, placement, outcome)
             else:
@@ -305,6 +396,19 @@
         if isinstance(outcome, (AttemptFailed, NotRun)):
             log_outcome(exchange, placement, outcome)
 
+    def record_health(
+        self, state: UpstreamState, attempt: Attempt, outcome: AttemptFailed
+    ) -> None:
+        """Update the health of an upstream that gave no response."""
+        now_s = time.monotonic()
+        is_slow = outcome.upstream_responds or (
+            outcome.timed_out and state.last_activity_s() > attempt.started_s
+        )
+        if is_slow:
+            state.mark_slow(now_s)
+        elif not outcome.deadline_exceeded:
+            state.record_failure(now_s)
+
     def record_not_run(
         self, exchange: Exchange, placement: Placement, outcome: NotRun
     ) -> None:
@@ -320,10 +424,7 @@
     def should_retry(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Return whether to retry the exchange at another upstream."""
         route = exchange.route
-        if (
-            exchange.send_count >= MAX_SENDS
-            or time.monotonic() >= exchange.response_deadline_s
-        ):
+        if not self.may_send_again(exchange, time.monotonic()):
             return False
         if isinstance(outcome, ResponseReceived):
             if not is_server_error(outcome) or not route.repeatable:
@@ -333,27 +434,15 @@
                 return False
             if outcome.may_have_run and not route.repeatable:
                 return False
-            if not self.prepare_resume(exchange):
+            if not exchange.is_resumable:
                 return False
+            exchange.prepare_resume()
             if not outcome.may_have_run:
                 return True
         if exchange.run_count >= route.max_attempts:
             return False
         return self.budget.try_retry(exchange.service, time.monotonic())
 
-    def prepare_resume(self, exchange: Exchange) -> bool:
-        """Prepare to resume a stream after its last whole event, if allowed."""
-        relay = exchange.relay
-        if relay is None:
-            return True
-        relay.discard_partial_event()
-        if not relay.events:
-            return True
-        if not exchange.route.resumable or relay.last_event_id is None:
-            return False
-        exchange.resumed_from = relay.last_event_id
-        return True
-
     def complete(self, exchange: Exchange, outcome: Outcome) -> None:
         """Send the last outcome to the caller."""
         if exchange.caller.streaming:
@@ -410,3 +499,15 @@
     def count_end(self, cause: str) -> None:
         """Count the end of a request by its cause."""
         self.metrics.count("requests_ended_total", cause=cause)
+
+
+def is_healthy(state: UpstreamState, now_s: float) -> bool:
+    """Return whether an upstream is known to take requests."""
+    return state.usable(now_s) and not state.considered_silent(now_s)
+
+
+def is_success(outcome: Outcome) -> bool:
+    """Return whether an outcome is a complete response other than a server error."""
+    if isinstance(outcome, ResponseReceived):
+        return not is_server_error(outcome)
+    return isinstance(outcome, StreamCompleted)
