Look at the sockets before an attempt is held for late or stalled

Callers saw, in a test: a stream whose caller reads slowly was taken from an engine that had never paused and started anew at another one; where that was not possible, it was cut.

Cause: the attempt's loop compared its deadlines before it polled the sockets, and counted from the moment at which it had begun to handle the last bytes. Whatever held the host up in between (a slow caller, a lack of processor time, a long callback) counted as the upstream's silence, although its bytes were there.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -193,14 +193,11 @@
             now_s = time.monotonic()
             if now_s >= self.handover_end_s:
                 self._end_handover()
-            outcome = self._check_deadlines(now_s)
-            if outcome is not None:
-                return outcome
             wake_s = min(
                 self.response_deadline_s, self._stall_deadline_s(), self.handover_end_s
             )
-            wait_ms = max(0.0, wake_s - time.monotonic()) * MS_PER_S + 1
-            for descriptor, events in poller.poll(wait_ms):
+            wait_ms = max(0.0, wake_s - now_s) * MS_PER_S
+            for descriptor, events in poller.poll(math.ceil(wait_ms)):
                 if descriptor != upstream.fileno():
                     raise CallerDisconnected(hangup_cause(events))
                 if self.unsent and events & select.POLLOUT:
@@ -210,6 +207,11 @@
                     outcome = self._receive(upstream)
                     if outcome is not None:
                         return outcome
+            # Compares the time before the poll: this host may have been delayed since
+            # then, and what had arrived by a deadline is in time.
+            outcome = self._check_deadlines(now_s)
+            if outcome is not None:
+                return outcome
 
     def _end_handover(self) -> None:
         """End the attempt that this one took over from."""
@@ -323,6 +325,8 @@
             before = self.relay.events
             self._end_handover()
             self.relay.feed(data)
+            # Time spent on a slow caller is no pause of the upstream.
+            self.last_byte_s = time.monotonic()
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
                 self.on_first_event = None
