Resume a request that may have run although every queue is long

What callers saw, in a test: an engine breaks off in the middle of a stream, and the host cuts the caller although another engine would take the rest: its predicted queue is longer than what a new request may join.

Cause: the bound on queues, which keeps new requests out where they would be late, applied to the continuation of accepted ones too. Those cannot be rejected as not run; the caller gets a closed stream or 502 and sends a new request.

A move away from an engine without progress keeps the bound, since waiting where it is costs nothing. The test of the broken stream failed before (cut after two events); beside it, a new stream is still rejected with 503.

--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -24,7 +24,7 @@
     """Return the error response for the outcome of the last attempt."""
     if isinstance(outcome, AttemptFailed) and outcome.deadline_exceeded:
         return timeout_error(exchange)
-    if exchange.may_have_run or exchange.run_count:
+    if exchange.is_admitted:
         return ErrorResponse(
             502, "upstream_failed", "the upstream gave no whole answer"
         )
@@ -50,7 +50,7 @@
 
 def no_upstream_error(exchange: Exchange, reason: NoUpstream) -> ErrorResponse:
     """Return the error response when no upstream is available."""
-    if exchange.may_have_run or exchange.run_count:
+    if exchange.is_admitted:
         return ErrorResponse(502, "upstream_failed", reason.message)
     wait_s = jittered_retry_after_s(reason.retry_after_s)
     return ErrorResponse(503, "no_upstream", reason.message, wait_s, reason.compared)
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -100,6 +100,11 @@
         """Return the service whose retry budget the exchange uses."""
         return self.route.targets[0].service
 
+    @property
+    def is_admitted(self) -> bool:
+        """Return whether an upstream may have run the request."""
+        return self.may_have_run or self.run_count > 0
+
     @property
     def is_resumable(self) -> bool:
         """Return whether another upstream may continue the response."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -161,16 +161,23 @@
         now_s = time.monotonic()
         if now_s >= exchange.response_deadline_s:
             raise RequestRejected(timeout_error(exchange))
-        chosen = self.choose(exchange, now_s, self.fleet.probe_share())
+        # The bound on queues is for admission: a request that may have run cannot be
+        # rejected as not run any more, so that a long queue is better than none.
+        max_wait_s = max_queue_wait_s(exchange.route)
+        if exchange.is_admitted:
+            max_wait_s = math.inf
+        request = self.placement_request(
+            exchange, now_s, max_wait_s, self.fleet.probe_share()
+        )
+        chosen = self.choose(exchange, request, now_s)
         if isinstance(chosen, Err):
             raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
         return chosen.ok_value
 
     def choose(
-        self, exchange: Exchange, now_s: float, probe_share: float
+        self, exchange: Exchange, request: PlacementRequest, now_s: float
     ) -> Result[Placement, NoUpstream]:
         """Return the best upstream that was not tried, or why there is none."""
-        request = self.placement_request(exchange, now_s, probe_share)
         with self.fleet.lock:
             candidates = self.with_usable_weights(
                 exchange, self.candidates(exchange), now_s
@@ -190,7 +197,9 @@
             return False
         if not exchange.is_resumable:
             return False
-        chosen = self.choose(exchange, now_s, probe_share=0.0)
+        max_wait_s = max_queue_wait_s(exchange.route)
+        request = self.placement_request(exchange, now_s, max_wait_s, probe_share=0.0)
+        chosen = self.choose(exchange, request, now_s)
         if isinstance(chosen, Err) or not is_healthy(chosen.ok_value.state, now_s):
             return False
         if not self.budget.try_retry(exchange.service, now_s):
@@ -203,7 +212,7 @@
         return exchange.send_count < MAX_SENDS and now_s < exchange.response_deadline_s
 
     def placement_request(
-        self, exchange: Exchange, now_s: float, probe_share: float
+        self, exchange: Exchange, now_s: float, max_wait_s: float, probe_share: float
     ) -> PlacementRequest:
         """Return the placement request for an exchange."""
         wanted = self.catalog.wanted.get(exchange.metadata.model, 0)
@@ -215,7 +224,7 @@
             exchange.response_deadline_s - now_s,
             wanted,
             self.fleet.stores,
-            max_queue_wait_s(exchange.route),
+            max_wait_s,
             probe_share,
         )
 
--- a/rosemaryyoke/platform/tests/test_pausing_engines.py
+++ b/rosemaryyoke/platform/tests/test_pausing_engines.py
@@ -10,13 +10,15 @@
 
 import pytest
 
+from rosemaryyoke.fleet import UpstreamLoad
+from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
 from rosemaryyoke.platform.standins.documents import make_registration
 from rosemaryyoke.platform.standins.servers import (
     read_answer,
     send_client_request,
     stream_headers,
 )
-from rosemaryyoke.platform.tests.deployment import script_all, wait_for
+from rosemaryyoke.platform.tests.deployment import abort_after, script_all, wait_for
 
 PAUSE_S = 1.3  # longer than the limits on a stalled stream and on a first event
 LONG_DEADLINE = {"Deadline-Ms": "4000"}
@@ -162,3 +164,30 @@
         answer = read_answer(connection).responses[0]
     assert answer.complete and event_numbers(answer) == list(range(1, 41))
     assert runs(deployment.engines) == 1
+
+
+def report_long_queues(deployment, wait_s=1.0):
+    """Let another host report that the prompts waiting at each engine take a time."""
+    prefill_tokens = int(wait_s * PREFILL_TOKENS_PER_S)
+    loads = [
+        UpstreamLoad(engine.name, 1.0, prefill_tokens, prefill_tokens)
+        for engine in deployment.engines
+    ]
+    deployment.host.fleet.update_remote_loads("other-host", loads)
+
+
+# Guards against streams cut because the queues are too long to admit a new request.
+def test_broken_stream_is_resumed_in_spite_of_long_queues(deployment):
+    def break_off_under_load(engine, message, caller):
+        report_long_queues(deployment)
+        abort_after(2)(engine, message, caller)
+
+    script_all(deployment.engines, break_off_under_load)
+    answer = deployment.stream().responses[0]
+    assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
+
+
+def test_new_stream_is_rejected_for_long_queues(deployment):
+    report_long_queues(deployment)
+    answer = deployment.stream().responses[0]
+    assert answer.status == 503 and not runs(deployment.engines)
