Log the requests that end with their host's process

An operator saw "requests aborted at shutdown" with a count, and of the requests themselves only "placed": the last ends without a closing line. The forwarder knows its running exchanges and logs each of them with what was tried when the grace period is over. Shown by a host with stand-ins whose engines outlast the grace period; without the change the test finds no line.

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -95,6 +95,7 @@
     weights_bound_s: float
     engines: EngineClient
     chooser: Chooser = field(factory=Chooser)
+    running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     writer: RequestWriter = field(init=False)
 
@@ -139,9 +140,11 @@
     def forward(self, exchange: Exchange) -> None:
         """Send the exchange until it completes or is rejected."""
         self.budget.record_request(exchange.service, exchange.started_s)
+        self.running.add(exchange)
         try:
             self.send_until_complete(exchange)
         finally:
+            self.running.discard(exchange)
             exchange.abandon_suspended()
 
     def send_until_complete(self, exchange: Exchange) -> None:
@@ -505,6 +508,12 @@
         self.count_end(f"stream cut: {cause}")
         raise ResponseAborted(reason)
 
+    def log_unfinished(self) -> None:
+        """Log and count the requests that end with this process."""
+        for exchange in list(self.running):
+            log_end("request aborted", exchange, "shutdown", "the grace period ended")
+            self.count_end("shutdown")
+
     def count_end(self, cause: str) -> None:
         """Count the end of a request by its cause."""
         self.metrics.count("requests_ended_total", cause=cause)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -223,6 +223,7 @@
             logging.warning(
                 "requests aborted at shutdown count=%d", callers.requests_in_progress
             )
+            self.forwarder.log_unfinished()
         log_event("host stopped", host=self.settings.name)
 
     def is_ready(self) -> bool:
@@ -332,7 +333,7 @@
 
     def callers_server(self) -> ConnectionServer:
         """Return the server of callers' requests."""
-        forwarder = Forwarder(
+        self.forwarder = Forwarder(
             self.settings.data_centre,
             self.catalog,
             self.fleet,
@@ -345,10 +346,10 @@
         )
         return ConnectionServer(
             self.settings.callers,
-            forwarder.handle,
+            self.forwarder.handle,
             self.settings.max_connections,
             limits=self.request_limits,
-            rejection_handler=forwarder.reject_leaving,
+            rejection_handler=self.forwarder.reject_leaving,
         )
 
     def directory(self) -> Directory:
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from rosemaryyoke.platform.standins.servers import (
     read_answer,
@@ -86,6 +87,18 @@
     assert refused.fields["code"] == "leaving"
 
 
+def test_request_aborted_at_the_end_of_a_shutdown_is_in_the_logs(deployment, logged):
+    slow = [lambda engine, message, caller: time.sleep(3.0)] * 2
+    script_all(deployment.engines, *slow)
+    with ThreadPoolExecutor(1) as pool:
+        options = {"Request-Id": "c8", "Deadline-Ms": "2900"}
+        pool.submit(deployment.stream, **options)
+        wait_for(lambda: any(engine.received for engine in deployment.engines))
+        deployment.host.shut_down()
+    aborted = [event for event in logged("c8") if event.message == "request aborted"]
+    assert [event.fields["cause"] for event in aborted] == ["shutdown"]
+
+
 # An answer that names another request must not be taken for that one's.
 def test_error_on_a_kept_connection_does_not_name_the_previous_request(deployment):
     address = deployment.callers
