--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -14,7 +14,6 @@
 
 MS_PER_S = 1_000
 CUT_AT_DEADLINE = "deadline"
-CUT_WITHOUT_PROGRESS = "no progress"
 CUT_BY_UPSTREAM = "upstream failed"
 CUT_BY_REFUSAL = "not run"
 CUT_WITHOUT_UPSTREAM = "no upstream"
@@ -42,7 +41,8 @@
 def log_outcome(
     exchange: Exchange, placement: Placement, outcome: AttemptFailed | NotRun
 ) -> None:
-    """Log an attempt without a response."""
+    """Log an attempt without a response, or one that is suspended."""
+    message = "attempt failed"
     fields = {"not_run": isinstance(outcome, NotRun)}
     if isinstance(outcome, NotRun):
         fields["status"] = outcome.status
@@ -50,8 +50,10 @@
     else:
         fields["reason"] = outcome.reason
         fields["may_have_run"] = outcome.may_have_run
+        if outcome.timed_out:
+            message = "attempt suspended"
     log_event(
-        "attempt failed",
+        message,
         request=exchange.request_id,
         upstream=placement.state.upstream.name,
         age_ms=exchange.age_ms(),
@@ -113,8 +115,6 @@
         return CUT_BY_REFUSAL
     if isinstance(outcome, AttemptFailed) and outcome.deadline_exceeded:
         return CUT_AT_DEADLINE
-    if isinstance(outcome, AttemptFailed) and outcome.timed_out:
-        return CUT_WITHOUT_PROGRESS
     return CUT_BY_UPSTREAM
 
 
