Hand a request over to the upstream that delivers first

At the end of the handover the first upstream goes on if it has delivered, else it is left, and may be asked again if the second one refuses. Only a complete stream ends a stream that has begun. The health check comes first, within the time left, and the sockets are looked at again before another upstream is reserved; no check falls into a handover. The alternative must be able to start within the handover, and 0.3 s must be left. The caller's connection is looked at before each send.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -24,8 +24,9 @@
 
 CONNECT_TIMEOUT_S = 0.3
 HTTP_OK = 200
+SUCCESS_START = b"HTTP/1.1 200"
 STALL_CHECK_INTERVAL_S = 0.25
-# An upstream that refuses does so at once. Two upstreams must not work on one request.
+# Two upstreams may work on one request for at most 0.4 s.
 HANDOVER_S = 0.3
 
 
@@ -79,10 +80,11 @@
     """Sends one request to one upstream and reads its response.
 
     ``progress_deadline_s`` is the deadline for the first byte or event, and
-    ``stall_timeout_s`` limits the time between events. After either, ``on_stall`` is
-    called at intervals until it returns that another upstream is reserved; without one
-    the attempt continues. ``response_deadline_s`` is the deadline of the whole
-    exchange. ``predecessor`` is the attempt that this one takes over from.
+    ``stall_timeout_s`` limits the time between events. After either, ``on_first_stall``
+    is called once, and then ``on_stall`` at intervals until it returns that another
+    upstream is reserved; without one the attempt continues. ``response_deadline_s`` is
+    the deadline of the whole exchange. ``predecessor`` is the attempt that this one
+    takes over from: which of them delivers first, goes on.
     """
 
     state: UpstreamState
@@ -102,7 +104,9 @@
     last_byte_s: float = 0.0
     started_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
+    on_first_stall: Callable[[], None] = lambda: None
     on_stall: Callable[[], bool] = lambda: False
+    has_stalled: bool = False
     stall_checked_s: float = -math.inf
     predecessor: "Attempt | None" = None
     handover_end_s: float = math.inf
@@ -187,18 +191,24 @@
         upstream = self.connection.socket
         poller = select.poll()
         poller.register(self.caller.socket, select.POLLRDHUP)
+        for _, events in poller.poll(0):
+            raise CallerDisconnected(hangup_cause(events))
         self._send(upstream)
         poller.register(upstream, self._poll_events())
         while True:
             now_s = time.monotonic()
-            if now_s >= self.handover_end_s:
-                self._end_handover()
+            if now_s >= self.handover_end_s and not self._end_handover():
+                return AttemptFailed(
+                    "the earlier upstream goes on",
+                    self._sent_whole(),
+                    health_recorded=True,
+                )
             wake_s = min(
                 self.response_deadline_s, self._stall_deadline_s(), self.handover_end_s
             )
             wait_ms = max(0.0, wake_s - now_s) * MS_PER_S
             for descriptor, events in poller.poll(math.ceil(wait_ms)):
-                if descriptor != upstream.fileno():
+                if descriptor == self.caller.socket.fileno():
                     raise CallerDisconnected(hangup_cause(events))
                 if self.unsent and events & select.POLLOUT:
                     self._send(upstream)
@@ -213,11 +223,24 @@
             if outcome is not None:
                 return outcome
 
-    def _end_handover(self) -> None:
-        """End the attempt that this one took over from."""
+    def _end_handover(self) -> bool:
+        """Leave the earlier upstream; return false if it has gone on meanwhile."""
         self.handover_end_s = math.inf
-        if self.predecessor is not None:
-            self.predecessor.abandon()
+        if self.predecessor.goes_on():
+            return False
+        self.predecessor.abandon()
+        return True
+
+    def goes_on(self) -> bool:
+        """Return whether more of a successful response has arrived meanwhile."""
+        if not self.is_open:
+            return False
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            data = self.connection.socket.recv(len(SUCCESS_START), flags)
+        except OSError:
+            return False
+        return bool(data) and (self.metadata is not None or data == SUCCESS_START)
 
     def _check_deadlines(self, now_s: float) -> AttemptFailed | None:
         """Return the outcome if the attempt ends now for lack of time or progress."""
@@ -227,6 +250,10 @@
             )
         if now_s < self._stall_deadline_s():
             return None
+        if not self.has_stalled:
+            self.has_stalled = True
+            self.on_first_stall()
+            return None  # what arrived meanwhile may end the stall
         if self.on_stall():
             return AttemptFailed(
                 "no progress before the timeout",
@@ -238,6 +265,8 @@
         return None
 
     def _stall_deadline_s(self) -> float:
+        if self.handover_end_s < math.inf:
+            return math.inf
         next_check_s = self.stall_checked_s + STALL_CHECK_INTERVAL_S
         return max(self._progress_deadline_s(), next_check_s)
 
@@ -323,7 +352,9 @@
         data = message.drain_body()
         if data:
             before = self.relay.events
-            self._end_handover()
+            if self.predecessor is not None:
+                self.handover_end_s = math.inf
+                self.predecessor.abandon()
             self.relay.feed(data)
             # Time spent on a slow caller is no pause of the upstream.
             self.last_byte_s = time.monotonic()
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -49,7 +49,6 @@
     placement: Placement
     attempt: Attempt
     work: ActiveRequest | None = None
-    stall_recorded: bool = False
     counted_as_run: bool = False
     partial_event: bytes = b""
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -12,6 +12,7 @@
 from rosemaryyoke.core import Metrics
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
+    HANDOVER_S,
     Attempt,
     AttemptFailed,
     NotRun,
@@ -75,6 +76,8 @@
 SHUTDOWN_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 STREAM_STALL_TIMEOUT_S = 1.0  # Longest gap between events of a resumable stream.
 HEALTH_CHECK_TIMEOUT_S = 0.25  # an engine that runs answers within milliseconds
+MIN_HEALTH_CHECK_S = 0.02
+MIN_ATTEMPT_S = 0.3  # with less time left, another upstream could not respond
 MAX_SENDS = 4  # attempts per exchange, including refused ones
 # For requests that must run at most once: some upstreams close idle ones at 0.3 s.
 NON_REPEATABLE_MAX_IDLE_S = 0.25
@@ -196,11 +199,12 @@
         """
         now_s = time.monotonic()
         may_repeat = exchange.run_count + 1 < exchange.route.max_attempts
-        if not may_repeat or not self.may_send_again(exchange, now_s):
+        in_time = now_s < exchange.response_deadline_s - MIN_ATTEMPT_S
+        if not (may_repeat and in_time and exchange.is_resumable):
             return False
-        if not exchange.is_resumable:
+        if not self.may_send_again(exchange, now_s):
             return False
-        max_wait_s = max_queue_wait_s(exchange.route)
+        max_wait_s = min(max_queue_wait_s(exchange.route), HANDOVER_S)
         request = self.placement_request(exchange, now_s, max_wait_s, probe_share=0.0)
         chosen = self.choose(exchange, request, now_s)
         if isinstance(chosen, Err) or not is_healthy(chosen.ok_value.state, now_s):
@@ -264,14 +268,20 @@
         suspended = exchange.suspended
         if suspended is None or suspended is sent:
             return outcome
-        if is_success(outcome) or not suspended.attempt.is_open:
+        if completes(exchange, outcome):
             exchange.abandon_suspended()
             return outcome
-        return self.resume_attempt(exchange, suspended)
+        if suspended.attempt.is_open:
+            return self.resume_attempt(exchange, suspended)
+        # The upstream that was left for this one has not failed.
+        exchange.excluded_upstreams.discard(suspended.placement.state.upstream.name)
+        exchange.suspended = None
+        return outcome
 
     def resume_attempt(self, exchange: Exchange, sent: SentAttempt) -> Outcome:
         """Continue at the upstream of a suspended attempt, and record the outcome."""
         exchange.suspended = None
+        exchange.last_upstream = sent.placement.state.upstream.name
         if sent.counted_as_run:  # it counts again at its end
             exchange.run_count -= 1
         if exchange.relay is not None:
@@ -321,7 +331,8 @@
             )
 
         attempt.on_first_event = first_event
-        attempt.on_stall = lambda: self.handle_stall(exchange, sent)
+        attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
+        attempt.on_stall = lambda: self.reserve_alternative(exchange)
         return sent
 
     def run_attempt(
@@ -344,19 +355,21 @@
             exchange.suspend(sent)
         return outcome
 
-    def handle_stall(self, exchange: Exchange, sent: SentAttempt) -> bool:
-        """Record that an upstream makes no progress; return whether to leave it."""
-        if not sent.stall_recorded:
-            sent.stall_recorded = True
-            state = sent.placement.state
-            stall = AttemptFailed("no progress", may_have_run=True, timed_out=True)
-            stall = self.check_health(exchange, state, stall)
-            with self.fleet.lock:
-                self.record_health(state, sent.attempt, stall)
-        return self.reserve_alternative(exchange)
+    def record_stall(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Record that an upstream makes no progress, and whether it is alive."""
+        left_s = exchange.response_deadline_s - time.monotonic()
+        timeout_s = max(MIN_HEALTH_CHECK_S, min(HEALTH_CHECK_TIMEOUT_S, left_s))
+        stall = AttemptFailed("no progress", may_have_run=True, timed_out=True)
+        stall = self.check_health(exchange, attempt.state, stall, timeout_s)
+        with self.fleet.lock:
+            self.record_health(attempt.state, attempt, stall)
 
     def check_health(
-        self, exchange: Exchange, state: UpstreamState, outcome: Outcome
+        self,
+        exchange: Exchange,
+        state: UpstreamState,
+        outcome: Outcome,
+        timeout_s: float = HEALTH_CHECK_TIMEOUT_S,
     ) -> Outcome:
         """Ask an engine that has timed out for its state, and record if it responds.
 
@@ -367,7 +380,7 @@
         if not timed_out or state.traits is None:
             return outcome
         upstream = state.upstream
-        reply = self.engines.report(upstream.address, HEALTH_CHECK_TIMEOUT_S)
+        reply = self.engines.report(upstream.address, timeout_s)
         responds = not isinstance(reply, Err)
         log_event(
             "timed out upstream checked",
@@ -524,8 +537,8 @@
     return state.usable(now_s) and not state.considered_silent(now_s)
 
 
-def is_success(outcome: Outcome) -> bool:
-    """Return whether an outcome is a complete response other than a server error."""
-    if isinstance(outcome, ResponseReceived):
-        return not is_server_error(outcome)
-    return isinstance(outcome, StreamCompleted)
+def completes(exchange: Exchange, outcome: Outcome) -> bool:
+    """Return whether an outcome completes the response to the caller."""
+    if exchange.caller.streaming or not isinstance(outcome, ResponseReceived):
+        return isinstance(outcome, StreamCompleted)
+    return not is_server_error(outcome)
