Soak: planned work only, and an invariant on lost requests

Real processes lost streams near changes of the configuration with no fault near them, and the soak could not show it: its engines never paused, its callers opened a connection for each request, and nothing compared how a connection had ended.

- planned_work.py registers what operators do (bursts of configurations, reloads, SIGTERM, drains, departures with notice, new weights) and what upstreams may do by themselves (pauses of 0.3 to 2.2 s in streams or before the answer, refusals while busy).
`--faults planned` runs these alone, `all` both registries, and a list of names just those; `--keep-going` counts all violations.
- Configurations move the route between two services of engines, split it, change its time-out, add up to 7 or 400 routes and drop the unused service.
- Callers keep 7 of 10 connections and record how each exchange ended.
- "an accepted request is not lost": a request that a host read gets a whole answer, unless its upstream broke off, its deadline or its route's time-out was reached, or an unplanned fault was under way from 3 s before it to its end.

--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -1,17 +1,23 @@
 """Simulated upstreams of the platform, and a client that sends callers' requests."""
 
+import socket
 import threading
 import time
 from typing import Callable
 
 import orjson
-from attrs import define, field
-from result import Err, Ok, Result
+from attrs import define, field, frozen
 
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.http1 import Address, RequestMessage, ResponseMessage, ResponseParser
 from rosemaryyoke.http1.messages import encode_head, find_header
-from rosemaryyoke.http1.sockets import READ_BYTES, close, connect, wait_readable
+from rosemaryyoke.http1.sockets import (
+    READ_BYTES,
+    close,
+    connect,
+    is_reusable,
+    wait_readable,
+)
 from rosemaryyoke.platform import names
 from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.standins.servers import EngineStandin, stream_headers
@@ -21,6 +27,13 @@
 CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_TIMEOUT_S = 5.0
 
+# How a client's exchange ended.
+COMPLETE = "complete"
+CLOSED = "closed"
+RESET = "reset"
+ABANDONED = "abandoned"
+NOT_CONNECTED = "not connected"
+
 
 @define
 class RunRecord:
@@ -46,7 +59,12 @@
 
 @define(eq=False)
 class SimulatedUpstream(EngineStandin):
-    """Upstream that executes requests and orders addressed to it and reports them."""
+    """Upstream that executes requests and orders addressed to it and reports them.
+
+    While ``busy`` it refuses requests as not executed. No response begins before
+    ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
+    are times of the monotonic clock.
+    """
 
     on_run: Callable[[RunRecord], None] = lambda record: None
     on_order: Callable[[OrderRecord], None] = lambda record: None
@@ -55,6 +73,9 @@
     make_body: Callable[[str, str], bytes] = lambda request, name: b""
     orders: int = 0
     loading: bool = False
+    busy: bool = False
+    first_event_after_s: float = 0.0
+    next_event_after_s: float = 0.0
     order_lock: threading.Lock = field(factory=threading.Lock)
 
     def answer(self, message: RequestMessage, caller: CallerConnection) -> None:
@@ -70,7 +91,7 @@
         elif message.target == b"/order":
             status = self.accept_order(orjson.loads(message.body))
             caller.send_response(status, b"", [], b"{}")
-        elif self.loading:
+        elif self.loading or self.busy:
             self.reply(message, caller, 503, not_run)
         elif not self.has_weights(message):
             self.reply(message, caller, 421, not_run)
@@ -137,17 +158,23 @@
             (names.RESPONSE_SEAL, name.encode()),
         ]
         if not streams:
-            time.sleep(EVENT_INTERVAL_S)
+            self.wait_event(first=True)
             caller.send_response(200, b"", sealed, self.make_body(request, name))
             return
         sealed.append((names.SERVED_WEIGHTS, b"%d" % self.version))
         head = caller.begin_stream(200, b"OK", sealed)
         for number in range(after + 1, self.events + 1):
-            time.sleep(EVENT_INTERVAL_S)
+            self.wait_event(first=bool(head))
             caller.write_events(head, self.make_event(request, number))
             head = b""
         caller.end_stream(head)
 
+    def wait_event(self, first: bool) -> None:
+        """Wait until the next event may be sent."""
+        time.sleep(EVENT_INTERVAL_S)
+        resumes_s = self.first_event_after_s if first else self.next_event_after_s
+        time.sleep(max(0.0, resumes_s - time.monotonic()))
+
 
 def encode_request(
     request: str, path: str, method: str, key: str, deadline_s: float, streams: bool
@@ -165,31 +192,65 @@
     return encode_head(f"{method} {path} HTTP/1.1".encode(), headers)
 
 
-def exchange_request(
-    address: Address, data: bytes, timeout_s: float
-) -> Result[ResponseMessage, str]:
-    """Send a request on a new connection and return the response, even if partial."""
-    try:
-        connection = connect(address, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S)
-    except OSError as error:
-        return Err(str(error))
-    reader = ResponseParser()
+@frozen
+class ClientExchange:
+    """The response that a client received, if any, and how the exchange ended."""
+
+    message: ResponseMessage | None
+    ending: str
+
+
+@define(eq=False)
+class Client:
+    """A client that keeps its connection open from one request to the next."""
+
+    address: Address
+    connection: socket.socket | None = None
+
+    def exchange(self, data: bytes, timeout_s: float) -> ClientExchange:
+        """Send a request and return the response, even if partial."""
+        if self.connection is not None and not is_reusable(self.connection):
+            self.close()
+        try:
+            if self.connection is None:
+                self.connection = connect(
+                    self.address, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
+                )
+        except OSError:
+            return ClientExchange(None, NOT_CONNECTED)
+        reader = ResponseParser()
+        ending = exchange_bytes(self.connection, data, reader, timeout_s)
+        message = reader.responses[0] if reader.responses else None
+        if ending != COMPLETE or not message.keep_alive:
+            self.close()
+        return ClientExchange(message, ending)
+
+    def close(self) -> None:
+        """Close the connection, if one is open."""
+        if self.connection is not None:
+            close(self.connection)
+        self.connection = None
+
+
+def exchange_bytes(
+    connection: socket.socket, data: bytes, reader: ResponseParser, timeout_s: float
+) -> str:
+    """Send a request, read until its response ends, and return how it ended."""
     deadline_s = time.monotonic() + timeout_s
     try:
         connection.sendall(data)
         while not (reader.responses and reader.responses[0].complete):
             if not wait_readable(connection, deadline_s - time.monotonic()):
-                break
+                return ABANDONED
             piece = connection.recv(READ_BYTES)
             if not piece:
                 reader.feed_eof()
                 break
             reader.feed(piece)
     except OSError:
-        pass
-    finally:
-        close(connection)
-    return Ok(reader.responses[0]) if reader.responses else Err("no response")
+        return RESET
+    complete = bool(reader.responses) and reader.responses[0].complete
+    return COMPLETE if complete else CLOSED
 
 
 def read_answer_identity(message: ResponseMessage) -> tuple[str, str]:
@@ -205,3 +266,14 @@
 def make_wanted_weights(version: int) -> tuple[str, str, dict]:
     """Return the kind, name and document of a model's wanted weights."""
     return names.WEIGHTS_KIND, MODEL, {"model": MODEL, "version": version}
+
+
+def make_targets(weights: dict[str, int]) -> dict:
+    """Return the fields of a route that is split between services by weight."""
+    items = [{"service": name, "weight": value} for name, value in weights.items()]
+    return {"trafficSplit": items}
+
+
+def target_services(route: dict) -> set[str]:
+    """Return the services to which a route goes."""
+    return {item["service"] for item in route.get("trafficSplit", [route])}
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -1,4 +1,4 @@
-"""Registered faults, each of which reverts its effect, and their injector."""
+"""Unplanned faults, each of which reverts its effect."""
 
 import random
 import signal
@@ -6,19 +6,15 @@
 from contextlib import contextmanager
 from typing import Callable, Iterator
 
-from attrs import define, field
+from attrs import define
 
 from rosemaryyoke.core import Registry
-from rosemaryyoke.platform.standins.documents import make_route
-from rosemaryyoke.soak.history import now_s
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
-from rosemaryyoke.soak.testbed import HostProcess, Testbed, UpstreamNode
+from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
 
 SHORT_S = (0.1, 0.6)
 LONG_S = (0.3, 3.0)
 DELAY_S = (0.02, 0.6)
-FAULT_PAUSE_S = (0.05, 0.8)  # between two faults of one worker
-BURST_SIZE = 8
 LOST_WRITES = 3
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
@@ -54,7 +50,7 @@
 
 @contextmanager
 def reserve_host(context: FaultContext) -> Iterator[HostProcess | None]:
-    """Lock a random host; yield None if another process fault holds it."""
+    """Lock a random host; yield None if something else acts on its process."""
     host = context.rng.choice(context.testbed.hosts)
     with try_lock(host.lock) as acquired:
         yield host if acquired else None
@@ -62,11 +58,11 @@
 
 @contextmanager
 def reserve_upstream(
-    context: FaultContext, service: str = ""
+    context: FaultContext, engines_only: bool = False
 ) -> Iterator[UpstreamNode | None]:
-    """Lock a random upstream; yield None if another fault holds it."""
-    nodes = [n for n in context.testbed.nodes if service in ("", n.service)]
-    node = context.rng.choice(nodes)
+    """Lock a random upstream; yield None if something else acts on it."""
+    nodes = context.testbed.nodes
+    node = context.rng.choice([n for n in nodes if n.is_engine or not engines_only])
     with try_lock(node.lock) as acquired:
         yield node if acquired else None
 
@@ -100,21 +96,6 @@
             context.wait(SHORT_S)
 
 
-@faults.register("host stopped in good order")
-def stop_host(context: FaultContext) -> None:
-    """Stop a host gracefully and restart it."""
-    restart_host(context, signal.SIGTERM, SHORT_S)
-
-
-@faults.register("host told to reload")
-def reload_host(context: FaultContext) -> None:
-    """Make a ready host reload its settings."""
-    with reserve_host(context) as host:
-        if host is not None and host.is_ready():
-            host.send(signal.SIGHUP)
-            context.wait(SHORT_S)
-
-
 @faults.register("store cut off from a host")
 def inject_store_link_fault(context: FaultContext) -> None:
     """Set a random fault on the link from one host to the store."""
@@ -162,31 +143,18 @@
             node.link.heal()
 
 
-@faults.register("upstream drained")
-def drain_upstream(context: FaultContext) -> None:
-    """Register an upstream as draining for a random time."""
-    with reserve_upstream(context) as node:
-        if node is not None:
-            context.testbed.register_node(node, "draining")
-            context.wait(LONG_S)
-            context.testbed.register_node(node)
-
-
 @faults.register("upstream replaced at its address")
 def replace_upstream(context: FaultContext) -> None:
     """Reuse an upstream's address for another before the first is deregistered."""
     with reserve_upstream(context) as node:
         if node is not None:
             old_name = node.upstream.name
-            node.generation += 1
             node.link.reset()
-            node.upstream.name = f"{old_name.partition('.')[0]}.{node.generation}"
-            node.upstream.orders = 0
-            node.upstream.version = max(node.upstream.version, context.testbed.weights)
+            context.testbed.replace_incarnation(node)
             context.wait(SHORT_S)
             context.testbed.store.remove("servers", old_name)
             context.wait(SHORT_S)
-            context.testbed.register_node(node)
+            context.testbed.register_node(node, READY)
 
 
 @faults.register("store fails")
@@ -207,59 +175,3 @@
             store.forget_history()
         context.wait(LONG_S)
         store.down, store.writes_to_lose, store.call_delay_s = False, 0, 0.0
-
-
-@faults.register("burst of configurations")
-def burst_configurations(context: FaultContext) -> None:
-    """Publish several configurations in quick succession."""
-    with try_lock(context.testbed.store_lock) as acquired:
-        for number in range(BURST_SIZE if acquired else 0):
-            context.testbed.publish((make_route(f"burst-{number}"),))
-            context.wait(FAULT_PAUSE_S)
-
-
-@faults.register("new weights")
-def request_weights(context: FaultContext) -> None:
-    """Request new weights of the model."""
-    context.testbed.request_weights()
-    context.wait(LONG_S)
-
-
-@define(eq=False)
-class FaultInjector:
-    """Workers that inject overlapping faults, each with its own random generator."""
-
-    testbed: Testbed
-    seed: int
-    worker_count: int
-    names: list[str] = field(factory=faults.names)
-    stopping: threading.Event = field(factory=threading.Event)
-    injected: list[tuple[float, float, str]] = field(factory=list)
-    errors: list[str] = field(factory=list)
-    threads: list[threading.Thread] = field(factory=list)
-
-    def start(self) -> None:
-        """Start all workers."""
-        for worker in range(self.worker_count):
-            thread = threading.Thread(target=self.run, args=(worker,), daemon=True)
-            thread.start()
-            self.threads.append(thread)
-
-    def stop(self) -> None:
-        """Stop the workers once their current faults are reverted."""
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
-
-    def run(self, worker: int) -> None:
-        """Inject one fault after another."""
-        rng = random.Random(f"{self.seed}/{worker}")
-        context = FaultContext(self.testbed, rng, self.stopping)
-        while not self.stopping.wait(rng.uniform(*FAULT_PAUSE_S)):
-            name = rng.choice(self.names)
-            started_s = now_s()
-            try:
-                faults.get(name)(context)
-            except Exception as error:
-                self.errors.append(f"{name}: {error!r}")
-            self.injected.append((started_s, now_s(), name))
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -1,10 +1,16 @@
 """The recorded calls, executions and orders of a soak."""
 
+import math
 import threading
 import time
 from collections import defaultdict
+from pathlib import Path
 
-from attrs import define, field, frozen
+import orjson
+from attrs import asdict, define, evolve, field, fields_dict, frozen
+from attrs.filters import exclude
+
+from rosemaryyoke.platform.standins.simulated_upstreams import NOT_CONNECTED
 
 SAFE = "safe"
 UNSAFE = "unsafe"
@@ -15,7 +21,8 @@
 class CallResult:
     """A request of a caller and its outcome.
 
-    ``status`` is 0 if no answer head arrived; ``wait_s`` lasts until the answer ends.
+    ``status`` is 0 if no answer head arrived; ``wait_s`` lasts until the answer ends,
+    and ``limit_s`` until the caller's deadline or the route's shortest time-out.
     """
 
     request: str
@@ -29,6 +36,13 @@
     signed_by: str = ""
     body: bytes = b""
     account: str = ""
+    ending: str = NOT_CONNECTED
+    limit_s: float = math.inf
+
+    @property
+    def ended_s(self) -> float:
+        """Return when the answer ended."""
+        return self.sent_s + self.wait_s
 
 
 @frozen
@@ -56,13 +70,32 @@
     possibly_delayed: bool
 
 
+@define
+class Disruption:
+    """An unplanned fault and the time that it lasts."""
+
+    name: str
+    started_s: float
+    ended_s: float = math.inf
+
+
+@frozen
+class BrokenOff:
+    """An upstream that ended its executions at a given time."""
+
+    upstream: str
+    at_s: float
+
+
 @define(eq=False)
 class History:
-    """Written by callers and upstreams; read by the invariant checks."""
+    """Written by callers, upstreams and the injector; read by the invariant checks."""
 
     calls: dict[str, CallResult] = field(factory=dict)
     executions: dict[str, list[Execution]] = field(factory=lambda: defaultdict(list))
     orders: list[OrderExecution] = field(factory=list)
+    disruptions: list[Disruption] = field(factory=list)
+    broken_off: list[BrokenOff] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -80,13 +113,42 @@
         with self.lock:
             self.orders.append(order)
 
+    def begin_disruption(self, name: str) -> Disruption:
+        """Record that an unplanned fault begins, and return its entry."""
+        with self.lock:
+            self.disruptions.append(Disruption(name, now_s()))
+            return self.disruptions[-1]
+
+    def record_broken_off(self, upstream: str) -> None:
+        """Record that an upstream ends its executions now."""
+        with self.lock:
+            self.broken_off.append(BrokenOff(upstream, now_s()))
+
     def copy(self) -> "History":
         """Return a snapshot of the history."""
         with self.lock:
             executions = {
                 request: list(runs) for request, runs in self.executions.items()
             }
-            return History(dict(self.calls), executions, list(self.orders))
+            return History(
+                dict(self.calls),
+                executions,
+                list(self.orders),
+                [evolve(item) for item in self.disruptions],
+                list(self.broken_off),
+            )
+
+    def save_calls(self, path: Path) -> None:
+        """Write all calls, without their bodies, as JSON lines."""
+        with self.lock:
+            calls = list(self.calls.values())
+        fields = fields_dict(CallResult)
+        path.write_bytes(
+            b"".join(
+                orjson.dumps(asdict(call, filter=exclude(fields["body"]))) + b"\n"
+                for call in calls
+            )
+        )
 
     def calls_since(self, moment_s: float) -> list[CallResult]:
         """Return the calls sent at or after a given time."""
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -3,19 +3,28 @@
 from typing import Callable
 
 from rosemaryyoke.core import Registry
+from rosemaryyoke.platform.standins.simulated_upstreams import (
+    ABANDONED,
+    COMPLETE,
+    NOT_CONNECTED,
+)
 from rosemaryyoke.soak.history import (
     STREAM,
     UNSAFE,
     CallResult,
+    Execution,
     History,
     OrderExecution,
 )
 
-EVENTS = 6
+EVENTS = 12
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 REJECTION_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 431})
 SUCCESS = 200
 LEASE_S = 1.0  # matches the settings of the soak's hosts
+STABLE_S = 3.0  # time after an unplanned fault in which requests may be lost
+READ_WITHIN_S = 0.2  # a host has read a request that it holds for longer
+LIMIT_MARGIN_S = 0.1  # hosts end a request this long before its deadline
 
 Check = Callable[[History], list[str]]
 
@@ -144,3 +153,41 @@
         return False
     before_lease_expiry = order.at_s - before.at_s < LEASE_S
     return before_lease_expiry or order.fencing <= before.fencing
+
+
+@invariants.register("an accepted request is not lost")
+def check_not_lost(history: History) -> list[str]:
+    """Find requests that a host read and did not answer, without an excuse."""
+    return [
+        f"{call} executed {history.executions.get(call.request, [])}"
+        for call in history.calls.values()
+        if is_unanswered(call, history.executions.get(call.request, []))
+        and not is_disrupted(call, history)
+        and not is_broken_off(call, history)
+    ]
+
+
+def is_unanswered(call: CallResult, runs: list[Execution]) -> bool:
+    """Return whether a host read a request and closed without a whole answer."""
+    if call.ending in (COMPLETE, NOT_CONNECTED, ABANDONED):
+        return False
+    if call.wait_s >= call.limit_s - LIMIT_MARGIN_S:
+        return False
+    return bool(call.status or runs) or call.wait_s > READ_WITHIN_S
+
+
+def is_disrupted(call: CallResult, history: History) -> bool:
+    """Return whether an unplanned fault may have caused the end of a call."""
+    return any(
+        item.started_s <= call.ended_s and item.ended_s >= call.sent_s - STABLE_S
+        for item in history.disruptions
+    )
+
+
+def is_broken_off(call: CallResult, history: History) -> bool:
+    """Return whether an upstream that executed a request ended it midway."""
+    upstreams = {run.upstream for run in history.executions.get(call.request, [])}
+    return any(
+        item.upstream in upstreams and call.sent_s <= item.at_s <= call.ended_s
+        for item in history.broken_off
+    )
--- a/rosemaryyoke/soak/run.py
+++ b/rosemaryyoke/soak/run.py
@@ -8,18 +8,18 @@
 from attrs import define, field
 
 from rosemaryyoke.platform.standins.documents import make_route
-from rosemaryyoke.platform.standins.simulated_upstreams import (
-    encode_request,
-    exchange_request,
-)
-from rosemaryyoke.soak.faults import FaultInjector
+from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
+from rosemaryyoke.soak.faults import Fault
 from rosemaryyoke.soak.history import SAFE, STREAM, UNSAFE, CallResult, now_s
+from rosemaryyoke.soak.injector import ALL, FaultInjector, select_faults
 from rosemaryyoke.soak.invariants import invariants
+from rosemaryyoke.soak.planned_work import planned_work
 from rosemaryyoke.soak.testbed import HostProcess, Testbed
 from rosemaryyoke.soak.traffic import API_KEYS, DEADLINE_S, Traffic
 
 FAULT_WORKERS = 3
-CALLERS = 8
+PLANNED_WORKERS = 6  # while nothing but planned work is selected
+CALLERS = 12
 CHECK_PERIOD_S = 1.0
 READY_WAIT_S = 10.0
 RECOVERY_S = 4.0  # time for hosts to consider all upstreams healthy again
@@ -27,6 +27,7 @@
 MAX_FINAL_FAILURES = 2  # of the 90 requests sent after recovery
 CONFIGURATION_WAIT_S = 3.0  # time for a configuration to take effect
 MAX_CASES_SHOWN = 3  # violations listed per invariant
+CALLS_FILE = "calls.jsonl"  # beside the hosts' logs
 MEMORY_BYTES = 160 * 1024 * 1024
 
 
@@ -39,13 +40,16 @@
     statuses: dict[str, int] = field(factory=dict)
     faults: dict[str, int] = field(factory=dict)
     orders: int = 0
+    endings: dict[str, int] = field(factory=dict)
     broken: dict[str, list[str]] = field(factory=dict)
+    violations: dict[str, int] = field(factory=dict)
     folder: str = ""
 
     def add_violations(self, invariant: str, cases: list[str]) -> None:
         """Record the cases that violate an invariant."""
         if cases:
             self.broken[invariant] = cases[:MAX_CASES_SHOWN]
+            self.violations[invariant] = len(cases)
 
 
 @define(eq=False)
@@ -56,21 +60,25 @@
     seconds: float
     testbed: Testbed
     report: SoakReport
+    selected: dict[str, Fault]
+    keep_going: bool = False
     traffic: Traffic = field(init=False)
     injector: FaultInjector = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.traffic = Traffic(self.testbed, self.seed, CALLERS)
-        self.injector = FaultInjector(self.testbed, self.seed, FAULT_WORKERS)
+        planned_only = self.selected.keys() <= planned_work.entries.keys()
+        workers = PLANNED_WORKERS if planned_only else FAULT_WORKERS
+        self.injector = FaultInjector(self.testbed, self.seed, workers, self.selected)
 
     def run(self) -> None:
-        """Run to the end, or stop early at the first violation."""
+        """Run to the end, or stop at the first violation unless told to keep going."""
         waiting = self.testbed.wait_ready(now_s() + READY_WAIT_S)
         self.report.add_violations("hosts become ready", waiting)
         self.traffic.start()
         self.injector.start()
         until_s = now_s() + self.seconds
-        while now_s() < until_s and not self.report.broken:
+        while now_s() < until_s and (self.keep_going or not self.report.broken):
             time.sleep(CHECK_PERIOD_S)
             self.check()
         self.injector.stop()
@@ -127,17 +135,23 @@
 
     def request_each_kind(self, host: HostProcess) -> list[CallResult]:
         """Send requests of every kind to a host, alternating the accounts."""
-        accounts = list(API_KEYS)
-        return [
-            self.traffic.request_once(host, kind, accounts[number % len(accounts)])
+        accounts, client = list(API_KEYS), Client(host.caller_link.address)
+        calls = [
+            self.traffic.request_once(
+                host, kind, accounts[number % len(accounts)], client
+            )
             for number in range(FINAL_ROUNDS)
             for kind in (STREAM, UNSAFE, SAFE)
         ]
+        client.close()
+        return calls
 
     def hosts_without_new_route(self) -> list[str]:
         """Return the hosts that do not serve a new route in time."""
         name = "late-route"
-        self.testbed.publish((make_route(name),))
+        document = self.testbed.make_configuration()
+        document["routes"].append(make_route(name))
+        self.testbed.publish(document)
         time.sleep(CONFIGURATION_WAIT_S)
         return [
             host.name
@@ -150,8 +164,10 @@
         request = f"{STREAM}-{route}-{host.name}"
         path, key = f"/{route}/1", API_KEYS["t1"]
         data = encode_request(request, path, "POST", key, DEADLINE_S, True)
-        answer = exchange_request(host.caller_link.address, data, DEADLINE_S)
-        return answer.is_ok() and answer.ok_value.status != 404
+        client = Client(host.caller_link.address)
+        message = client.exchange(data, DEADLINE_S).message
+        client.close()
+        return message is not None and message.status != 404
 
     def exit_codes(self) -> list[tuple[str, int]]:
         """Send SIGTERM to every host and return their exit codes."""
@@ -177,16 +193,23 @@
     return int(lines[0][1]) * 1024 if lines else 0
 
 
-def run_soak(seed: int, seconds: float) -> SoakReport:
-    """Run a soak and return its report."""
-    report = SoakReport(seed)
+def run_soak(
+    seed: int, seconds: float, selection: str = ALL, keep_going: bool = False
+) -> SoakReport:
+    """Run a soak with the selected faults and return its report.
+
+    Raise ``LookupError`` if the selection names an unknown fault.
+    """
+    report, selected = SoakReport(seed), select_faults(selection)
     with Testbed() as testbed:
         report.folder = str(testbed.folder)
-        soak = Soak(seed, seconds, testbed, report)
+        soak = Soak(seed, seconds, testbed, report, selected, keep_going)
         soak.run()
+        testbed.history.save_calls(testbed.folder / CALLS_FILE)
         calls = list(testbed.history.calls.values())
         report.requests = len(calls)
         report.statuses = dict(Counter(f"{t.kind} {t.status}" for t in calls))
-        report.faults = dict(Counter(name for _, _, name in soak.injector.injected))
+        report.endings = dict(Counter(f"{t.kind} {t.ending}" for t in calls))
+        report.faults = dict(soak.injector.injected)
         report.orders = len(testbed.history.orders)
     return report
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -14,6 +14,7 @@
 
 from rosemaryyoke.http1 import Address, send_request
 from rosemaryyoke.platform.standins.documents import (
+    MODEL,
     make_configuration,
     make_registration,
     make_settings,
@@ -25,6 +26,7 @@
     SimulatedUpstream,
     make_wanted_weights,
 )
+from rosemaryyoke.soak.configurations import SERVICES
 from rosemaryyoke.soak.history import (
     STREAM,
     UNSAFE,
@@ -39,13 +41,17 @@
 
 PORTS_PER_HOST = 6
 HOST_COUNT = 3
-ENGINE_COUNT = 3
+ENGINES = ("llm", "llm", "llm", "llm-b", "llm-b")  # the service of each engine
 RECORD_SERVER_COUNT = 2
 # Orders held back by a suspended sender or a blocked link arrive within this time
 # after the sender is resumed or the link is healed.
 DELAYED_ORDER_S = 0.3
-STOP_TIMEOUT_S = 4.0  # twice the grace period in the settings
+GRACE_S = 4  # longer than a caller's deadline
+STOP_TIMEOUT_S = 2.0 * GRACE_S
 POLL_INTERVAL_S = 0.05
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"  # deregistered
 JUMPING_CLOCK_HOST = 0  # index of the host whose wall clock jumps
 ERROR_MARKERS = (b"Traceback", b"task failed", b"handler failed")
 
@@ -103,9 +109,15 @@
     upstream: SimulatedUpstream
     link: Link
     service: str
+    state: str = READY
     generation: int = 0
     lock: threading.Lock = field(factory=threading.Lock)
 
+    @property
+    def is_engine(self) -> bool:
+        """Return whether the upstream serves a model."""
+        return self.service in SERVICES
+
 
 @define(eq=False)
 class Testbed:
@@ -117,6 +129,7 @@
     nodes: list[UpstreamNode] = field(factory=list)
     store: StoreStandin = field(factory=StoreStandin)
     store_lock: threading.Lock = field(factory=threading.Lock)
+    restart_lock: threading.Lock = field(factory=threading.Lock)
     configuration: int = 0
     weights: int = 1
     resumed_s: float = 0.0
@@ -134,9 +147,9 @@
 
     def build(self) -> None:
         """Start the upstreams and the hosts."""
-        self.publish()
-        for number in range(ENGINE_COUNT):
-            self.add_upstream(f"e{number}", "llm")
+        self.publish(self.make_configuration())
+        for number, service in enumerate(ENGINES):
+            self.add_upstream(f"e{number}", service)
         for number in range(RECORD_SERVER_COUNT):
             self.add_upstream(f"p{number}", "records")
         seed_addresses: list[str] = []
@@ -171,9 +184,9 @@
         link = Link(upstream.address, Address("127.0.0.1", free_port()))
         link.start()
         node = UpstreamNode(upstream, link, service)
-        upstream.on_loaded = lambda: self.register_node(node)
+        upstream.on_loaded = lambda: self.register_weights(node)
         self.nodes.append(node)
-        self.register_node(node)
+        self.register_node(node, READY)
 
     def add_host(self, number: int, seed_addresses: list[str]) -> None:
         """Prepare a host that has the earlier hosts as seeds."""
@@ -182,6 +195,7 @@
         store = Link(self.store.address, Address("127.0.0.1", free_port()))
         document = make_settings(name, port=port, store=str(store.address))
         document["seeds"] = list(seed_addresses)
+        document["bounds"]["graceS"] = GRACE_S
         seed_addresses.append(document["listen"]["control"])
         path = self.folder / f"{name}.json"
         path.write_bytes(orjson.dumps(document))
@@ -198,21 +212,44 @@
             HostProcess(name, command, log, caller_link, store, readiness)
         )
 
-    def register_node(self, node: UpstreamNode, state: str = "ready") -> None:
-        """Write the registration of an upstream to the store."""
-        upstream = node.upstream
+    def register_node(self, node: UpstreamNode, state: str) -> None:
+        """Write the registration of an upstream to the store, or remove it."""
+        upstream, node.state = node.upstream, state
+        if state == GONE:
+            self.store.remove("servers", upstream.name)
+            return
         entry = make_registration(
             str(node.link.address), node.service, upstream.version, state=state
         )
+        if node.is_engine:
+            model = {"name": MODEL, "version": upstream.version, "adapters": []}
+            entry["models"] = [model]
         self.store.set("servers", upstream.name, entry)
 
-    def publish(self, extra_routes: tuple[dict, ...] = ()) -> int:
-        """Publish the next configuration and return its version."""
+    def register_weights(self, node: UpstreamNode) -> None:
+        """Register the weights that an engine has loaded, unless it is leaving."""
+        if node.state != GONE:
+            self.register_node(node, node.state)
+
+    def replace_incarnation(self, node: UpstreamNode) -> None:
+        """Let another upstream take the place of one, with the newest weights."""
+        upstream = node.upstream
+        node.generation += 1
+        upstream.name = f"{upstream.name.partition('.')[0]}.{node.generation}"
+        upstream.orders = 0
+        upstream.version = max(upstream.version, self.weights)
+
+    def make_configuration(self) -> dict:
+        """Return the configuration of the testbed, with all services of engines."""
+        document = make_configuration()
+        engines = document["services"][0]
+        document["services"] += [{**engines, "name": name} for name in SERVICES[1:]]
+        return document
+
+    def publish(self, document: dict) -> None:
+        """Publish a configuration as the next version."""
         self.configuration += 1
-        document = make_configuration(self.configuration)
-        document["routes"] += extra_routes
-        self.store.set("config", "main", document)
-        return self.configuration
+        self.store.set("config", "main", {**document, "version": self.configuration})
 
     def request_weights(self) -> None:
         """Request the next weights of the model."""
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -2,9 +2,13 @@
 
 from attrs import evolve
 
+from rosemaryyoke.platform.standins.simulated_upstreams import CLOSED, COMPLETE
 from rosemaryyoke.soak.history import (
     SAFE,
+    STREAM,
+    BrokenOff,
     CallResult,
+    Disruption,
     Execution,
     History,
     OrderExecution,
@@ -12,9 +16,9 @@
 from rosemaryyoke.soak.invariants import body_text
 
 
-def make_history(calls=(), executions=(), orders=()):
+def make_history(calls=(), executions=(), orders=(), disruptions=(), broken_off=()):
     """Return a history with the given entries."""
-    history = History()
+    history = History(disruptions=list(disruptions), broken_off=list(broken_off))
     for item in calls:
         history.record_call(item)
     for item in executions:
@@ -38,10 +42,24 @@
         signed_by="p1",
         body=body_text(request, "p1"),
         account="t1",
+        ending=COMPLETE,
+        limit_s=3.0,
     )
     return evolve(call, **changes)
 
 
+def make_cut_call(request="stream-1", kind=STREAM, **changes):
+    """Return the result of a call whose connection closed after the answer's head."""
+    cut = {"body": b"", "complete": False, "ending": CLOSED, **changes}
+    return make_call(request, kind, **cut)
+
+
+def make_unanswered_call(request="safe-1", kind=SAFE, **changes):
+    """Return the result of a call whose connection closed without any answer."""
+    none = {"status": 0, "echoed_request": "", "signed_by": "", **changes}
+    return make_cut_call(request, kind, **none)
+
+
 def make_execution(request="safe-1", kind=SAFE, **changes):
     """Return an execution at upstream p1."""
     execution = Execution(
@@ -56,3 +74,13 @@
         "e1", "front-0", fencing=1, version=2, at_s=1.0, possibly_delayed=False
     )
     return evolve(order, **changes)
+
+
+def make_disruption(started_s, ended_s):
+    """Return an unplanned fault."""
+    return Disruption("host killed", started_s, ended_s)
+
+
+def make_broken_off(upstream="p1", at_s=1.1):
+    """Return the entry of an upstream that ended its executions."""
+    return BrokenOff(upstream, at_s)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -2,13 +2,22 @@
 
 import pytest
 
+from rosemaryyoke.platform.standins.simulated_upstreams import (
+    ABANDONED,
+    NOT_CONNECTED,
+    RESET,
+)
 from rosemaryyoke.soak.history import STREAM, UNSAFE
 from rosemaryyoke.soak.invariants import EVENTS, event_text, invariants
 from rosemaryyoke.soak.tests.builders import (
+    make_broken_off,
     make_call,
+    make_cut_call,
+    make_disruption,
     make_execution,
     make_history,
     make_order,
+    make_unanswered_call,
 )
 
 OWN = "a success is complete, signed and belongs to its request"
@@ -19,6 +28,7 @@
 REJECTED = "a valid request is not rejected"
 RESUMED = "the first execution of a stream starts at its first event"
 ORDERS = "an engine has one order holder at a time and versions never decrease"
+LOST = "an accepted request is not lost"
 
 
 def make_stream_call(*numbers):
@@ -39,7 +49,7 @@
     (OWN, make_history([make_call(echoed_request="safe-2")])),
     (OWN, make_history([make_call(signed_by="")])),
     (OWN, make_history([make_stream_call(1, 2, 3)])),
-    (OWN, make_history([make_stream_call(1, 2, 2, 3, 4, 5, 6)])),
+    (OWN, make_history([make_stream_call(1, 2, *range(2, EVENTS + 1))])),
     (ONCE, make_history(executions=[make_execution("unsafe-1", UNSAFE)] * 2)),
     (
         NOT_RUN,
@@ -62,6 +72,23 @@
         ORDERS,
         make_history(orders=[make_order(), make_order(holder="b", at_s=9.0)]),
     ),
+    (LOST, make_history([make_cut_call()])),
+    (LOST, make_history([make_cut_call(ending=RESET)])),
+    (LOST, make_history([make_unanswered_call()], [make_execution()])),
+    (LOST, make_history([make_unanswered_call(wait_s=0.3)])),
+    (
+        LOST,
+        make_history([make_cut_call(sent_s=9.0)], disruptions=[make_disruption(1, 5)]),
+    ),
+    (LOST, make_history([make_cut_call()], disruptions=[make_disruption(2, 5)])),
+    (
+        LOST,
+        make_history(
+            [make_cut_call()],
+            [make_execution("stream-1", STREAM)],
+            broken_off=[make_broken_off("p2"), make_broken_off(at_s=0.9)],
+        ),
+    ),
 ]
 
 VALID_HISTORY = make_history(
@@ -101,5 +128,34 @@
 
 
 def test_truncated_answer_marked_incomplete_is_no_violation():
-    cut = make_call("stream-1", STREAM, body=event_text("stream-1", 1), complete=False)
+    cut = make_cut_call(body=event_text("stream-1", 1))
     assert not invariants.get(OWN)(make_history([cut]))
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        make_call(status=503),
+        make_cut_call(wait_s=2.95),
+        make_unanswered_call(wait_s=0.1),
+        make_unanswered_call(ending=NOT_CONNECTED, wait_s=0.5),
+        make_cut_call(ending=ABANDONED, wait_s=5.0),
+    ],
+)
+def test_refused_expired_or_unread_request_is_not_lost(call):
+    assert not invariants.get(LOST)(make_history([call]))
+
+
+@pytest.mark.parametrize("bounds", [(0.0, 0.5), (1.05, 2.0), (0.0, 9.0)])
+def test_request_near_an_unplanned_fault_is_not_lost(bounds):
+    history = make_history([make_cut_call()], disruptions=[make_disruption(*bounds)])
+    assert not invariants.get(LOST)(history)
+
+
+def test_request_that_its_upstream_broke_off_is_not_lost():
+    history = make_history(
+        [make_cut_call()],
+        [make_execution("stream-1", STREAM)],
+        broken_off=[make_broken_off()],
+    )
+    assert not invariants.get(LOST)(history)
--- a/rosemaryyoke/soak/traffic.py
+++ b/rosemaryyoke/soak/traffic.py
@@ -5,25 +5,26 @@
 import threading
 
 from attrs import define, evolve, field
-from result import Err
 
 from rosemaryyoke.http1 import ResponseMessage
 from rosemaryyoke.platform.standins.simulated_upstreams import (
+    Client,
     encode_request,
-    exchange_request,
     read_answer_identity,
 )
 from rosemaryyoke.soak.history import SAFE, STREAM, UNSAFE, CallResult, now_s
 from rosemaryyoke.soak.testbed import HostProcess, Testbed
 
-DEADLINE_S = 2.0
-CALL_TIMEOUT_S = 5.0  # the longest timeout of a route, plus slack for its answer
+DEADLINE_S = 3.0
+CALL_TIMEOUT_S = 5.0  # the deadline, plus slack for the answer
 THINK_TIME_S = (0.0, 0.1)
+KEPT_CONNECTIONS_SHARE = 0.7
 PATHS = {
     STREAM: ("/chat/1", "POST"),
     UNSAFE: ("/issue/1", "POST"),
     SAFE: ("/read/1", "GET"),
 }
+LIMITS_S = {STREAM: DEADLINE_S, UNSAFE: 1.5, SAFE: 1.5}  # 1.5 s is a route's time-out
 API_KEYS = {"t1": "k1", "t2": "k2"}
 
 
@@ -56,12 +57,19 @@
     def run_caller(self, number: int) -> None:
         """Send requests in a loop, with a random pause between them."""
         rng = random.Random(f"{self.seed}/caller/{number}")
+        clients = [Client(host.caller_link.address) for host in self.testbed.hosts]
         while not self.stopping.wait(rng.uniform(*THINK_TIME_S)):
-            host = rng.choice(self.testbed.hosts)
+            host, client = rng.choice(list(zip(self.testbed.hosts, clients)))
             kind, account = rng.choice(list(PATHS)), rng.choice(list(API_KEYS))
-            self.request_once(host, kind, account)
+            self.request_once(host, kind, account, client)
+            if rng.random() > KEPT_CONNECTIONS_SHARE:
+                client.close()
+        for client in clients:
+            client.close()
 
-    def request_once(self, host: HostProcess, kind: str, account: str) -> CallResult:
+    def request_once(
+        self, host: HostProcess, kind: str, account: str, client: Client
+    ) -> CallResult:
         """Send one request to a host and record the result."""
         request = f"{kind}-{next(self.request_numbers)}"
         path, method = PATHS[kind]
@@ -69,11 +77,19 @@
         key = API_KEYS[account]
         data = encode_request(request, path, method, key, DEADLINE_S, streams)
         sent_s = now_s()
-        answer = exchange_request(host.caller_link.address, data, CALL_TIMEOUT_S)
-        wait_s = now_s() - sent_s
-        call = CallResult(request, kind, host.name, sent_s, wait_s, account=account)
-        if not isinstance(answer, Err) and answer.ok_value.head_complete:
-            call = read_answer(call, answer.ok_value)
+        exchange = client.exchange(data, CALL_TIMEOUT_S)
+        call = CallResult(
+            request,
+            kind,
+            host.name,
+            sent_s,
+            now_s() - sent_s,
+            account=account,
+            ending=exchange.ending,
+            limit_s=LIMITS_S[kind],
+        )
+        if exchange.message is not None and exchange.message.head_complete:
+            call = read_answer(call, exchange.message)
         self.testbed.history.record_call(call)
         return call
 
