--- a/rosemaryyoke/soak/configurations.py
+++ b/rosemaryyoke/soak/configurations.py
@@ -2,7 +2,7 @@
 
 import random
 
-from rosemaryyoke.platform.standins.documents import make_route
+from rosemaryyoke.platform.standins.documents import make_configuration, make_route
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     make_targets,
     target_services,
@@ -17,6 +17,14 @@
 WITHOUT_UNUSED_SHARE = 0.5
 
 
+def make_soak_configuration() -> dict:
+    """Return a configuration with all services of engines."""
+    document = make_configuration()
+    engines = document["services"][0]
+    document["services"] += [{**engines, "name": name} for name in SERVICES[1:]]
+    return document
+
+
 def change_configuration(document: dict, rng: random.Random) -> None:
     """Change the route to engines, add others, and at times drop an unused service."""
     routes = document["routes"]
--- a/rosemaryyoke/soak/planned_work.py
+++ b/rosemaryyoke/soak/planned_work.py
@@ -3,7 +3,10 @@
 import signal
 
 from rosemaryyoke.core import Registry
-from rosemaryyoke.soak.configurations import change_configuration
+from rosemaryyoke.soak.configurations import (
+    change_configuration,
+    make_soak_configuration,
+)
 from rosemaryyoke.soak.faults import (
     LONG_S,
     SHORT_S,
@@ -81,7 +84,7 @@
     """Publish several configurations in quick succession."""
     with try_lock(context.testbed.store_lock) as acquired:
         for _ in range(BURST_SIZE if acquired else 0):
-            document = context.testbed.make_configuration()
+            document = make_soak_configuration()
             change_configuration(document, context.rng)
             context.testbed.publish(document)
             context.wait(BURST_PAUSE_S)
--- a/rosemaryyoke/soak/run.py
+++ b/rosemaryyoke/soak/run.py
@@ -9,6 +9,7 @@
 
 from rosemaryyoke.platform.standins.documents import make_route
 from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
+from rosemaryyoke.soak.configurations import make_soak_configuration
 from rosemaryyoke.soak.faults import Fault
 from rosemaryyoke.soak.history import SAFE, STREAM, UNSAFE, CallResult, now_s
 from rosemaryyoke.soak.injector import ALL, FaultInjector, select_faults
@@ -149,7 +150,7 @@
     def hosts_without_new_route(self) -> list[str]:
         """Return the hosts that do not serve a new route in time."""
         name = "late-route"
-        document = self.testbed.make_configuration()
+        document = make_soak_configuration()
         document["routes"].append(make_route(name))
         self.testbed.publish(document)
         time.sleep(CONFIGURATION_WAIT_S)
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -15,7 +15,6 @@
 from rosemaryyoke.http1 import Address, send_request
 from rosemaryyoke.platform.standins.documents import (
     MODEL,
-    make_configuration,
     make_registration,
     make_settings,
 )
@@ -26,7 +25,7 @@
     SimulatedUpstream,
     make_wanted_weights,
 )
-from rosemaryyoke.soak.configurations import SERVICES
+from rosemaryyoke.soak.configurations import SERVICES, make_soak_configuration
 from rosemaryyoke.soak.history import (
     STREAM,
     UNSAFE,
@@ -147,7 +146,7 @@
 
     def build(self) -> None:
         """Start the upstreams and the hosts."""
-        self.publish(self.make_configuration())
+        self.publish(make_soak_configuration())
         for number, service in enumerate(ENGINES):
             self.add_upstream(f"e{number}", service)
         for number in range(RECORD_SERVER_COUNT):
@@ -239,13 +238,6 @@
         upstream.orders = 0
         upstream.version = max(upstream.version, self.weights)
 
-    def make_configuration(self) -> dict:
-        """Return the configuration of the testbed, with all services of engines."""
-        document = make_configuration()
-        engines = document["services"][0]
-        document["services"] += [{**engines, "name": name} for name in SERVICES[1:]]
-        return document
-
     def publish(self, document: dict) -> None:
         """Publish a configuration as the next version."""
         self.configuration += 1
