--- a/rosemaryyoke/soak/run.py
+++ b/rosemaryyoke/soak/run.py
@@ -20,7 +20,7 @@
 
 FAULT_WORKERS = 3
 PLANNED_WORKERS = 6  # while nothing but planned work is selected
-CALLERS = 12
+CALLERS = 16
 CHECK_PERIOD_S = 1.0
 READY_WAIT_S = 10.0
 RECOVERY_S = 4.0  # time for hosts to consider all upstreams healthy again
