Stop sending to an engine that announces its leaving

What users would see: an engine that leaves says so in all its answers (`Server-Leaving: 1`), and hosts sent it requests until the store listed it as draining, which may be long after the drain that the answer began.

Cause: the header was not read. An engine's leaving was known from its registration alone.

The head of an answer is now handed to the fleet as soon as it is read: of answers that are passed on, refused, streamed, or broken off afterwards. The mark leaves the engine out of placement, retries, resumptions, probes and the last resort among suspects. It belongs to an incarnation (name, address, `born` of the registration), so that a registration that is still ready does not undo it, nor one that lapses and returns, while a new start under the same id is free of it, and of the load, health and cache estimate of the one before. Hosts tell each other in beacons and digests, by the key of the incarnation, until the store lists the engine as draining.

Ruled out: to hold the mark in the registration, which every heartbeat replaces; to order starts by `born`, since an engine's clock may step back.

--- a/rosemaryyoke/catalog/model.py
+++ b/rosemaryyoke/catalog/model.py
@@ -132,7 +132,8 @@
 class Upstream:
     """A registered upstream.
 
-    ``weights`` maps each model to the version that the upstream serves.
+    ``weights`` maps each model to the version that the upstream serves. ``born_ms`` is
+    the Unix time of its start in milliseconds, or 0 if it is unknown.
     """
 
     name: str
@@ -143,6 +144,7 @@
     draining: bool = False
     cold_s: float = 0.0
     weights: dict[str, int] = field(factory=dict)
+    born_ms: int = 0
 
 
 @frozen
--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -106,6 +106,7 @@
     stall_checked_s: float = -math.inf
     predecessor: "Attempt | None" = None
     handover_end_s: float = math.inf
+    on_head: Callable[[ResponseMetadata], None] | None = None
     max_idle_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
@@ -300,6 +301,9 @@
     def _process_response(self, message: ResponseMessage) -> Outcome | None:
         """Process new response data; return the outcome once it is complete."""
         self.last_byte_s = self.state.last_byte_s = time.monotonic()
+        if self.on_head is not None:
+            self.on_head(self.metadata)
+            self.on_head = None
         if self.relay is not None and message.status == HTTP_OK:
             return self._relay_stream(message)
         if not message.complete:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -3,6 +3,7 @@
 import math
 import random
 import time
+from functools import partial
 from typing import Callable, NoReturn
 
 from attrs import define, evolve, field
@@ -309,6 +310,7 @@
             )
 
         attempt.on_first_event = first_event
+        attempt.on_head = partial(self.fleet.record_notices, state)
         attempt.on_stall = lambda: self.handle_stall(exchange, sent)
         return sent
 
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -251,6 +251,7 @@
             self.rollout.loading(),
             reads,
             tuple(self.fleet.silent_upstreams(())),
+            departures=self.fleet.departures(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -71,12 +71,14 @@
     """Metadata from the status and headers of a response.
 
     ``not_run`` promises that the upstream has not run the request and never will.
+    ``leaving`` announces that the upstream will stop.
     """
 
     request_id: bytes | None
     sealed: bool
     not_run: bool
     weights_version: int | None = None
+    leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -10,7 +10,15 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import Catalog, Upstream
+from rosemaryyoke.exchanges.messages import ResponseMetadata
 from rosemaryyoke.fleet.cache_estimate import HashedPart
+from rosemaryyoke.fleet.notices import (
+    NoticeRegister,
+    incarnation_key,
+    incarnation_of,
+    is_same_incarnation,
+    sample_departures,
+)
 from rosemaryyoke.fleet.state import (
     PROBE_SHARE,
     REMOTE_LOAD_TTL_S,
@@ -66,6 +74,7 @@
 
     catalog: Catalog
     stores: CacheStores = field(factory=CacheStores)
+    notices: NoticeRegister = field(factory=NoticeRegister)
     unsent_prefills: deque[PromptPrefill] = field(
         factory=lambda: deque(maxlen=MAX_UNSENT_PREFILLS)
     )
@@ -85,6 +94,7 @@
             self.stores.refresh(list(services.values()))
             for name in self.states.keys() - upstreams.keys():
                 del self.states[name]
+            self.notices.expire(upstreams, self.now_s())
             self.names_by_key = {upstream_key(name): name for name in upstreams}
             for upstream in upstreams.values():
                 service = services.get(upstream.service)
@@ -92,8 +102,11 @@
 
     def _update_upstream(self, upstream: Upstream, traits) -> None:
         state = self.states.get(upstream.name)
-        if state is None or state.upstream.address != upstream.address:
-            self.states[upstream.name] = UpstreamState(upstream, traits)
+        if state is None or not is_same_incarnation(state.upstream, upstream):
+            notices = self.notices.find(upstream)
+            self.states[upstream.name] = UpstreamState(
+                upstream, traits, notices=notices
+            )
             return
         if state.traits != traits:
             state.traits = traits
@@ -240,6 +253,42 @@
                 else:
                     state.silence_reported_s.pop(host, None)
 
+    def record_notices(self, state: UpstreamState, metadata: ResponseMetadata) -> None:
+        """Record what an upstream announces in the head of an answer.
+
+        Its registration may have lapsed and returned since the request was sent.
+        """
+        if not metadata.leaving:
+            return
+        now_s = self.now_s()
+        with self.lock:
+            current = self.states.get(state.upstream.name, state)
+            if is_same_incarnation(current.upstream, state.upstream):
+                state = current
+            state.notices.mark_leaving(state.upstream)
+            self.notices.keep(state.upstream, state.notices, now_s)
+
+    def departures(self) -> tuple[int, ...]:
+        """Return the keys of the incarnations that announced their leaving.
+
+        Those that all hosts learn of from the store are left out.
+        """
+        with self.lock:
+            return sample_departures(
+                (state.upstream, state.notices) for state in self.states.values()
+            )
+
+    def record_departures(self, host: str, keys: Collection[int]) -> None:
+        """Record the incarnations that leave, as another host reports."""
+        if not keys:
+            return
+        now_s = self.now_s()
+        with self.lock:
+            for state in self.states.values():
+                if incarnation_key(incarnation_of(state.upstream)) in keys:
+                    state.notices.mark_leaving(state.upstream, host)
+                    self.notices.keep(state.upstream, state.notices, now_s)
+
     def probe_share(self) -> float:
         """Return the share of requests that may probe a silent upstream.
 
--- /dev/null
+++ b/rosemaryyoke/fleet/notices.py
@@ -0,0 +1,111 @@
+"""What upstreams announce in their answers: that they leave."""
+
+import functools
+import hashlib
+import random
+from typing import Iterable, Mapping
+
+from attrs import define, field, frozen
+
+from rosemaryyoke.catalog import Upstream
+from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.http1 import Address
+
+KEY_BYTES = 8
+KEY_CACHE_SIZE = 4_096
+# A registration may lapse and return, or come back from an older copy of the store.
+UNLISTED_TTL_S = 60.0
+MAX_REPORTED_DEPARTURES = 8  # per datagram
+
+
+@frozen
+class Incarnation:
+    """One start of an upstream; ``born_ms`` is its Unix time, or 0 if unknown."""
+
+    name: str
+    address: Address
+    born_ms: int = 0
+
+
+def incarnation_of(upstream: Upstream) -> Incarnation:
+    """Return the incarnation that a registration describes."""
+    return Incarnation(upstream.name, upstream.address, upstream.born_ms)
+
+
+def is_same_incarnation(known: Upstream, upstream: Upstream) -> bool:
+    """Return whether two registrations of one name describe the same incarnation."""
+    births = {known.born_ms, upstream.born_ms} - {0}
+    return known.address == upstream.address and len(births) <= 1
+
+
+@functools.lru_cache(KEY_CACHE_SIZE)
+def incarnation_key(incarnation: Incarnation) -> int:
+    """Return a hash of an incarnation, for messages with no room for names."""
+    text = f"{incarnation.name} {incarnation.address} {incarnation.born_ms}"
+    digest = hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+@define(eq=False)
+class Notices:
+    """What an incarnation of an upstream has announced.
+
+    ``listed_s`` is when its registration was last known.
+    """
+
+    leaving: bool = False
+    listed_s: float = 0.0
+
+    def mark_leaving(self, upstream: Upstream, reported_by: str | None = None) -> None:
+        """Record, once, that the upstream leaves; no later answer undoes it."""
+        if self.leaving:
+            return
+        self.leaving = True
+        log_event(
+            "upstream leaving",
+            upstream=upstream.name,
+            born_ms=upstream.born_ms,
+            reported_by=reported_by,
+        )
+
+
+@define(eq=False)
+class NoticeRegister:
+    """Notices by incarnation, kept for a time after the registration is gone.
+
+    An incarnation of unknown birth ends with its registration: the next one of that
+    name could be a new start.
+    """
+
+    notices: dict[Incarnation, Notices] = field(factory=dict)
+
+    def find(self, upstream: Upstream) -> Notices:
+        """Return what an incarnation has announced, or empty notices."""
+        return self.notices.get(incarnation_of(upstream)) or Notices()
+
+    def keep(self, upstream: Upstream, notices: Notices, now_s: float) -> None:
+        """Keep the notices of a registered upstream."""
+        notices.listed_s = now_s
+        self.notices[incarnation_of(upstream)] = notices
+
+    def expire(self, upstreams: Mapping[str, Upstream], now_s: float) -> None:
+        """Forget the incarnations that are no longer registered."""
+        for incarnation, notices in list(self.notices.items()):
+            upstream = upstreams.get(incarnation.name)
+            if upstream is not None and incarnation_of(upstream) == incarnation:
+                notices.listed_s = now_s
+            elif not incarnation.born_ms or now_s - notices.listed_s > UNLISTED_TTL_S:
+                del self.notices[incarnation]
+
+
+def sample_departures(noticed: Iterable[tuple[Upstream, Notices]]) -> tuple[int, ...]:
+    """Return the keys of upstreams that leave, a random sample if there are many.
+
+    Those whose registration says that they are draining are left out.
+    """
+    keys = [
+        incarnation_key(incarnation_of(upstream))
+        for upstream, notices in noticed
+        if notices.leaving and not upstream.draining
+    ]
+    return tuple(random.sample(keys, min(MAX_REPORTED_DEPARTURES, len(keys))))
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -183,7 +183,7 @@
         suspects = [
             state
             for state in states
-            if not state.upstream.draining and state.upstream.name not in excluded
+            if not state.draining and state.upstream.name not in excluded
         ]
         return sorted(suspects, key=lambda state: state.suspect_until_s)[:1]
 
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -8,6 +8,7 @@
 from rosemaryyoke.catalog import EngineTraits, Upstream
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.fleet.cache_estimate import CacheEstimate
+from rosemaryyoke.fleet.notices import Notices
 
 # The lowest prefill rate of the engines in the data sheets.
 PREFILL_TOKENS_PER_S = 60_000.0
@@ -99,6 +100,7 @@
     prefill_reported_s: float = 0.0
     silence_reported_s: dict[str, float] = field(factory=dict)
     mean_load: MeanLoad = field(factory=MeanLoad)
+    notices: Notices = field(factory=Notices)
     cache_estimate: CacheEstimate = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -106,13 +108,18 @@
         self.cache_estimate = CacheEstimate(int(capacity * CACHE_MEMORY_SHARE))
         self.weights = dict(self.upstream.weights)
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the upstream leaves, as it registered or announced."""
+        return self.upstream.draining or self.notices.leaving
+
     def usable(self, now_s: float) -> bool:
-        """Return whether new requests may be sent to the upstream.
+        """Return whether the upstream works and does not leave.
 
         A silent upstream is probed by one request at a time until it answers.
         """
         return (
-            not self.upstream.draining
+            not self.draining
             and now_s >= self.suspect_until_s
             and not (self.considered_silent(now_s) and self.under_way)
         )
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -20,10 +20,12 @@
   loading @12 :Data;
   reads @13 :Data;
   silent @14 :Data;
+  departures @15 :Data;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
-# datagram with tellsLoads has all of loads, loading and silent; the others omit them.
+# datagram with tellsLoads has all of loads, loading, silent and departures; the others
+# omit them.
 struct Digest {
   dataCentre @0 :Text;
   hosts @1 :Data;
@@ -32,4 +34,5 @@
   loading @4 :Data;
   reads @5 :Data;
   silent @6 :Data;
+  departures @7 :Data;
 }
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -241,6 +241,7 @@
         is_local = beacon.data_centre == self.table.data_centre
         if is_local:
             self.pending_reads.extend(beacon.reads)
+        self.fleet.record_departures(beacon.host, beacon.departures)
         for read in beacon.reads:
             self.fleet.record_remote_prefill(read)
         load_digest_received_s = self.load_digest_received_s.get(
@@ -258,6 +259,7 @@
             self.table.update_host(host, now_s, from_digest=True)
         if digest.data_centre == self.table.data_centre:
             return
+        self.fleet.record_departures(digest.data_centre, digest.departures)
         for read in digest.reads:
             self.fleet.record_remote_prefill(read)
         if digest.has_loads:
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -11,10 +11,12 @@
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.packed_rows import (
     decode_hosts,
+    decode_incarnations,
     decode_loads,
     decode_reads,
     decode_upstream_names,
     encode_hosts,
+    encode_incarnations,
     encode_loads,
     encode_reads,
     encode_upstream_names,
@@ -33,7 +35,8 @@
     """The state that a host broadcasts about itself.
 
     ``loading`` names the upstreams that the host ordered to load weights, ``silent``
-    those that do not respond to it.
+    those that do not respond to it. ``departures`` are the keys of the incarnations of
+    upstreams that announced their leaving.
     """
 
     loads: tuple[UpstreamLoad, ...] = ()
@@ -41,6 +44,7 @@
     loading: tuple[str, ...] = ()
     reads: tuple[PromptPrefill, ...] = ()
     silent: tuple[str, ...] = ()
+    departures: tuple[int, ...] = ()
 
 
 @frozen
@@ -54,6 +58,7 @@
     loading: tuple[str, ...] = ()
     reads: tuple[PromptPrefill, ...] = ()
     silent: tuple[str, ...] = ()
+    departures: tuple[int, ...] = ()
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -74,6 +79,7 @@
         loading=encode_upstream_names(beacon.loading),
         reads=encode_reads(beacon.reads),
         silent=encode_upstream_names(beacon.silent),
+        departures=encode_incarnations(beacon.departures),
     )
     return message.to_bytes_packed()
 
@@ -101,6 +107,7 @@
             decode_upstream_names(message.loading, names_by_key),
             decode_reads(message.reads, names_by_key),
             decode_upstream_names(message.silent, names_by_key),
+            decode_incarnations(message.departures),
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
@@ -116,6 +123,7 @@
         loading=encode_upstream_names(digest.loading),
         reads=encode_reads(digest.reads),
         silent=encode_upstream_names(digest.silent),
+        departures=encode_incarnations(digest.departures),
     ).to_bytes_packed()
 
 
@@ -132,6 +140,7 @@
             decode_upstream_names(message.loading, names_by_key),
             decode_reads(message.reads, names_by_key),
             decode_upstream_names(message.silent, names_by_key),
+            decode_incarnations(message.departures),
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -35,6 +35,7 @@
         loads=loads,
         loading=tuple(loading),
         silent=tuple(fleet.silent_upstreams(names)),
+        departures=fleet.departures(),
     )
     if with_hosts:
         hosts = [own, *(peer.beacon for peer in local_peers)]
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -13,6 +13,7 @@
 from rosemaryyoke.http1 import Address
 
 UPSTREAM_KEY_ROW = struct.Struct("<I")  # upstream key
+INCARNATION_KEY_ROW = struct.Struct("<Q")  # key of an upstream's incarnation
 LOAD_ROW = struct.Struct("<IfII")  # upstream key, requests, prefill tokens, tokens
 READ_HEADER = struct.Struct("<I?B")  # upstream key, saved flag, part count
 PART_ROW = struct.Struct("<QI")  # part key, token count
@@ -34,6 +35,16 @@
     return tuple(names_by_key[key] for key in keys if key in names_by_key)
 
 
+def encode_incarnations(keys: Iterable[int]) -> bytes:
+    """Encode a table of the keys of upstreams' incarnations."""
+    return b"".join(INCARNATION_KEY_ROW.pack(key) for key in keys)
+
+
+def decode_incarnations(data: bytes) -> tuple[int, ...]:
+    """Decode a table of the keys of upstreams' incarnations."""
+    return tuple(chain.from_iterable(INCARNATION_KEY_ROW.iter_unpack(data)))
+
+
 def encode_loads(loads: Iterable[UpstreamLoad]) -> bytes:
     """Encode a table of upstream loads."""
     return b"".join(
--- a/rosemaryyoke/hosts/tests/test_beacons.py
+++ b/rosemaryyoke/hosts/tests/test_beacons.py
@@ -10,6 +10,11 @@
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.fleet import Fleet, PromptPrefill, UpstreamLoad, upstream_key
 from rosemaryyoke.fleet.cache_estimate import HashedPart
+from rosemaryyoke.fleet.notices import (
+    MAX_REPORTED_DEPARTURES,
+    Incarnation,
+    incarnation_key,
+)
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.hosts import BeaconService, HostTable
 from rosemaryyoke.hosts.beacons import SHARE_HEADER, next_pause_s
@@ -55,6 +60,9 @@
         loads=tuple(UpstreamLoad(name, 3, 9_000, 27_000) for name in names),
         loading=tuple(names[: ENGINES // 3]),
         reads=tuple(PromptPrefill(name, parts, True) for name in names[:12]),
+        departures=tuple(incarnation_key(Incarnation(name, OWN)) for name in names)[
+            :MAX_REPORTED_DEPARTURES
+        ],
     )
 
 
--- a/rosemaryyoke/hosts/tests/test_digests.py
+++ b/rosemaryyoke/hosts/tests/test_digests.py
@@ -6,6 +6,7 @@
 from attrs import define, evolve, field
 
 from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.exchanges.messages import ResponseMetadata
 from rosemaryyoke.fleet import Fleet, PromptPrefill, upstream_key
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.tests.builders import make_state
@@ -48,6 +49,7 @@
             sequence=sequence,
             loads=loads,
             reads=reads,
+            departures=self.beacons.fleet.departures(),
             known_addresses=self.beacons.table.sample_addresses(self.network.clock_s),
         )
 
@@ -177,6 +179,18 @@
             )
 
 
+@pytest.mark.parametrize("hosts_each", [3, HOSTS_EACH])
+def test_announcement_reaches_other_hosts_with_the_next_datagrams(hosts_each):
+    """Pattern: an engine leaves, and the store does not say so yet."""
+    network = SimulatedNetwork(hosts_each=hosts_each)
+    network.run_rounds(DISCOVERY_ROUNDS)
+    fleets = [host.beacons.fleet for host in network.hosts.values()]
+    leaving = ResponseMetadata(b"r1", True, False, leaving=True)
+    fleets[0].record_notices(fleets[0].states[ENGINE], leaving)
+    network.run_rounds(2)
+    assert all(fleet.states[ENGINE].draining for fleet in fleets)
+
+
 def test_digest_sender_is_replaced_after_failure(network):
     failed = network.digest_sender("z2")
     del network.hosts[failed.identity.peer_address]
@@ -211,7 +225,10 @@
 
 def test_digest_round_trip():
     hosts = (make_beacon(3, sequence=9, leaving=True, configuration=4),)
-    identity = decode_digest(encode_digest(Digest("z1", hosts=hosts)), {}).hosts[0]
+    digest = Digest("z1", hosts=hosts, departures=(7, 2**64 - 1))
+    decoded = decode_digest(encode_digest(digest), {})
+    identity = decoded.hosts[0]
+    assert decoded.departures == digest.departures
     assert identity.host == "h3" and identity.leaving and identity.configuration == 4
     assert (identity.peer_address, identity.sequence) == (hosts[0].peer_address, 9)
 
--- a/rosemaryyoke/hosts/tests/test_table.py
+++ b/rosemaryyoke/hosts/tests/test_table.py
@@ -47,6 +47,7 @@
         loads=(UpstreamLoad("e1", 1, 2, 3),),
         known_addresses=(OWN,),
         loading=("e1",),
+        departures=(7, 2**64 - 1),
     )
     data = encode_beacon(beacon)
     assert decode_beacon(data, {upstream_key("e1"): "e1"}) == beacon
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -47,6 +47,7 @@
         "draining": upstream.draining,
         "cold_s": upstream.cold_s,
         "weights": upstream.weights,
+        "born_ms": upstream.born_ms,
     }
 
 
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -16,6 +16,7 @@
 MS_PER_S = 1_000
 MIN_DEADLINE_MS = 1
 HTTP_MISDIRECTED = 421
+IS_LEAVING = b"1"
 
 
 @frozen
@@ -66,6 +67,7 @@
             sealed=names.RESPONSE_SEAL.lower() in values,
             not_run=names.NOT_EXECUTED.lower() in values or status == HTTP_MISDIRECTED,
             weights_version=int(weights) if weights.isdigit() else None,
+            leaving=values.get(names.LEAVING.lower()) == IS_LEAVING,
         )
 
 
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -29,6 +29,7 @@
 RESPONSE_SEAL = b"Response-Seal"
 NOT_EXECUTED = b"Not-Executed"
 SERVED_WEIGHTS = b"Weight-Versions"
+LEAVING = b"Server-Leaving"
 
 # Headers that only the router sets; the ones sent by callers are dropped.
 ROUTER_HEADERS = frozenset(
@@ -65,6 +66,7 @@
     "Kv-Fetch",
     "Kv-Save",
     "Weight-Versions",
+    "Server-Leaving",
     "Instance-Id",
     "pathPrefix",
     "storeRevision",
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -153,7 +153,7 @@
 
     A script entry is a status, or a function of the engine, the message and the
     connection. Responses with 421 and 503 carry the header for requests that were not
-    executed.
+    executed. If ``leaving`` is set, all responses announce that the engine leaves.
     """
 
     name: str
@@ -162,6 +162,7 @@
     executed: list[bytes] = field(factory=list)
     events: int = 5
     version: int = 1
+    leaving: bool = False
     address: Address = field(init=False)
     server: ConnectionServer = field(init=False)
 
@@ -218,8 +219,13 @@
             (b"Request-Id", request_id),
             (b"Response-Seal", b"sealed"),
             (b"Weight-Versions", b"%d" % self.version),
+            *self.notice_headers(),
         ]
 
+    def notice_headers(self):
+        """Return the header that announces the engine's leaving, if it leaves."""
+        return [(b"Server-Leaving", b"1")] if self.leaving else []
+
 
 def send_client_request(
     address, path="/chat/1", method="POST", headers=(), body=b"", **changes
--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -62,14 +62,15 @@
         name = find_header(message.headers, names.EXPECTED_INSTANCE.lower())
         not_run = [(names.NOT_EXECUTED, b"1")]
         if message.target == b"/health":
-            caller.send_response(200, b"", [], b"")
+            status = 503 if self.leaving else 200
+            caller.send_response(status, b"", self.notice_headers(), b"")
         elif message.target == b"/report":
             self.answer_report(caller)
         elif name is not None and name.decode() != self.name:
             self.reply(message, caller, 421, not_run)
         elif message.target == b"/order":
             status = self.accept_order(orjson.loads(message.body))
-            caller.send_response(status, b"", [], b"{}")
+            caller.send_response(status, b"", self.notice_headers(), b"{}")
         elif self.loading:
             self.reply(message, caller, 503, not_run)
         elif not self.has_weights(message):
@@ -86,7 +87,8 @@
         """Respond with the current state."""
         models = [{"name": MODEL, "version": self.version, "adapters": []}]
         value = {"models": models, "busy": self.loading, "seq": self.orders}
-        caller.send_response(200, b"", [], orjson.dumps(value))
+        headers = self.notice_headers()
+        caller.send_response(200, b"", headers, orjson.dumps(value))
 
     def accept_order(self, order: dict) -> int:
         """Start loading weights.
@@ -135,6 +137,7 @@
         sealed = [
             (names.REQUEST_ID, request.encode()),
             (names.RESPONSE_SEAL, name.encode()),
+            *self.notice_headers(),
         ]
         if not streams:
             time.sleep(EVENT_INTERVAL_S)
--- a/rosemaryyoke/platform/tests/test_documents.py
+++ b/rosemaryyoke/platform/tests/test_documents.py
@@ -4,6 +4,7 @@
 from result import Err
 
 from rosemaryyoke.catalog import SAFE, STREAM, UNSAFE
+from rosemaryyoke.hosts.transfer import decode_upstream, encode_upstream
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.platform.documents import PlatformSource
 from rosemaryyoke.platform.standins.documents import (
@@ -68,6 +69,8 @@
         {"slots": "many"},
         {"service": None},
         {"models": [{"name": MODEL}]},
+        {"born": "today"},
+        {"born": None},
     ],
 )
 def test_upstream_malformed(change):
@@ -81,6 +84,14 @@
     assert read.draining and read.cold_s == 0.5 and read.weights == {MODEL: 1}
 
 
+@pytest.mark.parametrize("fields, born_ms", [({"born": 1_796_371}, 1_796_371), ({}, 0)])
+def test_upstream_birth_reaches_other_hosts(fields, born_ms):
+    entry = make_registration("127.0.0.1:1", **fields)
+    read = SOURCE.decode_upstream(store_object(entry, "i-1")).unwrap()
+    assert read.born_ms == born_ms
+    assert decode_upstream(encode_upstream(read)) == read
+
+
 @pytest.mark.parametrize("body", [b"", b"[]", b"null", b'{"version": true}'])
 def test_configuration_unreadable(body):
     stored = store_object(None)
--- a/rosemaryyoke/platform/tests/test_headers.py
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -80,6 +80,14 @@
     assert sent[b"Kv-Fetch"] == sent[b"Kv-Save"] == b"10.0.0.1:80"
 
 
+@pytest.mark.parametrize("value, leaving", [(b"1", True), (b"0", False), (b"", False)])
+def test_announced_leaving(value, leaving):
+    for status in (200, 500, 503):
+        headers = [(b"server-leaving", value)]
+        assert DIALECT.parse_response_headers(status, headers).leaving is leaving
+    assert not DIALECT.parse_response_headers(200, []).leaving
+
+
 def test_facts_of_refusals():
     assert DIALECT.parse_response_headers(503, [(b"Not-Executed", b"1")]).not_run
     assert DIALECT.parse_response_headers(421, []).not_run
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_notices.py
@@ -0,0 +1,175 @@
+"""Engines that announce their leaving, through a routing host."""
+
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from rosemaryyoke.platform.standins.documents import make_registration
+from rosemaryyoke.platform.standins.servers import (
+    read_answer,
+    send_client_request,
+)
+from rosemaryyoke.platform.tests.deployment import (
+    abort_after,
+    start_host,
+    wait_for,
+)
+
+NOT_EXECUTED = [(b"Not-Executed", b"1")]
+REQUESTS = 8
+FOREVER_S = 1e12
+
+
+def state_of(deployment, upstream):
+    return deployment.host.fleet.states[upstream.name]
+
+
+def reach_first(deployment, upstreams, send):
+    """Send a request while only the first upstream is usable; return the response."""
+    first, other = upstreams
+    before = len(first.received)
+    state_of(deployment, other).suspect_until_s = FOREVER_S
+    reader = send()
+    state_of(deployment, other).suspect_until_s = 0.0
+    assert len(first.received) == before + 1
+    return reader
+
+
+def read(deployment):
+    return send_client_request(deployment.callers, "/read/1", "GET")
+
+
+def read_on_kept_connection(deployment, count):
+    """Send requests one after another on a connection; return their statuses."""
+    address = deployment.callers
+    lines = ["GET /read/1 HTTP/1.1", "Host: a.example", "Authorization: Bearer k1"]
+    statuses = []
+    with socket.create_connection((address.ip, address.port), 2) as connection:
+        for number in range(count):
+            head = "\r\n".join([*lines, f"Request-Id: r{number}", "", ""])
+            connection.sendall(head.encode())
+            statuses.append(read_answer(connection).responses[0].status)
+    return statuses
+
+
+def forget_failures(deployment, upstreams):
+    """Forget failed answers, so that only notices keep requests away."""
+    for upstream in upstreams:
+        state = state_of(deployment, upstream)
+        state.failures, state.suspect_until_s, state.error_share = 0, 0.0, 0.0
+        state.silent = False
+
+
+def test_leaving_engine_gets_nothing_on_kept_connections(deployment):
+    first, other = deployment.records
+    first.leaving = True
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    assert read_on_kept_connection(deployment, REQUESTS) == [200] * REQUESTS
+    assert len(first.received) == 1 and len(other.received) == REQUESTS
+
+
+def test_stream_announces_leaving_with_its_head(deployment):
+    """Pattern: an engine leaves while its stream goes on for seconds."""
+    first, other = deployment.engines
+    release = threading.Event()
+
+    def announce_and_hold(engine, message, caller):
+        headers = [*engine.headers(message), (b"Server-Leaving", b"1")]
+        head = caller.begin_stream(200, b"OK", headers)
+        caller.write_events(head, b"id: 1\ndata: x\n\n")
+        release.wait(5)
+        caller.end_stream(b"")
+
+    first.script = [announce_and_hold]
+    state_of(deployment, other).suspect_until_s = FOREVER_S
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(deployment.stream)
+        wait_for(lambda: state_of(deployment, first).under_way)
+        wait_for(lambda: not state_of(deployment, first).waiting_prefill(0.0))
+        state_of(deployment, other).suspect_until_s = 0.0
+        time.sleep(0.1)
+        for _ in range(REQUESTS):
+            assert deployment.stream().responses[0].complete
+        assert len(first.received) == 1
+        release.set()
+        assert running.result(5).responses[0].complete
+
+
+@pytest.mark.parametrize("status, headers", [(503, NOT_EXECUTED), (500, [])])
+def test_refusal_or_failure_announces_leaving(deployment, status, headers):
+    first, other = deployment.records
+
+    def announce(engine, message, caller):
+        engine.reply(message, caller, status, [*headers, (b"Server-Leaving", b"1")])
+
+    first.script = [announce]
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    forget_failures(deployment, deployment.records)
+    assert read_on_kept_connection(deployment, REQUESTS) == [200] * REQUESTS
+    assert len(first.received) == 1
+
+
+def test_stream_that_breaks_off_announces_leaving(deployment):
+    first, other = deployment.engines
+
+    def announce_and_abort(engine, message, caller):
+        engine.leaving = True
+        engine.run(message, caller, events=2, finish=False)
+
+    first.script = [announce_and_abort]
+    reach_first(deployment, deployment.engines, deployment.stream)
+    forget_failures(deployment, deployment.engines)
+    state_of(deployment, other).suspect_until_s = FOREVER_S
+    for _ in range(REQUESTS):
+        assert deployment.stream().responses[0].complete
+    assert len(first.received) == 1
+
+
+def test_stream_is_not_resumed_at_leaving_engine(deployment):
+    first, other = deployment.engines
+    first.leaving = True
+    reach_first(deployment, deployment.engines, deployment.stream)
+    other.script = [abort_after(2)]
+    answer = deployment.stream().responses[0]
+    assert answer.status == 200 and not answer.complete
+    assert len(first.received) == 1
+
+
+def test_ready_registration_does_not_undo_the_announcement(deployment):
+    first, other = deployment.records
+    first.leaving = True
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    entry = make_registration(str(first.address), "records", slots=7)
+    deployment.store.set("servers", first.name, entry)
+    wait_for(lambda: state_of(deployment, first).upstream.slots == 7)
+    assert read_on_kept_connection(deployment, REQUESTS) == [200] * REQUESTS
+    assert len(first.received) == 1
+
+
+def test_engine_that_starts_again_under_its_name_gets_requests(deployment):
+    first, other = deployment.records
+    first.leaving = True
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    for born in (1, 2):
+        entry = make_registration(str(first.address), "records", born=born)
+        deployment.store.set("servers", first.name, entry)
+        wait_for(lambda: state_of(deployment, first).upstream.born_ms == born)
+        assert state_of(deployment, first).draining == (born == 1)
+    first.leaving = False
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    assert not state_of(deployment, first).draining
+
+
+def test_other_host_learns_that_an_engine_leaves(deployment):
+    first = deployment.records[0]
+    other = start_host(deployment.store, [deployment.host.settings.peers])
+    try:
+        wait_for(lambda: other.is_ready() and other.table.live_peers(time.monotonic()))
+        first.leaving = True
+        reach_first(deployment, deployment.records, lambda: read(deployment))
+        wait_for(lambda: other.fleet.states[first.name].draining, 2.0)
+    finally:
+        other.kernel.stop()
