Send nothing to an engine until its Retry-After ends

What users would see: an engine that refused a request with 503 and `Retry-After` got more requests from the same host within that time, and a request that had no other engine was told to come back in 0.3 s, to be refused again.

Cause: `Retry-After` of engines was not read; a refusal led to a backoff that begins with 0.3 s, and the last resort among suspects and the probes of silent engines go round it.

A 503 of an engine, with `Not-Executed` or without it, now pauses the engine for this host from the head of the answer on. A paused engine is left out of placement, retries, resumptions, probes and the last resort; orders to load weights and reports go on. A shorter pause does not end a longer one. If all engines of a request are paused, it is refused at once with the end of the first pause as `Retry-After`, and 0.18 to 0.42 s more, so that callers do not come back all at once. Values that are no decimal number are logged and ignored; a pause is at most 300 s.

Evidence: on the code before, 5 tests with a host and stand-ins fail by what reached the engine: 396 and 504 requests within 0.6 s, 20 probes, a resumption, and a `Retry-After` of 0.405 in place of 1.5. 5 more miss the log line of a malformed value, and one, which guards against pauses after other answers, the new attribute. The tests without network fail where the pause is not set, or is ignored by the choice, the last resort, the probes or the refusal.

Ruled out: to lengthen the backoff of a suspect, which the last resort ignores.

--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -52,5 +52,5 @@
     """Return the error response when no upstream is available."""
     if exchange.may_have_run or exchange.run_count:
         return ErrorResponse(502, "upstream_failed", reason.message)
-    wait_s = jittered_retry_after_s(reason.retry_after_s)
+    wait_s = reason.min_retry_after_s + jittered_retry_after_s(reason.retry_after_s)
     return ErrorResponse(503, "no_upstream", reason.message, wait_s, reason.compared)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -302,7 +302,7 @@
         now_s = time.monotonic()
         with self.fleet.lock:
             states = list(self.fleet.states.values())
-            usable = sum(state.usable(now_s) for state in states)
+            usable = sum(state.accepts_requests(now_s) for state in states)
         gauges = {
             "hosts_live": self.budget.hosts,
             "requests_under_way": self.kernel.get("callers").requests_in_progress,
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -71,7 +71,9 @@
     """Metadata from the status and headers of a response.
 
     ``not_run`` promises that the upstream has not run the request and never will.
-    ``leaving`` announces that the upstream will stop.
+    ``leaving`` announces that the upstream will stop. ``retry_after_s`` is how long an
+    upstream that refused the request wants no more requests from this host;
+    ``malformed_retry_after`` is the value if it cannot be parsed.
     """
 
     request_id: bytes | None
@@ -79,6 +81,8 @@
     not_run: bool
     weights_version: int | None = None
     leaving: bool = False
+    retry_after_s: float | None = None
+    malformed_retry_after: bytes | None = None
 
 
 class HeaderCodec(Protocol):
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -14,6 +14,7 @@
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.notices import (
     NoticeRegister,
+    has_notice,
     incarnation_key,
     incarnation_of,
     is_same_incarnation,
@@ -258,14 +259,14 @@
 
         Its registration may have lapsed and returned since the request was sent.
         """
-        if not metadata.leaving:
+        if not has_notice(metadata):
             return
         now_s = self.now_s()
         with self.lock:
             current = self.states.get(state.upstream.name, state)
             if is_same_incarnation(current.upstream, state.upstream):
                 state = current
-            state.notices.mark_leaving(state.upstream)
+            state.notices.record(state.upstream, metadata, now_s)
             self.notices.keep(state.upstream, state.notices, now_s)
 
     def departures(self) -> tuple[int, ...]:
--- a/rosemaryyoke/fleet/notices.py
+++ b/rosemaryyoke/fleet/notices.py
@@ -1,4 +1,4 @@
-"""What upstreams announce in their answers: that they leave."""
+"""What upstreams announce in their answers: that they leave, or ask for a pause."""
 
 import functools
 import hashlib
@@ -9,13 +9,16 @@
 
 from rosemaryyoke.catalog import Upstream
 from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.exchanges.messages import ResponseMetadata
 from rosemaryyoke.http1 import Address
 
 KEY_BYTES = 8
 KEY_CACHE_SIZE = 4_096
+MAX_PAUSE_S = 300.0
 # A registration may lapse and return, or come back from an older copy of the store.
 UNLISTED_TTL_S = 60.0
 MAX_REPORTED_DEPARTURES = 8  # per datagram
+MAX_LOGGED_BYTES = 64
 
 
 @frozen
@@ -46,16 +49,29 @@
     return int.from_bytes(digest, "big")
 
 
+def has_notice(metadata: ResponseMetadata) -> bool:
+    """Return whether the head of an answer announces anything."""
+    return metadata.leaving or (
+        metadata.retry_after_s is not None or metadata.malformed_retry_after is not None
+    )
+
+
 @define(eq=False)
 class Notices:
     """What an incarnation of an upstream has announced.
 
-    ``listed_s`` is when its registration was last known.
+    ``paused_until_s`` is the end of the time in which it wants no requests from this
+    host, ``listed_s`` when its registration was last known.
     """
 
     leaving: bool = False
+    paused_until_s: float = 0.0
     listed_s: float = 0.0
 
+    def paused(self, now_s: float) -> bool:
+        """Return whether the upstream wants no requests from this host."""
+        return now_s < self.paused_until_s
+
     def mark_leaving(self, upstream: Upstream, reported_by: str | None = None) -> None:
         """Record, once, that the upstream leaves; no later answer undoes it."""
         if self.leaving:
@@ -68,6 +84,29 @@
             reported_by=reported_by,
         )
 
+    def pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
+        """Record a pause that the upstream asks for; a shorter one changes nothing."""
+        until_s = now_s + min(pause_s, MAX_PAUSE_S)
+        if until_s <= max(now_s, self.paused_until_s):
+            return
+        self.paused_until_s = until_s
+        log_event("upstream paused", upstream=upstream.name, pause_s=pause_s)
+
+    def record(
+        self, upstream: Upstream, metadata: ResponseMetadata, now_s: float
+    ) -> None:
+        """Record what the head of an answer announces."""
+        if metadata.leaving:
+            self.mark_leaving(upstream)
+        if metadata.retry_after_s is not None:
+            self.pause(upstream, metadata.retry_after_s, now_s)
+        if metadata.malformed_retry_after is not None:
+            log_event(
+                "malformed retry time ignored",
+                upstream=upstream.name,
+                value=metadata.malformed_retry_after[:MAX_LOGGED_BYTES],
+            )
+
 
 @define(eq=False)
 class NoticeRegister:
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -40,6 +40,8 @@
 HOLDER_SAMPLE_SIZE = 2
 MAX_COMPARED = 9  # fleets up to this size are compared completely
 MAX_WAIT_SHARE = 0.9  # of the time left
+NO_UPSTREAM_RETRY_S = 0.5
+PAUSE_RETRY_SPREAD_S = 0.3  # mean time between the end of a pause and the retries
 
 
 @frozen
@@ -71,11 +73,15 @@
 
 @frozen
 class NoUpstream:
-    """Why no upstream is available, and when to retry."""
+    """Why no upstream is available, and when to retry.
+
+    Retries are spread around ``retry_after_s``, added to ``min_retry_after_s``.
+    """
 
     message: str
     retry_after_s: float
     compared: tuple[ComparedQueue, ...] = ()
+    min_retry_after_s: float = 0.0
 
 
 @frozen
@@ -125,13 +131,13 @@
             state
             for state in states
             if state.upstream.name not in excluded
-            and state.usable(now_s)
+            and state.accepts_requests(now_s)
             and (probes or not state.considered_silent(now_s))
         ]
         if not usable:
-            usable = self.earliest_suspect(states, excluded)
+            usable = self.earliest_suspect(states, excluded, now_s)
         if not usable:
-            return Err(NoUpstream("no upstream takes work", 0.5))
+            return Err(nothing_usable(states, now_s))
         home = self.home_upstream(request, usable)
         prompts: dict[bytes, HashedPrompt] = {}
         placements = [
@@ -173,17 +179,19 @@
             for state in states
             if state.upstream.name not in excluded
             and state.considered_silent(now_s)
-            and state.usable(now_s)
+            and state.accepts_requests(now_s)
         ]
 
     def earliest_suspect(
-        self, states: Sequence[UpstreamState], excluded: set[str]
+        self, states: Sequence[UpstreamState], excluded: set[str], now_s: float
     ) -> list[UpstreamState]:
         """Return the upstream whose suspicion ends first, as a last resort."""
         suspects = [
             state
             for state in states
-            if not state.draining and state.upstream.name not in excluded
+            if not state.draining
+            and not state.notices.paused(now_s)
+            and state.upstream.name not in excluded
         ]
         return sorted(suspects, key=lambda state: state.suspect_until_s)[:1]
 
@@ -266,6 +274,25 @@
         return cost_s
 
 
+def nothing_usable(states: Sequence[UpstreamState], now_s: float) -> NoUpstream:
+    """Return why no upstream is left, and when to retry.
+
+    If all of them asked for a pause, also those that this request was sent to, retries
+    before the end of the first pause would be rejected again.
+    """
+    pauses_s = [
+        state.notices.paused_until_s - now_s for state in states if not state.draining
+    ]
+    first_s = min(pauses_s, default=0.0)
+    if first_s <= 0.0:
+        return NoUpstream("no upstream takes work", NO_UPSTREAM_RETRY_S)
+    return NoUpstream(
+        "every upstream asked for a pause",
+        PAUSE_RETRY_SPREAD_S,
+        min_retry_after_s=first_s,
+    )
+
+
 def compared_queue(placement: Placement, now_s: float) -> ComparedQueue:
     """Return what the decision knew of an upstream's queue."""
     state = placement.state
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -113,6 +113,10 @@
         """Return whether the upstream leaves, as it registered or announced."""
         return self.upstream.draining or self.notices.leaving
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether new requests of callers may be sent to the upstream."""
+        return self.usable(now_s) and not self.notices.paused(now_s)
+
     def usable(self, now_s: float) -> bool:
         """Return whether the upstream works and does not leave.
 
--- a/rosemaryyoke/fleet/tests/test_notices.py
+++ b/rosemaryyoke/fleet/tests/test_notices.py
@@ -1,4 +1,4 @@
-"""What upstreams announce in their answers: that they leave."""
+"""What upstreams announce in their answers: that they leave, or ask for a pause."""
 
 from random import Random
 
@@ -8,8 +8,9 @@
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.messages import ResponseMetadata
-from rosemaryyoke.fleet import Chooser, Fleet
+from rosemaryyoke.fleet import ActiveRequest, Chooser, Fleet
 from rosemaryyoke.fleet.notices import (
+    MAX_PAUSE_S,
     MAX_REPORTED_DEPARTURES,
     UNLISTED_TTL_S,
 )
@@ -21,6 +22,11 @@
 PROBE_ALWAYS = 1.0
 
 
+def paused(pause_s):
+    """Return the metadata of a refusal that asks for a pause."""
+    return ResponseMetadata(b"r1", True, True, retry_after_s=pause_s)
+
+
 class Deployment:
     """A fleet of registered engines and a clock."""
 
@@ -156,6 +162,7 @@
 def test_next_incarnation_of_leaving_engine_gets_requests(deployment, change):
     """Pattern: an engine starts again under the name that it had."""
     deployment.receive("e1", LEAVING)
+    deployment.receive("e1", paused(60.0))
     deployment.change("e1", **change)
     assert not leaves(deployment)
 
@@ -222,6 +229,121 @@
     assert all(state.draining for state in other.fleet.states.values())
 
 
+def test_engine_gets_nothing_until_its_retry_after_ends(deployment):
+    home = deployment.place().ok_value.state.upstream.name
+    deployment.receive(home, paused(2.0))
+    assert home not in deployment.chosen()
+    deployment.now_s += 1.99
+    assert home not in deployment.chosen()
+    deployment.now_s += 0.02
+    assert home in deployment.chosen()
+
+
+def test_paused_engine_is_no_last_resort(deployment):
+    """Pattern: all engines are suspect, the one whose suspicion ends first paused."""
+    for number, state in enumerate(deployment.fleet.states.values()):
+        state.suspect_until_s = NOW_S + 1.0 + number
+    deployment.receive("e1", paused(5.0))
+    assert deployment.chosen() == {"e2"}
+
+
+def test_paused_silent_engine_is_not_probed(deployment):
+    deployment.receive("e1", paused(5.0))
+    deployment.fleet.states["e1"].record_failure(NOW_S)
+    request = evolve(make_request(time_left_s=1.0), probe_share=PROBE_ALWAYS)
+    options = {"request": request, "excluded": ("e2", "e3")}
+    deployment.now_s += 1.0
+    assert deployment.chosen(**options) == {""}
+    deployment.now_s += 5.0
+    assert deployment.chosen(**options) == {"e1"}
+
+
+@pytest.mark.parametrize("notice", [LEAVING, paused(60.0)])
+def test_request_about_to_be_rejected_does_not_probe(deployment, notice):
+    """Pattern: all other engines are full; the silent one wants no requests."""
+    silent, *others = deployment.fleet.states.values()
+    silent.record_failure(NOW_S)
+    for state in others:
+        state.under_way.update(ActiveRequest(1_000, 0, NOW_S) for _ in range(300))
+    deployment.now_s += 1.0
+    request = make_request(time_left_s=1.0)
+    assert deployment.chosen(request=request) == {"e1"}
+    deployment.receive("e1", notice)
+    assert deployment.chosen(request=request) == {""}
+
+
+def test_shorter_pause_does_not_end_a_longer_one(deployment):
+    deployment.receive("e1", paused(5.0))
+    deployment.now_s += 0.1
+    deployment.receive("e1", paused(0.5))
+    deployment.now_s += 1.0
+    assert leaves(deployment)
+
+
+def test_pause_outlasts_the_lapse_of_a_registration(deployment):
+    deployment.receive("e1", paused(5.0))
+    removed = deployment.remove("e1")
+    deployment.register({**deployment.catalog.upstreams, "e1": removed})
+    assert leaves(deployment)
+
+
+def test_pause_is_bounded(deployment):
+    deployment.receive("e1", paused(1e12))
+    deployment.now_s += MAX_PAUSE_S + 0.1
+    assert not leaves(deployment)
+
+
+def test_pause_is_not_reported_to_other_hosts(deployment):
+    deployment.receive("e1", paused(5.0))
+    assert deployment.fleet.departures() == ()
+
+
+def test_paused_engine_is_still_ordered_to_load_weights(deployment):
+    deployment.receive("e1", paused(5.0))
+    state = deployment.fleet.states["e1"]
+    assert state.usable(NOW_S) and not state.accepts_requests(NOW_S)
+
+
+@pytest.mark.parametrize("excluded", [(), ("e1",), ("e1", "e2", "e3")])
+def test_request_with_only_quiet_engines_is_rejected_with_the_earliest_end(
+    deployment, excluded
+):
+    for name, pause_s in (("e1", 3.0), ("e2", 1.5), ("e3", 2.0)):
+        deployment.receive(name, paused(pause_s))
+    deployment.now_s += 0.5
+    rejected = deployment.place(excluded=excluded).err_value
+    assert rejected.min_retry_after_s == pytest.approx(1.0)
+    assert rejected.retry_after_s > 0
+
+
+def test_earliest_end_ignores_leaving_engines(deployment):
+    for name, pause_s in (("e1", 3.0), ("e2", 1.5)):
+        deployment.receive(name, paused(pause_s))
+    deployment.receive("e3", LEAVING)
+    assert deployment.place().err_value.min_retry_after_s == pytest.approx(1.5)
+
+
+def test_request_refused_elsewhere_is_not_held_back_by_a_pause(deployment):
+    """Pattern: one engine asked for a pause, the others are only excluded now."""
+    deployment.receive("e1", paused(60.0))
+    rejected = deployment.place(excluded=("e2", "e3")).err_value
+    assert rejected.min_retry_after_s == 0.0
+
+
+def test_notices_are_logged_with_their_upstream(deployment, caplog):
+    caplog.set_level("INFO", logger="absl")
+    malformed = ResponseMetadata(b"r1", True, True, malformed_retry_after=b"soon")
+    for metadata in (LEAVING, LEAVING, paused(2.0), paused(1.0), malformed):
+        deployment.receive("e1", metadata)
+    logged = [(item.getMessage(), item.fields) for item in caplog.records]
+    assert [message for message, _ in logged] == [
+        "upstream leaving",
+        "upstream paused",
+        "malformed retry time ignored",
+    ]
+    assert {fields["upstream"] for _, fields in logged} == {"e1"}
+
+
 def test_announcement_is_logged_once(deployment, caplog):
     caplog.set_level("INFO", logger="absl")
     for _ in range(2):
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -1,5 +1,8 @@
 """Request and response headers of the platform."""
 
+import math
+import re
+
 from attrs import frozen
 
 from rosemaryyoke.exchanges.messages import (
@@ -16,7 +19,9 @@
 MS_PER_S = 1_000
 MIN_DEADLINE_MS = 1
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 IS_LEAVING = b"1"
+DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
 @frozen
@@ -62,12 +67,17 @@
         """Parse the headers of an upstream's response."""
         values = {key.lower(): value for key, value in headers}
         weights = values.get(names.SERVED_WEIGHTS.lower(), b"")
+        refused = status == HTTP_UNAVAILABLE
+        retry_after = values.get(names.RETRY_AFTER.lower()) if refused else None
+        retry_after_s = parse_seconds(retry_after)
         return ResponseMetadata(
             request_id=values.get(names.REQUEST_ID.lower()),
             sealed=names.RESPONSE_SEAL.lower() in values,
             not_run=names.NOT_EXECUTED.lower() in values or status == HTTP_MISDIRECTED,
             weights_version=int(weights) if weights.isdigit() else None,
             leaving=values.get(names.LEAVING.lower()) == IS_LEAVING,
+            retry_after_s=retry_after_s,
+            malformed_retry_after=retry_after if retry_after_s is None else None,
         )
 
 
@@ -102,6 +112,14 @@
     return value[len(names.BEARER_PREFIX) :].strip().decode("latin-1")
 
 
+def parse_seconds(value: bytes | None) -> float | None:
+    """Parse a decimal number of seconds; return ``None`` for any other value."""
+    if value is None or not DECIMAL.fullmatch(value):
+        return None
+    seconds = float(value)
+    return seconds if math.isfinite(seconds) else None
+
+
 def parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     """Parse prompt parts such as ``5c1e07a2:800,91bd3f06:410`` (name and tokens)."""
     if not value:
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -30,6 +30,7 @@
 NOT_EXECUTED = b"Not-Executed"
 SERVED_WEIGHTS = b"Weight-Versions"
 LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 
 # Headers that only the router sets; the ones sent by callers are dropped.
 ROUTER_HEADERS = frozenset(
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -227,6 +227,19 @@
         return [(b"Server-Leaving", b"1")] if self.leaving else []
 
 
+def refuse_and_pause(pause_s, headers=((b"Not-Executed", b"1"),)):
+    """Return a step that refuses a request with 503 and asks for a pause.
+
+    ``pause_s`` is a number of seconds, or the bytes to send instead.
+    """
+    value = pause_s if isinstance(pause_s, bytes) else b"%g" % pause_s
+
+    def step(engine, message, caller):
+        engine.reply(message, caller, 503, [*headers, (b"Retry-After", value)])
+
+    return step
+
+
 def send_client_request(
     address, path="/chat/1", method="POST", headers=(), body=b"", **changes
 ):
--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -46,7 +46,10 @@
 
 @define(eq=False)
 class SimulatedUpstream(EngineStandin):
-    """Upstream that executes requests and orders addressed to it and reports them."""
+    """Upstream that executes requests and orders addressed to it and reports them.
+
+    A request that it would run takes the next step of the script, if there is one.
+    """
 
     on_run: Callable[[RunRecord], None] = lambda record: None
     on_order: Callable[[OrderRecord], None] = lambda record: None
@@ -75,6 +78,8 @@
             self.reply(message, caller, 503, not_run)
         elif not self.has_weights(message):
             self.reply(message, caller, 421, not_run)
+        elif self.script:
+            self.script.pop(0)(self, message, caller)
         else:
             self.run_request(message, caller)
 
--- a/rosemaryyoke/platform/tests/test_headers.py
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -88,6 +88,31 @@
     assert not DIALECT.parse_response_headers(200, []).leaving
 
 
+@pytest.mark.parametrize(
+    "value, seconds", [(b"2", 2.0), (b"0.25", 0.25), (b".5", 0.5), (b"0", 0.0)]
+)
+def test_retry_after_of_refusals(value, seconds):
+    read = DIALECT.parse_response_headers(503, [(b"retry-after", value)])
+    assert (read.retry_after_s, read.malformed_retry_after) == (seconds, None)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"soon", b"-1", b"nan", b"inf", b"1e3", b"1_0", b"2 s", b"9" * 400]
+    + [b"Fri, 31 Dec 1999 23:59:59 GMT"],
+)
+def test_malformed_retry_after(value):
+    read = DIALECT.parse_response_headers(503, [(b"Retry-After", value)])
+    assert (read.retry_after_s, read.malformed_retry_after) == (None, value)
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500, 504])
+def test_retry_after_of_other_answers_is_not_read(status):
+    for value in (b"2", b"soon"):
+        read = DIALECT.parse_response_headers(status, [(b"Retry-After", value)])
+        assert read.retry_after_s is read.malformed_retry_after is None
+
+
 def test_facts_of_refusals():
     assert DIALECT.parse_response_headers(503, [(b"Not-Executed", b"1")]).not_run
     assert DIALECT.parse_response_headers(421, []).not_run
--- a/rosemaryyoke/platform/tests/test_notices.py
+++ b/rosemaryyoke/platform/tests/test_notices.py
@@ -1,17 +1,20 @@
-"""Engines that announce their leaving, through a routing host."""
+"""Engines that announce their leaving or ask for a pause, through a routing host."""
 
 import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+import orjson
 import pytest
 
 from rosemaryyoke.platform.standins.documents import make_registration
 from rosemaryyoke.platform.standins.servers import (
     read_answer,
+    refuse_and_pause,
     send_client_request,
 )
+from rosemaryyoke.platform.standins.simulated_upstreams import SimulatedUpstream
 from rosemaryyoke.platform.tests.deployment import (
     abort_after,
     start_host,
@@ -173,3 +176,112 @@
         wait_for(lambda: other.fleet.states[first.name].draining, 2.0)
     finally:
         other.kernel.stop()
+
+
+@pytest.mark.parametrize("headers", [NOT_EXECUTED, []])
+def test_engine_gets_nothing_until_its_retry_after_ends(deployment, headers):
+    """Pattern: an engine refuses, and says for how long it wants nothing."""
+    first, other = deployment.records
+    first.script = [refuse_and_pause(0.8, headers)]
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    refused_s = time.monotonic()
+    other.script = [500] * 100
+    while time.monotonic() < refused_s + 0.6:
+        forget_failures(deployment, deployment.records)
+        read(deployment)
+    assert len(first.received) == 1
+    other.script.clear()
+    time.sleep(refused_s + 0.9 - time.monotonic())
+    forget_failures(deployment, deployment.records)
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+
+
+def test_retry_after_of_other_answers_is_no_pause(deployment):
+    first, other = deployment.records
+
+    def reply(engine, message, caller):
+        engine.reply(message, caller, 429, [(b"Retry-After", b"60")])
+
+    first.script = [reply]
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    assert not state_of(deployment, first).notices.paused(time.monotonic())
+
+
+def test_paused_silent_engine_is_not_probed(deployment):
+    first, other = deployment.records
+    first.script = [refuse_and_pause(5)]
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    other.script = [500] * 100
+    for _ in range(3 * REQUESTS):
+        forget_failures(deployment, deployment.records)
+        state_of(deployment, first).silent = True
+        read(deployment)
+    assert len(first.received) == 1
+
+
+def test_stream_is_not_resumed_at_paused_engine(deployment):
+    first, other = deployment.engines
+    first.script = [refuse_and_pause(5)]
+    reach_first(deployment, deployment.engines, deployment.stream)
+    forget_failures(deployment, deployment.engines)
+    other.script = [abort_after(2)]
+    answer = deployment.stream().responses[0]
+    assert answer.status == 200 and not answer.complete
+    assert len(first.received) == 1
+
+
+def test_request_with_only_quiet_engines_is_rejected_with_the_earliest_end(deployment):
+    first, other = deployment.records
+    first.script, other.script = [refuse_and_pause(4)], [refuse_and_pause(1.5)]
+    for _ in range(REQUESTS):
+        started_s = time.monotonic()
+        answer = send_client_request(deployment.callers, "/issue/1").responses[0]
+        assert answer.status == 503 and time.monotonic() - started_s < 0.3
+        assert 1.0 < float(dict(answer.headers)[b"Retry-After"]) < 2.0
+    assert len(first.received) == len(other.received) == 1
+
+
+@pytest.mark.parametrize("value", [b"soon", b"-2", b"inf", b"1e3", b"9" * 400])
+def test_malformed_retry_after_is_ignored(deployment, caplog, value):
+    caplog.set_level("INFO", logger="absl")
+    first, other = deployment.records
+    first.script = [refuse_and_pause(value)]
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    forget_failures(deployment, deployment.records)
+    reach_first(deployment, deployment.records, lambda: read(deployment))
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages.count("malformed retry time ignored") == 1
+
+
+@pytest.fixture()
+def simulated():
+    upstream = SimulatedUpstream("s1")
+    yield upstream
+    upstream.stop()
+
+
+def test_simulated_upstream_announces_leaving_in_all_answers(simulated):
+    order = {"version": 1, "holder": "h1", "fencingToken": 1}
+    calls = [
+        ("/health", "GET", b""),
+        ("/report", "GET", b""),
+        ("/order", "POST", orjson.dumps(order)),
+        ("/read/1", "GET", b""),
+    ]
+    for leaving in (False, True):
+        simulated.leaving = leaving
+        for path, method, body in calls:
+            reader = send_client_request(simulated.address, path, method, body=body)
+            answer = reader.responses[0]
+            assert ((b"Server-Leaving", b"1") in answer.headers) is leaving
+            assert answer.status == (503 if leaving and path == "/health" else 200)
+
+
+def test_simulated_upstream_refuses_by_its_script(simulated):
+    simulated.script = [refuse_and_pause(0.5)]
+    refused, run = (
+        send_client_request(simulated.address, "/read/1", "GET").responses[0]
+        for _ in range(2)
+    )
+    assert (refused.status, run.status) == (503, 200)
+    assert dict(refused.headers)[b"Retry-After"] == b"0.5"
