Read notices of engines that are followed by blanks

What users would see: an engine whose `Server-Leaving: 1` ends with a blank or a tab would have got requests on, and its `Retry-After` would have been ignored as malformed.

Cause: the parser keeps the blanks after a header's value, which HTTP allows, and the two new headers were compared as they came. They are stripped now.

Evidence: `HTTP/1.1 503` with `Server-Leaving: 1 ` was parsed to the value `1 `. The cases with blanks of the header tests failed before.

--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -69,13 +69,14 @@
         weights = values.get(names.SERVED_WEIGHTS.lower(), b"")
         refused = status == HTTP_UNAVAILABLE
         retry_after = values.get(names.RETRY_AFTER.lower()) if refused else None
+        leaving = values.get(names.LEAVING.lower(), b"")
         retry_after_s = parse_seconds(retry_after)
         return ResponseMetadata(
             request_id=values.get(names.REQUEST_ID.lower()),
             sealed=names.RESPONSE_SEAL.lower() in values,
             not_run=names.NOT_EXECUTED.lower() in values or status == HTTP_MISDIRECTED,
             weights_version=int(weights) if weights.isdigit() else None,
-            leaving=values.get(names.LEAVING.lower()) == IS_LEAVING,
+            leaving=leaving.strip() == IS_LEAVING,
             retry_after_s=retry_after_s,
             malformed_retry_after=retry_after if retry_after_s is None else None,
         )
@@ -114,7 +115,7 @@
 
 def parse_seconds(value: bytes | None) -> float | None:
     """Parse a decimal number of seconds; return ``None`` for any other value."""
-    if value is None or not DECIMAL.fullmatch(value):
+    if value is None or not DECIMAL.fullmatch(value.strip()):
         return None
     seconds = float(value)
     return seconds if math.isfinite(seconds) else None
--- a/rosemaryyoke/platform/tests/test_headers.py
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -80,7 +80,9 @@
     assert sent[b"Kv-Fetch"] == sent[b"Kv-Save"] == b"10.0.0.1:80"
 
 
-@pytest.mark.parametrize("value, leaving", [(b"1", True), (b"0", False), (b"", False)])
+@pytest.mark.parametrize(
+    "value, leaving", [(b"1", True), (b"1 \t", True), (b"0", False), (b"", False)]
+)
 def test_announced_leaving(value, leaving):
     for status in (200, 500, 503):
         headers = [(b"server-leaving", value)]
@@ -89,7 +91,7 @@
 
 
 @pytest.mark.parametrize(
-    "value, seconds", [(b"2", 2.0), (b"0.25", 0.25), (b".5", 0.5), (b"0", 0.0)]
+    "value, seconds", [(b"2", 2.0), (b"0.25 ", 0.25), (b".5", 0.5), (b"0", 0.0)]
 )
 def test_retry_after_of_refusals(value, seconds):
     read = DIALECT.parse_response_headers(503, [(b"retry-after", value)])
