--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -3,6 +3,7 @@
 import math
 import random
 import time
+from functools import partial
 from typing import Callable, NoReturn
 
 from attrs import define, evolve, field
@@ -331,6 +332,7 @@
             )
 
         attempt.on_first_event = first_event
+        attempt.on_head = partial(self.fleet.record_notices, state)
         attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
         attempt.on_stall = lambda: self.reserve_alternative(exchange)
         return sent
@@ -534,7 +536,7 @@
 
 def is_healthy(state: UpstreamState, now_s: float) -> bool:
     """Return whether an upstream is known to take requests."""
-    return state.usable(now_s) and not state.considered_silent(now_s)
+    return state.accepts_requests(now_s) and not state.considered_silent(now_s)
 
 
 def completes(exchange: Exchange, outcome: Outcome) -> bool:
--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -61,6 +61,7 @@
 class SimulatedUpstream(EngineStandin):
     """Upstream that executes requests and orders addressed to it and reports them.
 
+    A request that it would run takes the next step of the script, if there is one.
     While ``busy`` it refuses requests as not executed. No response begins before
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
     are times of the monotonic clock.
@@ -83,18 +84,21 @@
         name = find_header(message.headers, names.EXPECTED_INSTANCE.lower())
         not_run = [(names.NOT_EXECUTED, b"1")]
         if message.target == b"/health":
-            caller.send_response(200, b"", [], b"")
+            status = 503 if self.leaving else 200
+            caller.send_response(status, b"", self.notice_headers(), b"")
         elif message.target == b"/report":
             self.answer_report(caller)
         elif name is not None and name.decode() != self.name:
             self.reply(message, caller, 421, not_run)
         elif message.target == b"/order":
             status = self.accept_order(orjson.loads(message.body))
-            caller.send_response(status, b"", [], b"{}")
+            caller.send_response(status, b"", self.notice_headers(), b"{}")
         elif self.loading or self.busy:
             self.reply(message, caller, 503, not_run)
         elif not self.has_weights(message):
             self.reply(message, caller, 421, not_run)
+        elif self.script:
+            self.script.pop(0)(self, message, caller)
         else:
             self.run_request(message, caller)
 
@@ -107,7 +111,8 @@
         """Respond with the current state."""
         models = [{"name": MODEL, "version": self.version, "adapters": []}]
         value = {"models": models, "busy": self.loading, "seq": self.orders}
-        caller.send_response(200, b"", [], orjson.dumps(value))
+        headers = self.notice_headers()
+        caller.send_response(200, b"", headers, orjson.dumps(value))
 
     def accept_order(self, order: dict) -> int:
         """Start loading weights.
@@ -156,6 +161,7 @@
         sealed = [
             (names.REQUEST_ID, request.encode()),
             (names.RESPONSE_SEAL, name.encode()),
+            *self.notice_headers(),
         ]
         if not streams:
             self.wait_event(first=True)
