Split the forwarder: selection of upstreams and endings of exchanges in modules of their own

The choice of the next upstream (with the reservation of an alternative) and the end of an exchange (last response, log line, count) are now classes of their own; code is moved, not changed. Tests of exchanges and platform pass as before.

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -1,19 +1,17 @@
 """Forward exchanges to upstreams, with retries and resumption of streams."""
 
 import math
-import random
 import time
 from functools import partial
-from typing import Callable, NoReturn
+from typing import Callable
 
 from attrs import define, evolve, field
-from result import Err, Result
+from result import Err
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.core import Metrics
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
-    HANDOVER_S,
     Attempt,
     AttemptFailed,
     NotRun,
@@ -28,61 +26,37 @@
     ResponseAborted,
 )
 from rosemaryyoke.exchanges.connections import ConnectionPool
-from rosemaryyoke.exchanges.decision_log import (
-    CUT_AT_DEADLINE,
-    CUT_WITHOUT_UPSTREAM,
-    cut_cause,
-    log_end,
-    log_outcome,
-    log_placement,
-    log_refusal,
-    log_response,
-    outcome_reason,
-)
-from rosemaryyoke.exchanges.error_responses import (
-    TIMEOUT_CODE,
-    error_for_outcome,
-    is_server_error,
-    no_upstream_error,
-    timeout_error,
-)
+from rosemaryyoke.exchanges.decision_log import log_outcome, log_placement
+from rosemaryyoke.exchanges.endings import Endings
+from rosemaryyoke.exchanges.error_responses import is_server_error
 from rosemaryyoke.exchanges.exchange import (
     ErrorResponse,
     Exchange,
     RequestRejected,
     SentAttempt,
-    cache_scope,
-    max_queue_wait_s,
 )
 from rosemaryyoke.exchanges.exchange_factory import ExchangeFactory
 from rosemaryyoke.exchanges.messages import HeaderCodec
 from rosemaryyoke.exchanges.request_writer import RequestWriter
+from rosemaryyoke.exchanges.selection import UpstreamSelector
 from rosemaryyoke.fleet import (
-    Chooser,
     Fleet,
-    NoUpstream,
     Placement,
-    PlacementRequest,
     PromptPrefill,
     RetryBudget,
     UpstreamState,
 )
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
 from rosemaryyoke.http1 import RequestMessage
-from rosemaryyoke.http1.messages import end_to_end_headers
 from rosemaryyoke.rollout import EngineClient
 
 HTTP_OK = 200
-INTERNAL_ERROR = "internal error"
 SHUTDOWN_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 STREAM_STALL_TIMEOUT_S = 1.0  # Longest gap between events of a resumable stream.
 HEALTH_CHECK_TIMEOUT_S = 0.25  # an engine that runs answers within milliseconds
 MIN_HEALTH_CHECK_S = 0.02
-MIN_ATTEMPT_S = 0.3  # with less time left, another upstream could not respond
-MAX_SENDS = 4  # attempts per exchange, including refused ones
 # For requests that must run at most once: some upstreams close idle ones at 0.3 s.
 NON_REPEATABLE_MAX_IDLE_S = 0.25
-WEIGHTS_START_MARGIN_S = 1.5  # delay between placement and the start of a request
 
 
 @define(eq=False)
@@ -98,14 +72,23 @@
     metrics: Metrics
     weights_bound_s: float
     engines: EngineClient
-    chooser: Chooser = field(factory=Chooser)
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     writer: RequestWriter = field(init=False)
+    selector: UpstreamSelector = field(init=False)
+    endings: Endings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.exchange_factory = ExchangeFactory(self.catalog, self.codec)
         self.writer = RequestWriter(self.fleet, self.codec)
+        self.endings = Endings(self.metrics)
+        self.selector = UpstreamSelector(
+            self.data_centre,
+            self.catalog,
+            self.fleet,
+            self.budget,
+            self.weights_bound_s,
+        )
 
     def handle(self, message: RequestMessage, caller: CallerConnection) -> None:
         """Handle one request; raise ``CallerDisconnected`` if the caller has gone."""
@@ -113,20 +96,19 @@
         try:
             exchange = self.exchange_factory.open(message, caller, started_s)
         except RequestRejected as rejection:
-            self.reject(caller, rejection.error)
+            self.endings.reject(caller, rejection.error)
             return
         try:
             self.forward(exchange)
         except RequestRejected as rejection:
-            self.reject_exchange(exchange, rejection.error)
+            self.endings.reject_exchange(exchange, rejection.error)
         except CallerDisconnected as departure:
-            self.record_departure(exchange, departure)
+            self.endings.record_departure(exchange, departure)
             raise
         except ResponseAborted:
             raise
         except Exception:
-            log_end("request failed", exchange, INTERNAL_ERROR, "see the error logged")
-            self.count_end(INTERNAL_ERROR)
+            self.endings.record_internal_error(exchange)
             raise
 
     def reject_leaving(self, message: RequestMessage, caller: CallerConnection) -> None:
@@ -139,7 +121,7 @@
             caller.request_id = metadata.request_id
         except RequestRejected as rejection:
             error = rejection.error
-        self.reject(caller, error)
+        self.endings.reject(caller, error)
 
     def forward(self, exchange: Exchange) -> None:
         """Send the exchange until it completes or is rejected."""
@@ -151,113 +133,24 @@
             self.running.discard(exchange)
             exchange.abandon_suspended()
 
+    def log_unfinished(self) -> None:
+        """Log the requests that end with this process."""
+        self.endings.record_unfinished(list(self.running))
+
     def send_until_complete(self, exchange: Exchange) -> None:
         """Send the exchange to one upstream after the other."""
         while True:
-            placement = exchange.take_reserved() or self.choose_upstream(exchange)
+            placement = exchange.take_reserved() or self.selector.choose_upstream(
+                exchange
+            )
             outcome = self.send_attempt(exchange, placement)
             if isinstance(outcome, StreamCompleted):
-                self.record_response(exchange, HTTP_OK)
+                self.endings.record_response(exchange, HTTP_OK)
                 return
             if exchange.reserved is None and not self.should_retry(exchange, outcome):
-                self.complete(exchange, outcome)
+                self.endings.complete(exchange, outcome)
                 return
 
-    def choose_upstream(self, exchange: Exchange) -> Placement:
-        """Choose an upstream for the exchange; raise ``RequestRejected``."""
-        now_s = time.monotonic()
-        if now_s >= exchange.response_deadline_s:
-            raise RequestRejected(timeout_error(exchange))
-        # The bound on queues is for admission: a request that may have run cannot be
-        # rejected as not run any more, so that a long queue is better than none.
-        max_wait_s = max_queue_wait_s(exchange.route)
-        if exchange.is_admitted:
-            max_wait_s = math.inf
-        request = self.placement_request(
-            exchange, now_s, max_wait_s, self.fleet.probe_share()
-        )
-        chosen = self.choose(exchange, request, now_s)
-        if isinstance(chosen, Err):
-            raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
-        return chosen.ok_value
-
-    def choose(
-        self, exchange: Exchange, request: PlacementRequest, now_s: float
-    ) -> Result[Placement, NoUpstream]:
-        """Return the best upstream that was not tried, or why there is none."""
-        with self.fleet.lock:
-            candidates = self.with_usable_weights(
-                exchange, self.candidates(exchange), now_s
-            )
-            return self.chooser.choose(
-                request, candidates, exchange.excluded_upstreams, now_s
-            )
-
-    def reserve_alternative(self, exchange: Exchange) -> bool:
-        """Reserve another upstream for a request whose upstream makes no progress.
-
-        Return whether there is one, so that the request need not stay where it is.
-        """
-        now_s = time.monotonic()
-        may_repeat = exchange.run_count + 1 < exchange.route.max_attempts
-        in_time = now_s < exchange.response_deadline_s - MIN_ATTEMPT_S
-        if not (may_repeat and in_time and exchange.is_resumable):
-            return False
-        if not self.may_send_again(exchange, now_s):
-            return False
-        max_wait_s = min(max_queue_wait_s(exchange.route), HANDOVER_S)
-        request = self.placement_request(exchange, now_s, max_wait_s, probe_share=0.0)
-        chosen = self.choose(exchange, request, now_s)
-        if isinstance(chosen, Err) or not is_healthy(chosen.ok_value.state, now_s):
-            return False
-        if not self.budget.try_retry(exchange.service, now_s):
-            return False
-        exchange.reserved = chosen.ok_value
-        return True
-
-    def may_send_again(self, exchange: Exchange, now_s: float) -> bool:
-        """Return whether sends and time are left for another attempt."""
-        return exchange.send_count < MAX_SENDS and now_s < exchange.response_deadline_s
-
-    def placement_request(
-        self, exchange: Exchange, now_s: float, max_wait_s: float, probe_share: float
-    ) -> PlacementRequest:
-        """Return the placement request for an exchange."""
-        wanted = self.catalog.wanted.get(exchange.metadata.model, 0)
-        return PlacementRequest(
-            exchange.metadata,
-            cache_scope(exchange.account),
-            len(exchange.body),
-            self.data_centre,
-            exchange.response_deadline_s - now_s,
-            wanted,
-            self.fleet.stores,
-            max_wait_s,
-            probe_share,
-        )
-
-    def candidates(self, exchange: Exchange) -> list[UpstreamState]:
-        """Return the upstreams of a target, drawn at random by the route's weights."""
-        targets = exchange.route.targets
-        weights = [target.weight for target in targets]
-        if len(targets) == 1 or sum(weights) <= 0:
-            return self.fleet.states_of_service(targets[0].service)
-        target = random.choices(targets, weights)[0]
-        return self.fleet.states_of_service(target.service)
-
-    def with_usable_weights(
-        self, exchange: Exchange, candidates: list[UpstreamState], now_s: float
-    ) -> list[UpstreamState]:
-        """Return the upstreams whose model weights may still be used."""
-        model = exchange.metadata.model
-        bound_s = self.weights_bound_s - WEIGHTS_START_MARGIN_S
-        return [
-            state
-            for state in candidates
-            if model not in state.weights
-            or self.catalog.outdated_s(model, state.weights[model], now_s) < bound_s
-        ]
-
     def send_attempt(self, exchange: Exchange, placement: Placement) -> Outcome:
         """Send the exchange to an upstream and record the outcome.
 
@@ -334,7 +227,7 @@
         attempt.on_first_event = first_event
         attempt.on_head = partial(self.fleet.record_notices, state)
         attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
-        attempt.on_stall = lambda: self.reserve_alternative(exchange)
+        attempt.on_stall = lambda: self.selector.reserve_alternative(exchange)
         return sent
 
     def run_attempt(
@@ -451,7 +344,7 @@
     def should_retry(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Return whether to retry the exchange at another upstream."""
         route = exchange.route
-        if not self.may_send_again(exchange, time.monotonic()):
+        if not self.selector.may_send_again(exchange, time.monotonic()):
             return False
         if isinstance(outcome, ResponseReceived):
             if not is_server_error(outcome) or not route.repeatable:
@@ -470,74 +363,6 @@
             return False
         return self.budget.try_retry(exchange.service, time.monotonic())
 
-    def complete(self, exchange: Exchange, outcome: Outcome) -> None:
-        """Send the last outcome to the caller."""
-        if exchange.caller.streaming:
-            self.cut_stream(exchange, cut_cause(outcome), outcome_reason(outcome))
-        if isinstance(outcome, ResponseReceived):
-            message = outcome.message
-            headers = [
-                item
-                for item in end_to_end_headers(message.headers)
-                if item[0].lower() != b"content-length"
-            ]
-            exchange.caller.send_response(
-                message.status, message.reason, headers, message.body
-            )
-            self.record_response(exchange, message.status)
-            return
-        raise RequestRejected(error_for_outcome(exchange, outcome))
-
-    def record_response(self, exchange: Exchange, status: int) -> None:
-        """Log and count a response forwarded to the caller."""
-        log_response(exchange, status)
-        self.count_end("answered")
-        elapsed_s = time.monotonic() - exchange.started_s
-        self.metrics.observe("answer_seconds", elapsed_s, kind=exchange.route.kind)
-
-    def record_departure(
-        self, exchange: Exchange, departure: CallerDisconnected
-    ) -> None:
-        """Log and count a caller that left before the end of its response."""
-        log_end("caller left", exchange, departure.cause, str(departure))
-        self.count_end(departure.cause)
-
-    def reject_exchange(self, exchange: Exchange, error: ErrorResponse) -> None:
-        """Send an error response, or cut a stream that has begun."""
-        if exchange.caller.streaming:
-            expired = error.code == TIMEOUT_CODE
-            cause = CUT_AT_DEADLINE if expired else CUT_WITHOUT_UPSTREAM
-            self.cut_stream(exchange, cause, error.message)
-        self.reject(exchange.caller, error)
-
-    def reject(self, caller: CallerConnection, error: ErrorResponse) -> None:
-        """Send an error response."""
-        self.metrics.count("refusals_total", code=error.code)
-        self.count_end("refused")
-        log_refusal(caller.request_id.decode("latin-1"), error)
-        caller.send_error(error.status, error.code, error.message, error.retry_after_s)
-
-    def cut_stream(self, exchange: Exchange, cause: str, reason: str) -> NoReturn:
-        """End a stream that cannot continue; raise ``ResponseAborted``."""
-        log_end("stream cut", exchange, cause, reason)
-        self.count_end(f"stream cut: {cause}")
-        raise ResponseAborted(reason)
-
-    def log_unfinished(self) -> None:
-        """Log and count the requests that end with this process."""
-        for exchange in list(self.running):
-            log_end("request aborted", exchange, "shutdown", "the grace period ended")
-            self.count_end("shutdown")
-
-    def count_end(self, cause: str) -> None:
-        """Count the end of a request by its cause."""
-        self.metrics.count("requests_ended_total", cause=cause)
-
-
-def is_healthy(state: UpstreamState, now_s: float) -> bool:
-    """Return whether an upstream is known to take requests."""
-    return state.accepts_requests(now_s) and not state.considered_silent(now_s)
-
 
 def completes(exchange: Exchange, outcome: Outcome) -> bool:
     """Return whether an outcome completes the response to the caller."""
