--- a/rosemaryyoke/platform/tests/test_handover.py
+++ b/rosemaryyoke/platform/tests/test_handover.py
@@ -1,4 +1,4 @@
-"""Answers are not lost when an engine takes over a request from one that pauses.
+"""Answers are not lost when an engine takes over a request from one that stalls.
 
 Pattern: the engine that is to resume a stream refuses late, fails, or sends nothing, or
 the first engine goes on while the other one is asked.
@@ -13,16 +13,16 @@
 from rosemaryyoke.http1.messages import encode_chunk
 from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.tests.deployment import script_all, wait_for
-from rosemaryyoke.platform.tests.test_pausing_engines import (
+from rosemaryyoke.platform.tests.test_stalled_engines import (
     LONG_DEADLINE,
     event_numbers,
-    pause_after,
+    stall_after,
     runs,
 )
 from rosemaryyoke.rollout.messages import EngineReport
 
 ALL_EVENTS = [1, 2, 3, 4, 5]
-SHORT_PAUSE_S = 1.1  # ends within the handover
+SHORT_STALL_S = 1.1  # ends within the handover
 LATE_S = 0.5  # longer than the handover
 
 
@@ -48,7 +48,7 @@
     return step
 
 
-def pause_within_event(engine, message, caller):
+def stall_within_event(engine, message, caller):
     """Pause in the middle of the third event, then end the stream."""
     head = caller.begin_stream(200, b"OK", engine.headers(message))
     engine.executed.append(b"")
@@ -71,14 +71,14 @@
 
 # Guards against streams cut when the engine that should resume them refuses late.
 def test_stream_is_not_cut_when_its_resumption_is_refused_late(deployment):
-    script_all(deployment.engines, pause_after(2, 1.6), refuse_late)
+    script_all(deployment.engines, stall_after(2, 1.6), refuse_late)
     answer = deployment.stream(**LONG_DEADLINE).responses[0]
     assert answer.complete and event_numbers(answer) == ALL_EVENTS
 
 
 # Guards against a handover to an engine that sends nothing, past events at hand.
 def test_engine_that_goes_on_during_the_handover_is_not_left(deployment):
-    script_all(deployment.engines, pause_after(2, SHORT_PAUSE_S), stay_mute)
+    script_all(deployment.engines, stall_after(2, SHORT_STALL_S), stay_mute)
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == ALL_EVENTS
 
@@ -86,7 +86,7 @@
 # Guards against streams cut when the engine that should resume them answers otherwise.
 @pytest.mark.parametrize("status", [400, 404, 409, 429, 500, 503])
 def test_stream_is_not_cut_when_its_resumption_fails(deployment, status):
-    script_all(deployment.engines, pause_after(2), reply_with(status))
+    script_all(deployment.engines, stall_after(2), reply_with(status))
     answer = deployment.stream(**LONG_DEADLINE).responses[0]
     assert answer.complete and event_numbers(answer) == ALL_EVENTS
 
@@ -94,7 +94,7 @@
 # Guards against a health check whose duration counts as the engine's pause.
 def test_event_that_arrives_during_the_health_check_keeps_the_engine(deployment):
     delay_reports(deployment, 0.2)
-    script_all(deployment.engines, pause_after(2, SHORT_PAUSE_S))
+    script_all(deployment.engines, stall_after(2, SHORT_STALL_S))
     answer = deployment.stream(**LONG_DEADLINE).responses[0]
     assert answer.complete and event_numbers(answer) == ALL_EVENTS
     assert runs(deployment.engines) == 1
@@ -102,7 +102,7 @@
 
 # Guards against a lost or doubled part of an event when its engine is returned to.
 def test_event_is_whole_when_its_engine_pauses_within_it(deployment):
-    script_all(deployment.engines, pause_within_event, 503, 503, 503)
+    script_all(deployment.engines, stall_within_event, 503, 503, 503)
     answer = deployment.stream(**LONG_DEADLINE).responses[0]
     whole = b"".join(b"id: %d\ndata: x\n\n" % number for number in ALL_EVENTS)
     assert answer.complete and answer.body == whole
--- a/rosemaryyoke/platform/tests/test_pausing_engines.py
+++ b/rosemaryyoke/platform/tests/test_stalled_engines.py
@@ -1,4 +1,4 @@
-"""Answers are not lost when an engine pauses.
+"""Answers are not lost when an engine stalls.
 
 Pattern: an engine preempts a running request for a more urgent one, or is overloaded,
 and goes on a second or more later. The host may move the request to another engine, but
@@ -20,11 +20,11 @@
 )
 from rosemaryyoke.platform.tests.deployment import abort_after, script_all, wait_for
 
-PAUSE_S = 1.3  # longer than the limits on a stalled stream and on a first event
+STALL_S = 1.3  # longer than the limits on a stalled stream and on a first event
 LONG_DEADLINE = {"Deadline-Ms": "4000"}
 
 
-def pause_after(events, pause_s=PAUSE_S):
+def stall_after(events, stall_s=STALL_S):
     """Return a step that pauses after some events, then ends its stream."""
 
     def step(engine, message, caller):
@@ -33,7 +33,7 @@
         engine.executed.append(b"")
         for number in range(after + 1, engine.events + 1):
             if number == after + events + 1:
-                time.sleep(pause_s)
+                time.sleep(stall_s)
             caller.write_events(head, b"id: %d\ndata: x\n\n" % number)
             head = b""
         caller.end_stream(head)
@@ -43,7 +43,7 @@
 
 def answer_late(engine, message, caller):
     """Send a complete response after a pause."""
-    time.sleep(PAUSE_S)
+    time.sleep(STALL_S)
     engine.run(message, caller)
 
 
@@ -84,8 +84,8 @@
 
 
 # Guards against streams cut when no other upstream takes the rest of them.
-def test_stream_is_not_cut_when_its_only_engine_pauses(deployment):
-    script_all(leave_one_engine(deployment), pause_after(2))
+def test_stream_is_not_cut_when_its_only_engine_stalls(deployment):
+    script_all(leave_one_engine(deployment), stall_after(2))
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
     assert runs(deployment.engines) == 1
@@ -93,7 +93,7 @@
 
 # Guards against streams cut when the engine that should resume them refuses.
 def test_stream_is_not_cut_when_its_resumption_is_refused(deployment):
-    script_all(deployment.engines, pause_after(2), 503, 503, 503)
+    script_all(deployment.engines, stall_after(2), 503, 503, 503)
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
     assert runs(deployment.engines) == 1
@@ -103,11 +103,11 @@
 def test_stream_is_not_cut_when_its_resumption_finds_no_connection(deployment):
     first, second = deployment.engines
 
-    def pause_and_stop_the_other(engine, message, caller):
+    def stall_and_stop_the_other(engine, message, caller):
         stop_listening(deployment, second if engine is first else first)
-        pause_after(2)(engine, message, caller)
+        stall_after(2)(engine, message, caller)
 
-    script_all(deployment.engines, pause_and_stop_the_other)
+    script_all(deployment.engines, stall_and_stop_the_other)
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
 
@@ -115,21 +115,21 @@
 # Guards against streams cut when the retry budget does not allow a resumption.
 def test_stream_is_not_cut_when_the_retry_budget_is_exhausted(deployment):
     exhaust_retry_budget(deployment)
-    script_all(deployment.engines, pause_after(2))
+    script_all(deployment.engines, stall_after(2))
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
 
 
 # Guards against streams cut because the last engine allowed pauses too.
-def test_stream_is_not_cut_when_every_engine_pauses(deployment):
-    script_all(deployment.engines, pause_after(2), pause_after(1))
+def test_stream_is_not_cut_when_every_engine_stalls(deployment):
+    script_all(deployment.engines, stall_after(2), stall_after(1))
     answer = deployment.stream(**LONG_DEADLINE).responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
 
 
 # Guards against a failure for a request that its only upstream answers later.
 @pytest.mark.parametrize("path", ["/chat/1", "/read/1"])
-def test_request_is_not_given_up_when_its_only_upstream_pauses(deployment, path):
+def test_request_is_not_given_up_when_its_only_upstream_stalls(deployment, path):
     streams = path == "/chat/1"
     parts = deployment.engines if streams else deployment.records
     drain(deployment, parts[1], "llm" if streams else "records")
@@ -142,7 +142,7 @@
 
 
 # Guards against a stream abandoned at its engine because its caller reads slowly.
-def test_caller_that_reads_slowly_is_no_pause_of_the_engine(deployment):
+def test_caller_that_reads_slowly_is_no_stall_of_the_engine(deployment):
     def large_events(engine, message, caller):
         engine.executed.append(b"")
         head = caller.begin_stream(200, b"OK", engine.headers(message))
@@ -160,7 +160,7 @@
     with socket.create_connection((address.ip, address.port)) as connection:
         connection.sendall("\r\n".join([*lines, "", ""]).encode())
         wait_for(lambda: runs(deployment.engines))
-        time.sleep(PAUSE_S)
+        time.sleep(STALL_S)
         answer = read_answer(connection).responses[0]
     assert answer.complete and event_numbers(answer) == list(range(1, 41))
     assert runs(deployment.engines) == 1
