Stand-in store goes back to an older copy

Users: in a drill the store may come back from a copy some seconds old, with revisions given out again and a new Store-Era. The stand-in of the store lost nothing, so no test could show what the hosts make of that.

The objects and their history move to StoreModel, which needs no network and takes its clock from the caller; StoreStandin serves it and states the era in all answers. restore(seconds) replays the history up to that age, gives revisions out again, answers 410 to watches from positions that it doesn't have and cuts off a watch that is waiting. A PUT of an object that is missing gets 404; it raised before. Pages are cut at 500 objects, as on the platform. Calls, outages and lost writes stay as they were; the tests of the platform and the soak use them.

--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -30,6 +30,9 @@
 NOT_EXECUTED = b"Not-Executed"
 SERVED_WEIGHTS = b"Weight-Versions"
 
+# Header of the store's responses; it rises whenever the store is restored from a copy.
+STORE_ERA = b"Store-Era"
+
 # Headers that only the router sets; the ones sent by callers are dropped.
 ROUTER_HEADERS = frozenset(
     name.lower()
@@ -68,6 +71,7 @@
     "Instance-Id",
     "pathPrefix",
     "storeRevision",
+    "Store-Era",
     "trafficSplit",
     "apiKeys",
     "maxAttempts",
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -3,7 +3,6 @@
 import socket
 import threading
 import time
-from urllib.parse import parse_qs, urlsplit
 
 import orjson
 from attrs import define, field
@@ -12,11 +11,11 @@
 from rosemaryyoke.exchanges.server import ConnectionServer
 from rosemaryyoke.http1 import Address, RequestMessage, ResponseParser
 from rosemaryyoke.http1.messages import find_header
+from rosemaryyoke.platform.names import STORE_ERA
 from rosemaryyoke.platform.standins.documents import MODEL
+from rosemaryyoke.platform.standins.store_model import StoreModel
 from rosemaryyoke.testing.builders import free_port
 
-WATCH_POLL_S = 0.01
-
 
 def stop_server(server: ConnectionServer) -> None:
     """Stop a server and all its tasks, which would otherwise block process exit."""
@@ -26,24 +25,18 @@
 
 
 @define(eq=False)
-class StoreStandin:
-    """Store of objects by kind and name, with a global revision and a history.
+class StoreStandin(StoreModel):
+    """Server of a store of objects, whose responses state its era.
 
     If ``down`` is set, every connection is closed without a response. The next
     ``writes_to_lose`` writes get no response and are applied after
     ``lost_write_delay_s``. Every call is delayed by ``call_delay_s``.
     """
 
-    objects: dict[str, dict[str, dict]] = field(factory=dict)
-    history: list[tuple[int, str, dict, bool]] = field(factory=list)
-    revision: int = 1
-    oldest_revision: int = 0
-    down: bool = False
     writes_to_lose: int = 0
     lost_write_delay_s: float = 0.0
     call_delay_s: float = 0.0
     calls: int = 0
-    lock: threading.RLock = field(factory=threading.RLock)
     address: Address = field(init=False)
     server: ConnectionServer = field(init=False)
 
@@ -57,94 +50,21 @@
         self.down = True
         stop_server(self.server)
 
-    def set(self, kind, name, spec):
-        """Write an object unconditionally; an unchanged one keeps its revision."""
-        with self.lock:
-            existing = self.objects.setdefault(kind, {}).get(name)
-            if existing is not None and existing["spec"] == spec:
-                return existing
-            self.revision += 1
-            metadata = {"name": name, "revision": self.revision}
-            stored = {"metadata": metadata, "spec": spec, "status": None}
-            self.objects[kind][name] = stored
-            self.history.append((self.revision, kind, stored, False))
-            return stored
-
-    def remove(self, kind, name):
-        """Remove an object."""
-        with self.lock:
-            stored = self.objects[kind].pop(name)
-            self.revision += 1
-            self.history.append((self.revision, kind, stored, True))
-
-    def forget_history(self):
-        """Discard the history, so that watches from earlier positions get 410."""
-        with self.lock:
-            self.oldest_revision = self.revision
-
     def answer(self, message: RequestMessage, caller: CallerConnection):
         """Handle a call."""
         self.calls += 1
         time.sleep(self.call_delay_s)
         if self.down:
             raise OSError("store is down")
-        parts = urlsplit(message.target.decode())
-        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
-        names = parts.path.split("/")[2:]
-        if message.method != b"GET" and self.writes_to_lose:
+        method, target = message.method.decode(), message.target.decode()
+        if method != "GET" and self.writes_to_lose:
             self.writes_to_lose -= 1
-            threading.Timer(
-                self.lost_write_delay_s, self.call, (message, names, query)
-            ).start()
+            call = (method, target, message.body)
+            threading.Timer(self.lost_write_delay_s, self.call, call).start()
             raise OSError("response lost")
-        status, value = self.call(message, names, query)
-        caller.send_response(status, b"", [], orjson.dumps(value))
-
-    def call(self, message, names, query):
-        """Return the status and body of a call."""
-        if message.method == b"GET" and len(names) == 2:
-            stored = self.objects.get(names[0], {}).get(names[1])
-            return (404, {}) if stored is None else (200, stored)
-        if message.method == b"GET" and "watch" in query:
-            return self.watch(names[0], int(query["watch"]), int(query["waitMs"]))
-        if message.method == b"GET":
-            with self.lock:
-                items = list(self.objects.get(names[0], {}).values())
-                revision = self.revision
-            return 200, {"items": items, "hasMore": False, "storeRevision": revision}
-        return self.write(message, names)
-
-    def write(self, message, names):
-        """Create an object, or replace it if its revision matches."""
-        body = orjson.loads(message.body)
-        kind, name = names[0], body["metadata"]["name"]
-        with self.lock:
-            existing = self.objects.get(kind, {}).get(name)
-            if message.method == b"POST" and existing is not None:
-                return 409, existing
-            wanted = body["metadata"].get("revision")
-            if message.method == b"PUT" and existing["metadata"]["revision"] != wanted:
-                return 409, existing
-            return 200, self.set(kind, name, body["spec"])
-
-    def watch(self, kind, position, wait_ms):
-        """Return the changes after a position, waiting until there are any."""
-        deadline_s = time.monotonic() + wait_ms / 1000
-        while True:
-            if self.down:
-                raise OSError("store is down")
-            with self.lock:
-                if position < self.oldest_revision:
-                    return 410, {}
-                events = [
-                    {"object": stored, "deleted": removed}
-                    for revision, kind_of, stored, removed in self.history
-                    if kind_of == kind and revision > position
-                ]
-                revision = self.revision
-            if events or time.monotonic() >= deadline_s:
-                return 200, {"events": events, "storeRevision": revision}
-            time.sleep(WATCH_POLL_S)
+        answer = self.call(method, target, message.body)
+        headers = [(STORE_ERA, b"%d" % answer.era)]
+        caller.send_response(answer.status, b"", headers, orjson.dumps(answer.value))
 
 
 @define(eq=False)
