Versions, positions and leases carry the era of the store

Users: after a drill the operator's rewritten configuration was not applied, and two hosts could order engines in turns, with a fencing token below the last one.

Cause: positions, versions and tokens were bare revisions. A restored store gives them out again, so that a watch from a revision that it has reached anew skips what was written below it, a conditional write meets another content under an equal number, and a lease that the copy lacks is free at once.

Now a version is one integer, era << 40 | revision, exact in JSON; the adapter decodes the era from the store's header and packs it. Without that header the era is 0 and versions are plain revisions as before. A write on a version of an older era is not sent; an answer of another era to it is a conflict that may have been applied; a late answer of an older era changes nothing; a watch across a change of era, and a listing with pages of two eras, lead to a new listing.

A lease ends with its era, at the moment at which the host learns of a newer one. None is acquired before a whole duration has passed since, by a host that has just started either, and none that was created in an era not known when the wait was checked. Roll-outs need nothing else from the store: they go on from reports. At rest there are no more calls; while a host waits for the era it reads once.

Ruled out: that a 410 shows every restore. It doesn't once the revisions have passed the position again, as in the test of the rewritten configuration.

Evidence: on a scratch copy that ignores the header, as before, 17 of the tests of eras, upstreams and leases fail, among them the rewritten configuration, holder, successor and tokens. Taking out each rule by itself fails at least one test. That neither configuration nor weights regress passed before, since hosts compare the operator's versions; both tests stay as guards.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -9,6 +9,7 @@
 
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.objects.eras import EraRecord
 
 MAX_VERSION_HISTORY = 16
 CONFIRMATION_TTL_S = 1.9  # two long polls, and less than a change may take to apply
@@ -32,6 +33,7 @@
     """
 
     configuration: Configuration | None = None
+    eras: EraRecord = field(factory=EraRecord)
     upstreams: dict[str, Upstream] = field(factory=dict)
     wanted: dict[str, int] = field(factory=dict)
     declared_versions: dict[str, list[DeclaredVersion]] = field(factory=dict)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -5,7 +5,7 @@
 from typing import Callable
 
 from absl import logging
-from attrs import define
+from attrs import define, field
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
@@ -39,6 +39,7 @@
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
 from rosemaryyoke.objects import ObjectApi, ReportingObjectApi
+from rosemaryyoke.objects.eras import EraRecord
 from rosemaryyoke.placement.rendezvous import rank
 from rosemaryyoke.rollout import EngineClient
 from rosemaryyoke.rollout.rollout import TICK_INTERVAL_S, Rollout
@@ -72,6 +73,7 @@
     codec: HeaderCodec
     directory: DirectoryCodec
     engines: EngineClient
+    eras: EraRecord = field(factory=EraRecord)
 
 
 @define(eq=False)
@@ -115,7 +117,7 @@
         """Create the services and register them in start order."""
         settings, adapter, add = self.settings, self.adapter, self.kernel.add
         self.metrics = Metrics()
-        self.catalog = Catalog()
+        self.catalog = Catalog(eras=adapter.eras)
         self.fleet = Fleet(self.catalog)
         self.catalog.subscribe(self.fleet.refresh)
         self.catalog.subscribe(self.close_removed_upstreams)
--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -34,6 +34,7 @@
 
     status: int
     body: bytes
+    headers: Headers = field(factory=list)
 
     @property
     def ok(self) -> bool:
@@ -80,7 +81,7 @@
             )
         if not message.keep_alive:
             self.close()
-        return Ok(Response(message.status, message.body))
+        return Ok(Response(message.status, message.body, message.headers))
 
     def close(self) -> None:
         """Close the connection."""
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -3,26 +3,29 @@
 Expiry uses a clock that keeps running while the process is stopped or the machine is
 suspended. Fencing tokens follow the sequencers of Burrows, "The Chubby lock service",
 2006.
+
+A store that is restored from a copy may lose a lease and hand it out again. So a lease
+ends with the era in which it was written, and a process that learns of a new era, or
+that has just started, acquires none before a whole duration has passed: by then every
+lease of the era before has expired.
 """
 
 import secrets
 import threading
-import time
 
 import orjson
 from attrs import define, field
 from result import Err
 
 from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.objects.eras import EraRecord, boot_time_s, era_of
 from rosemaryyoke.objects.objects import ObjectApi, StoredObject
 
 DEFAULT_DURATION_S = 6.0
 RENEW_AFTER_FRACTION = 1 / 3
 
 
-def now_s() -> float:
-    """Return seconds of CLOCK_BOOTTIME, which also advances during suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+now_s = boot_time_s
 
 
 @define(eq=False)
@@ -41,6 +44,7 @@
     holder: str
     duration_s: float = DEFAULT_DURATION_S
     renew_after_s: float = 0.0
+    eras: EraRecord = field(factory=EraRecord)
     token: str = field(factory=lambda: secrets.token_hex(12))
     version: int = 0
     expires_at_s: float = 0.0
@@ -49,10 +53,13 @@
     writes: int = 0
     observed_version: int = -1
     observed_at_s: float = 0.0
+    observed_era: int = -1
     lock: threading.Lock = field(factory=threading.Lock)
 
     def remaining_s(self) -> float:
         """Return how long this process is still guaranteed to hold the lease."""
+        if self._is_void():
+            return 0.0
         return max(0.0, self.expires_at_s - now_s())
 
     @property
@@ -60,6 +67,9 @@
         """Return the fencing token of the held lease."""
         return self.version
 
+    def _is_void(self) -> bool:
+        return era_of(self.version) != self.eras.current
+
     def acquire(self) -> bool:
         """Acquire or renew the lease and return whether it is held."""
         with self.lock:
@@ -85,52 +95,70 @@
             self.unconfirmed_since_s = self.unconfirmed_since_s or started_at_s
             if written.err_value.conflict:
                 self._confirm_renewal(self.unconfirmed_since_s)
-            return self.remaining_s() > 0
-        self._record_held(written.ok_value, started_at_s)
-        return True
+        elif era_of(written.ok_value) == era_of(self.version):
+            self._record_held(written.ok_value, started_at_s)
+        else:
+            self._record_lost()
+        return self.remaining_s() > 0
 
     def _try_acquire(self) -> bool:
         started_at_s = now_s()
+        if self._waits_for_era() and self.observed_era == self.eras.current:
+            return False
         read = self.api.get(self.name)
         if isinstance(read, Err):
             return False
+        era = self.observed_era = self.eras.current
         stored = read.ok_value
         if not self._is_available(stored, started_at_s):
             return False
         self.token = secrets.token_hex(12)
         version = stored.version if stored else 0
         written = self.api.put(self.name, self._encode_body(), version)
-        if isinstance(written, Err):
+        if isinstance(written, Err) or era_of(written.ok_value) != era:
             return False
         self.acquired_at_s = started_at_s
         self._record_held(written.ok_value, started_at_s)
         log_event("lease acquired", lease=self.name, fencing=self.fencing_token)
         return True
 
+    def _waits_for_era(self) -> bool:
+        """Return whether a lease of an older era may not have expired yet."""
+        return self.eras.age_s() <= self.duration_s
+
     def _is_available(self, stored: StoredObject | None, at_s: float) -> bool:
         """Return whether the lease has gone unrenewed for its whole duration.
 
         If the stored version is the last one written by this process, no other process
         has acquired the lease since.
         """
-        if stored is None or stored.version == self.version:
-            return True
-        if stored.version != self.observed_version:
-            self.observed_version = stored.version
-            self.observed_at_s = at_s
-            return False
-        return at_s - self.observed_at_s > self.duration_s
+        if stored is not None and stored.version != self.version:
+            if stored.version != self.observed_version:
+                self.observed_version = stored.version
+                self.observed_at_s = at_s
+                return False
+            if at_s - self.observed_at_s <= self.duration_s:
+                return False
+        return not self._waits_for_era()
 
     def _confirm_renewal(self, started_at_s: float) -> None:
         """Read the lease back to check whether an unanswered renewal took effect."""
+        if self._is_void():
+            self._record_lost()
+            return
         read = self.api.get(self.name)
         if isinstance(read, Err) or read.ok_value is None:
             return
-        if orjson.loads(read.ok_value.body)["token"] == self.token:
-            self._record_held(read.ok_value.version, started_at_s)
+        stored = read.ok_value
+        is_same_era = era_of(stored.version) == era_of(self.version)
+        if is_same_era and orjson.loads(stored.body)["token"] == self.token:
+            self._record_held(stored.version, started_at_s)
         else:
-            self.expires_at_s = 0.0
-            log_event("lease lost", lease=self.name, fencing=self.fencing_token)
+            self._record_lost()
+
+    def _record_lost(self) -> None:
+        self.expires_at_s = 0.0
+        log_event("lease lost", lease=self.name, fencing=self.fencing_token)
 
     def _record_held(self, version: int, started_at_s: float) -> None:
         self.version = version
--- a/rosemaryyoke/platform/adapter.py
+++ b/rosemaryyoke/platform/adapter.py
@@ -18,4 +18,5 @@
         PlatformDialect(),
         PlatformDirectory(),
         PlatformEngines(),
+        store.eras,
     )
--- a/rosemaryyoke/platform/store.py
+++ b/rosemaryyoke/platform/store.py
@@ -4,10 +4,11 @@
 from urllib.parse import quote
 
 import orjson
-from attrs import define, field
+from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.http1 import Address, HttpClient, RequestError, Response
+from rosemaryyoke.objects.eras import EraRecord, era_of, make_version, revision_of
 from rosemaryyoke.objects.feed import (
     FeedChange,
     FeedChanges,
@@ -15,6 +16,7 @@
     Listing,
 )
 from rosemaryyoke.objects.objects import PlatformError, StoredObject
+from rosemaryyoke.platform.eras import decode_era
 
 CALL_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_MARGIN_S = 1.0  # a slow store takes several hundred milliseconds
@@ -26,26 +28,40 @@
 MS_PER_S = 1_000
 
 
+@frozen
+class StoreReply:
+    """A response of the store, and the era that it is from."""
+
+    response: Response
+    era: int
+
+
 @define(eq=False)
 class PlatformStore:
     """Store of objects by kind and name, which the object API names ``kind/name``.
 
-    The ``revision`` of an object on the wire is its version in the object API.
+    The era of a response and the ``revision`` of an object on the wire are its version
+    in the object API. A response of an older era than the newest one known is late:
+    what it describes is no longer in the store.
     """
 
     address: Address
+    eras: EraRecord = field(factory=EraRecord)
     local: threading.local = field(factory=threading.local)
 
     def get(self, name: str) -> Result[StoredObject | None, PlatformError]:
         """Return an object, or None if it does not exist."""
-        reply = self._call("GET", f"/objects/{quote(name)}")
-        if isinstance(reply, Err):
-            return Err(_transport_error(reply.err_value))
-        if reply.ok_value.status == HTTP_NOT_FOUND:
+        outcome = self._call("GET", f"/objects/{quote(name)}")
+        if isinstance(outcome, Err):
+            return Err(_transport_error(outcome.err_value))
+        reply = outcome.ok_value
+        if self._is_late(reply):
+            return Err(PlatformError(_late_message(reply)))
+        if reply.response.status == HTTP_NOT_FOUND:
             return Ok(None)
-        if not reply.ok_value.ok:
-            return Err(_status_error(reply.ok_value))
-        return _parse_object(reply.ok_value).map_err(PlatformError)
+        if not reply.response.ok:
+            return Err(_status_error(reply.response))
+        return _parse_object(reply).map_err(PlatformError)
 
     def put(
         self, name: str, body: bytes, expected_version: int
@@ -55,25 +71,16 @@
         metadata: dict[str, object] = {"name": own_name}
         method, target = "POST", f"/objects/{quote(kind)}"
         if expected_version:
-            metadata["revision"] = expected_version
+            metadata["revision"] = revision_of(expected_version)
             method, target = "PUT", f"/objects/{quote(name)}"
         document = {"metadata": metadata, "spec": orjson.loads(body)}
-        reply = self._call(method, target, orjson.dumps(document))
-        if isinstance(reply, Err):
-            return Err(_transport_error(reply.err_value))
-        if not reply.ok_value.ok:
-            return Err(_status_error(reply.ok_value))
-        return _parse_object(reply.ok_value).map(_version).map_err(_maybe_applied_error)
+        reply = self._write(method, target, expected_version, orjson.dumps(document))
+        return reply.and_then(_written_version)
 
     def delete(self, name: str, expected_version: int) -> Result[None, PlatformError]:
         """Delete an object if its version matches."""
-        target = f"/objects/{quote(name)}?revision={expected_version}"
-        reply = self._call("DELETE", target)
-        if isinstance(reply, Err):
-            return Err(_transport_error(reply.err_value))
-        if not reply.ok_value.ok:
-            return Err(_status_error(reply.ok_value))
-        return Ok(None)
+        target = f"/objects/{quote(name)}?revision={revision_of(expected_version)}"
+        return self._write("DELETE", target, expected_version).map(lambda reply: None)
 
     def list(self, kind: str) -> Result[Listing, FeedError]:
         """Return all objects of a kind, fetched page by page.
@@ -84,15 +91,23 @@
         objects: list[StoredObject] = []
         position, after = None, ""
         for _ in range(MAX_PAGES):
-            reply = self._call("GET", f"/objects/{quote(kind)}{after}")
-            page = _parse_page(reply)
+            outcome = self._call("GET", f"/objects/{quote(kind)}{after}")
+            if isinstance(outcome, Err):
+                return Err(FeedError(outcome.err_value.message))
+            reply = outcome.ok_value
+            if self._is_late(reply):
+                return Err(FeedError(_late_message(reply)))
+            if position is not None and reply.era != era_of(position):
+                return Err(FeedError("listing spans two eras", history_gone=True))
+            page = _parse_page(reply.response)
             if isinstance(page, Err):
                 return page
             value = page.ok_value
             try:
-                objects.extend(_parse_item(item) for item in value["items"])
-                position = value["storeRevision"] if position is None else position
-            except (KeyError, TypeError) as error:
+                objects.extend(_parse_item(item, reply.era) for item in value["items"])
+                if position is None:
+                    position = make_version(reply.era, value["storeRevision"])
+            except (KeyError, TypeError, ValueError) as error:
                 return Err(FeedError(f"malformed listing: {error!r}"))
             if not value.get("hasMore"):
                 return Ok(Listing(position, objects))
@@ -102,22 +117,61 @@
     def watch(
         self, kind: str, position: int, wait_s: float
     ) -> Result[FeedChanges, FeedError]:
-        """Long-poll for changes of a kind after a position, for up to ``wait_s``."""
+        """Long-poll for changes of a kind after a position, for up to ``wait_s``.
+
+        Revisions of another era say nothing about the position, so the kind must then
+        be listed again.
+        """
+        if era_of(position) != self.eras.current:
+            return Err(FeedError("position of an older era", history_gone=True))
         wait_ms = int(wait_s * MS_PER_S)
-        target = f"/objects/{quote(kind)}?watch={position}&waitMs={wait_ms}"
-        page = _parse_page(
-            self._call("GET", target, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S)
-        )
+        query = f"watch={revision_of(position)}&waitMs={wait_ms}"
+        target = f"/objects/{quote(kind)}?{query}"
+        outcome = self._call("GET", target, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S)
+        if isinstance(outcome, Err):
+            return Err(FeedError(outcome.err_value.message))
+        reply = outcome.ok_value
+        if reply.era != era_of(position) or self._is_late(reply):
+            return Err(FeedError("the era has changed", history_gone=True))
+        page = _parse_page(reply.response)
         if isinstance(page, Err):
             return page
         try:
             changes = [
-                FeedChange(_parse_item(event["object"]), bool(event.get("deleted")))
+                FeedChange(
+                    _parse_item(event["object"], reply.era), bool(event.get("deleted"))
+                )
                 for event in page.ok_value["events"]
             ]
-            return Ok(FeedChanges(page.ok_value["storeRevision"], changes))
-        except (KeyError, TypeError) as error:
+            after = make_version(reply.era, page.ok_value["storeRevision"])
+        except (KeyError, TypeError, ValueError) as error:
             return Err(FeedError(f"malformed watch response: {error!r}"))
+        return Ok(FeedChanges(after, changes))
+
+    def _write(
+        self, method: str, target: str, expected_version: int, body: bytes | None = None
+    ) -> Result[StoreReply, PlatformError]:
+        """Send a write that is conditional on a version, unless it is 0.
+
+        An equal revision of another era is another content, so a write that is
+        conditional on a version of an older era is not sent.
+        """
+        if expected_version and era_of(expected_version) != self.eras.current:
+            return Err(PlatformError("version of an older era", conflict=True))
+        outcome = self._call(method, target, body)
+        if isinstance(outcome, Err):
+            return Err(_transport_error(outcome.err_value))
+        reply = outcome.ok_value
+        is_other_era = expected_version and reply.era != era_of(expected_version)
+        if is_other_era or self._is_late(reply):
+            message = f"response of era {reply.era} to a write of another era"
+            return Err(PlatformError(message, conflict=True, maybe_applied=True))
+        if not reply.response.ok:
+            return Err(_status_error(reply.response))
+        return Ok(reply)
+
+    def _is_late(self, reply: StoreReply) -> bool:
+        return reply.era < self.eras.current
 
     def _call(
         self,
@@ -125,26 +179,42 @@
         target: str,
         body: bytes | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[Response, RequestError]:
+    ) -> Result[StoreReply, RequestError]:
         caller = getattr(self.local, "caller", None)
         if caller is None:
             caller = self.local.caller = HttpClient(self.address)
-        return caller.request(method, target, body, timeout_s)
+        outcome = caller.request(method, target, body, timeout_s)
+        if isinstance(outcome, Err):
+            return outcome
+        try:
+            era = decode_era(outcome.ok_value.headers)
+        except ValueError as error:
+            return Err(RequestError(f"malformed era: {error}", sent=True))
+        self.eras.learn(era, "store")
+        return Ok(StoreReply(outcome.ok_value, era))
+
 
+def _late_message(reply: StoreReply) -> str:
+    return f"response of the older era {reply.era}"
 
-def _parse_item(item: dict) -> StoredObject:
+
+def _parse_item(item: dict, era: int) -> StoredObject:
     metadata = item["metadata"]
-    spec = orjson.dumps(item.get("spec"))
-    return StoredObject(metadata["name"], metadata["revision"], spec)
+    version = make_version(era, metadata["revision"])
+    return StoredObject(metadata["name"], version, orjson.dumps(item.get("spec")))
 
 
-def _parse_object(reply: Response) -> Result[StoredObject, str]:
+def _parse_object(reply: StoreReply) -> Result[StoredObject, str]:
     try:
-        return Ok(_parse_item(reply.json()))
+        return Ok(_parse_item(reply.response.json(), reply.era))
     except (ValueError, KeyError, TypeError) as error:
         return Err(f"malformed object: {error!r}")
 
 
+def _written_version(reply: StoreReply) -> Result[int, PlatformError]:
+    return _parse_object(reply).map(_version).map_err(_maybe_applied_error)
+
+
 def _version(stored: StoredObject) -> int:
     return stored.version
 
@@ -163,10 +233,7 @@
     return PlatformError(f"status {reply.status}", conflict, maybe_applied)
 
 
-def _parse_page(reply: Result[Response, RequestError]) -> Result[dict, FeedError]:
-    if isinstance(reply, Err):
-        return Err(FeedError(reply.err_value.message))
-    answer = reply.ok_value
+def _parse_page(answer: Response) -> Result[dict, FeedError]:
     if answer.status == HTTP_GONE:
         return Err(
             FeedError("requested history is no longer available", history_gone=True)
--- a/rosemaryyoke/platform/tests/conftest.py
+++ b/rosemaryyoke/platform/tests/conftest.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from rosemaryyoke.catalog import catalog as catalogs, follower as followers
 from rosemaryyoke.core.logs import LogWriter
+from rosemaryyoke.objects import leases
 from rosemaryyoke.platform.standins.documents import (
     make_configuration,
     make_registration,
@@ -15,6 +17,7 @@
     StoreStandin,
 )
 from rosemaryyoke.platform.tests.deployment import Deployment, start_host, wait_for
+from rosemaryyoke.platform.tests.restores import Clock, ModelHost, make_model
 from rosemaryyoke.timeline.log_reader import read_logs, select_request
 
 
@@ -58,3 +61,25 @@
         yield follow
         root.removeHandler(writer.handler)
         root.setLevel(level)
+
+
+@pytest.fixture()
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(catalogs, "time", clock)
+    monkeypatch.setattr(followers, "time", clock)
+    monkeypatch.setattr(leases, "now_s", clock)
+    return clock
+
+
+@pytest.fixture()
+def model(clock):
+    return make_model(clock)
+
+
+@pytest.fixture()
+def host(model, clock):
+    host = ModelHost(model, clock)
+    host.poll()
+    assert host.upstreams == {"e1", "e2"}
+    return host
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -157,6 +157,7 @@
             self.holder,
             duration_s=duration_s,
             renew_after_s=RENEW_AFTER_S,
+            eras=self.catalog.eras,
         )
 
     def acquire_lease(self, rollout: ModelRollout, model: str) -> bool:
