Upstreams lost or brought back by a restored store

Users: after a drill, engines that had registered in the seconds that were lost got no requests until they wrote again, one that was draining got requests again, and so did one that had left, whose old entry was back.

Cause: a listing replaced all upstreams, whichever copy of the store it came from.

Now the catalog keeps the era of its upstreams and ignores those of an older one, from the store or from another host. Engines that a new era's first listing lacks are kept for the grace period of outages. Departures holds what the host has seen of engines that drain or are gone. A drain binds while the same incarnation (born, else the address) is meant, also where another watcher missed it; it is revoked only within its era. A removed engine whose entry is back is withheld until it has written in the new era: its version is above the position of the era's first listing, passed on between hosts as written_era. An entry of the copy takes back neither a later start nor newer weights.

Hosts tell each other the era in /catalog, /state and, as a new last field, in beacons, and go by the greater one; a follower turns from a watcher whose upstreams are of an older era than its own.

Ruled out: comparing versions in each upstream, which would change the catalog's generation at every heartbeat.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from rosemaryyoke.catalog.departures import Departures
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.objects.eras import EraRecord
@@ -27,13 +28,17 @@
 class Catalog:
     """The newest known configuration, upstreams and wanted versions of weights.
 
-    Versions only increase: an older configuration or weights version is ignored.
-    ``changes`` counts all changes, ``upstream_changes`` has the last one of each
-    upstream that is or was registered.
+    Versions only increase: an older configuration or weights version is ignored, as are
+    upstreams of an older era of the store. ``registered`` has the upstreams as the
+    store lists them, ``upstreams`` those to use. ``changes`` counts all changes, while
+    ``upstream_changes`` has the last one of each upstream that is or was registered.
     """
 
     configuration: Configuration | None = None
     eras: EraRecord = field(factory=EraRecord)
+    upstreams_era: int = 0
+    registered: dict[str, Upstream] = field(factory=dict)
+    departures: Departures = field(factory=Departures)
     upstreams: dict[str, Upstream] = field(factory=dict)
     wanted: dict[str, int] = field(factory=dict)
     declared_versions: dict[str, list[DeclaredVersion]] = field(factory=dict)
@@ -65,15 +70,22 @@
         self._notify_listeners()
         return True
 
-    def replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
-        """Replace all upstreams and log the differences.
+    def replace_upstreams(self, registered: dict[str, Upstream], era: int = 0) -> bool:
+        """Replace all upstreams and log the differences; return whether it was done.
 
-        Registrations are written anew all the time; most writes change nothing here.
+        Upstreams of an older era are ignored. Registrations are written anew all the
+        time; most writes change nothing here.
         """
         with self.changed:
-            if self.upstreams_loaded and upstreams == self.upstreams:
-                return
-            before, self.upstreams = self.upstreams, upstreams
+            if era < self.upstreams_era:
+                return False
+            before = self.upstreams
+            upstreams = self._apply_departures(registered, era)
+            is_known = self.upstreams_loaded and era == self.upstreams_era
+            self.registered, self.upstreams_era = registered, era
+            if is_known and upstreams == before:
+                return True
+            self.upstreams = upstreams
             self.upstreams_loaded = True
             self.changes += 1
             for name in before.keys() | upstreams.keys():
@@ -82,6 +94,20 @@
             self.changed.notify_all()
         log_upstream_changes(before, upstreams)
         self._notify_listeners()
+        return True
+
+    def _apply_departures(
+        self, registered: dict[str, Upstream], era: int
+    ) -> dict[str, Upstream]:
+        for name in self.registered.keys() - registered.keys():
+            last = self.upstreams.get(name, self.registered[name])
+            self.departures.record_gone(last, era)
+        return self.departures.apply(registered, self.upstreams, era, self.eras.age_s())
+
+    def release_withheld(self) -> None:
+        """Use withheld upstreams whose entries have outlived their writers' silence."""
+        if self.departures.withheld:
+            self.replace_upstreams(self.registered, self.upstreams_era)
 
     def update_wanted(self, wanted: WantedWeights, age_s: float = 0.0) -> None:
         """Record a weights version declared ``age_s`` ago, if it is newer."""
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -6,12 +6,13 @@
 from typing import Callable, Protocol
 
 from absl import logging
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from rosemaryyoke.catalog.catalog import Catalog
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.objects.eras import era_of
 from rosemaryyoke.objects.feed import FeedChanges, FeedError, Listing, ObjectFeed
 from rosemaryyoke.objects.objects import StoredObject
 
@@ -199,6 +200,7 @@
         self.source = source
         self.catalog = catalog
         self.upstreams: dict[str, Upstream] = {}
+        self.era_position = 0  # of the first listing in its era
         self.expired: set[str] = set()
         self.grace_until_s = 0.0
         self.reading_since_s: float | None = None
@@ -286,12 +288,13 @@
     def remove_expired(self) -> None:
         """Remove upstreams that did not register again within the grace period."""
         with self.lock:
+            self.catalog.release_withheld()
             if not self.expired or self._in_grace():
                 return
             for name in self.expired:
                 self.upstreams.pop(name, None)
             self.expired.clear()
-            self.catalog.replace_upstreams(dict(self.upstreams))
+            self._publish_upstreams(self.catalog.upstreams_era)
 
     def apply_configuration_listing(self, listing: Listing) -> None:
         """Apply the configurations in a listing."""
@@ -313,33 +316,53 @@
 
     def apply_upstream_listing(self, listing: Listing) -> None:
         """Replace the upstreams; in the grace period keep those not listed."""
-        listed = {}
-        for stored in listing.objects:
-            upstream = self._decode_upstream(stored)
-            if upstream is not None:
-                listed[upstream.name] = upstream
+        era = era_of(listing.position)
         with self.lock:
+            if era < self.catalog.upstreams_era:
+                return
+            if era > era_of(self.era_position):
+                self._begin_era(listing.position)
+            listed = {}
+            for stored in listing.objects:
+                upstream = self._decode_upstream(stored)
+                if upstream is not None:
+                    listed[upstream.name] = upstream
             self.expired = self.upstreams.keys() - listed.keys()
             if not self._in_grace():
                 self.expired = set()
             for name in self.expired:
                 listed[name] = self.upstreams[name]
             self.upstreams = listed
-            self.catalog.replace_upstreams(dict(listed))
+            self._publish_upstreams(era)
 
-    def replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+    def _begin_era(self, position: int) -> None:
+        """Keep upstreams whose registration the store has lost until they register."""
+        self.era_position = position
+        is_restored = era_of(position) > self.catalog.upstreams_era
+        if is_restored and self.catalog.upstreams_loaded:
+            self.grace_until_s = time.monotonic() + REREGISTRATION_GRACE_S
+
+    def replace_upstreams(self, upstreams: dict[str, Upstream], era: int = 0) -> None:
         """Replace the upstreams by those received from a peer."""
         with self.lock:
+            if era < self.catalog.upstreams_era:
+                return
             self.expired.clear()
             self.upstreams = dict(upstreams)
-            self.catalog.replace_upstreams(dict(upstreams))
+            self._publish_upstreams(era)
 
     def apply_upstream_changes(self, changes: FeedChanges) -> None:
         """Apply changed and removed upstreams."""
+        era = era_of(changes.position)
         with self.lock:
+            if era < self.catalog.upstreams_era:
+                return
             for change in changes.changes:
                 self._apply_upstream_change(change.object, change.removed)
-            self.catalog.replace_upstreams(dict(self.upstreams))
+            self._publish_upstreams(era)
+
+    def _publish_upstreams(self, era: int) -> None:
+        self.catalog.replace_upstreams(dict(self.upstreams), era)
 
     def _apply_upstream_change(self, stored: StoredObject, removed: bool) -> None:
         if removed:
@@ -358,13 +381,23 @@
     def _decode_upstream(self, stored: StoredObject) -> Upstream | None:
         decoded = self.source.decode_upstream(stored)
         if isinstance(decoded, Ok):
-            return decoded.ok_value
+            written_era = self._written_era(stored.version)
+            return evolve(decoded.ok_value, written_era=written_era)
         if stored.name in self.upstreams:
             logging.warning(
                 "upstream %s is malformed: %s", stored.name, decoded.err_value
             )
         return None
 
+    def _written_era(self, version: int) -> int:
+        """Return the newest era in which an entry was certainly written.
+
+        An entry of this era's first listing may come from the copy that the store was
+        restored from.
+        """
+        era = era_of(version)
+        return era if version > self.era_position else max(0, era - 1)
+
     def _in_grace(self) -> bool:
         return time.monotonic() < self.grace_until_s
 
--- a/rosemaryyoke/catalog/model.py
+++ b/rosemaryyoke/catalog/model.py
@@ -132,7 +132,9 @@
 class Upstream:
     """A registered upstream.
 
-    ``weights`` maps each model to the version that the upstream serves.
+    ``weights`` maps each model to the version that the upstream serves. ``born`` is the
+    Unix time of its start in milliseconds, 0 if unknown. ``written_era`` is the newest
+    era of the store in which the upstream is known to have written its registration.
     """
 
     name: str
@@ -143,6 +145,8 @@
     draining: bool = False
     cold_s: float = 0.0
     weights: dict[str, int] = field(factory=dict)
+    born: int = 0
+    written_era: int = 0
 
 
 @frozen
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -130,7 +130,11 @@
         )
         self.connections = ConnectionPool()
         self.beacons = BeaconService(
-            self.table, self.fleet, self.make_beacon, Pacer(settings.link_mbps)
+            self.table,
+            self.fleet,
+            self.make_beacon,
+            Pacer(settings.link_mbps),
+            eras=adapter.eras,
         )
         pool = PoolService()
         self.timer = TimerService(pool.executor)
@@ -253,6 +257,7 @@
             self.rollout.loading(),
             reads,
             tuple(self.fleet.silent_upstreams(())),
+            self.catalog.eras.current,
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -20,6 +20,7 @@
   loading @12 :Data;
   reads @13 :Data;
   silent @14 :Data;
+  era @15 :UInt64;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -27,6 +27,7 @@
 from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.table import HostTable, peers_in_data_centre
 from rosemaryyoke.http1 import Address
+from rosemaryyoke.objects.eras import EraRecord
 
 BEACON_PERIOD_S = 0.3
 # Per destination; in a large fleet, beacons sent more often cost more than they gain.
@@ -76,6 +77,7 @@
     )
     load_digest_received_s: dict[str, float] = field(factory=dict)
     host_digest_sent_s: float = -math.inf
+    eras: EraRecord = field(factory=EraRecord)
     udp_socket: socket.socket | None = None
     now_s: Callable[[], float] = time.monotonic
 
@@ -236,6 +238,7 @@
     def handle_beacon(self, beacon: Beacon) -> None:
         """Apply a beacon: the host's state, loads and upstreams loading weights."""
         now_s = self.now_s()
+        self.eras.learn(beacon.era, beacon.host)
         if not self.table.update_from_beacon(beacon, now_s):
             return
         is_local = beacon.data_centre == self.table.data_centre
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -33,7 +33,8 @@
     """The state that a host broadcasts about itself.
 
     ``loading`` names the upstreams that the host ordered to load weights, ``silent``
-    those that do not respond to it.
+    those that do not respond to it. ``era`` is the newest era of the store that is
+    known to the host.
     """
 
     loads: tuple[UpstreamLoad, ...] = ()
@@ -41,6 +42,7 @@
     loading: tuple[str, ...] = ()
     reads: tuple[PromptPrefill, ...] = ()
     silent: tuple[str, ...] = ()
+    era: int = 0
 
 
 @frozen
@@ -74,6 +76,7 @@
         loading=encode_upstream_names(beacon.loading),
         reads=encode_reads(beacon.reads),
         silent=encode_upstream_names(beacon.silent),
+        era=beacon.era,
     )
     return message.to_bytes_packed()
 
@@ -101,6 +104,7 @@
             decode_upstream_names(message.loading, names_by_key),
             decode_reads(message.reads, names_by_key),
             decode_upstream_names(message.silent, names_by_key),
+            message.era,
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -49,6 +49,7 @@
     """
     current, upstreams = catalog.generation, catalog.upstreams
     value = {"generation": current, "age_s": catalog.age_s()}
+    value["era"] = catalog.upstreams_era
     if current != generation:
         names = catalog.changed_upstreams(generation)
         value["complete"] = names is None
@@ -82,7 +83,10 @@
         return self.poll_peer(peers[0])
 
     def poll_peer(self, peer: HostState) -> bool:
-        """Poll a host and apply its response; return whether it responded."""
+        """Poll a host and apply its response; return whether it was of use.
+
+        A host with upstreams of an older era than this one's is avoided for a while.
+        """
         if self.client is None or self.client.address != peer.peer_address:
             self.reset()
             self.client = HttpClient(peer.peer_address)
@@ -92,14 +96,20 @@
         if isinstance(reply, Err) or not reply.ok_value.ok:
             refused = not isinstance(reply, Err)
             logging.warning("polling host %s failed refused=%s", peer.host, refused)
-            self.roles.record_poll_failure(peer.host, refused, time.monotonic())
-            self.reset()
+            self.avoid(peer, refused)
             return False
         value = orjson.loads(zlib.decompress(reply.ok_value.body))
-        self.transfer.apply(value, value["age_s"])
+        if not self.transfer.apply(value, value["age_s"], peer.host):
+            self.avoid(peer, refused=True)
+            return False
         self.generation = value["generation"]
         return True
 
+    def avoid(self, peer: HostState, refused: bool) -> None:
+        """Poll other hosts for a while."""
+        self.roles.record_poll_failure(peer.host, refused, time.monotonic())
+        self.reset()
+
     def reset(self) -> None:
         """Close the connection to the current watcher and drop its generation."""
         if self.client is not None:
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -28,6 +28,7 @@
     """
     return orjson.dumps(
         {
+            "era": catalog.upstreams_era,
             "configuration": catalog.configuration_source.decode(),
             "upstreams": [encode_upstream(i) for i in catalog.upstreams.values()],
             "wanted": catalog.wanted,
@@ -47,6 +48,8 @@
         "draining": upstream.draining,
         "cold_s": upstream.cold_s,
         "weights": upstream.weights,
+        "born": upstream.born,
+        "written_era": upstream.written_era,
     }
 
 
@@ -72,7 +75,7 @@
     source: CatalogSource
     catalog: Catalog
     roles: WatcherRoles
-    set_upstreams: Callable[[dict[str, Upstream]], None]
+    set_upstreams: Callable[[dict[str, Upstream], int], None]
 
     def fetch(self) -> None:
         """Fetch and apply a live host's state if this one has no current view."""
@@ -89,7 +92,7 @@
             logging.warning("state transfer from host=%s failed", peer.host)
             return
         value = reply.ok_value.json()
-        self.apply(value, value.get("age_s"))
+        self.apply(value, value.get("age_s"), peer.host)
 
     def choose_peer(self, now_s: float) -> HostState | None:
         """Return a watcher, else a host with a newer configuration.
@@ -104,27 +107,35 @@
         ]
         return random.choice(chosen) if chosen else None
 
-    def apply(self, value: dict, age_s: float | None) -> None:
+    def apply(self, value: dict, age_s: float | None, host: str = "") -> bool:
         """Apply another host's state, in which unchanged parts may be missing.
 
         ``age_s`` is how long ago the store confirmed that state, if it did lately.
-        Unless the list of upstreams is complete, it has those that changed.
+        Unless the list of upstreams is complete, it has those that changed. Return
+        whether the state is of no older era than this host's.
         """
+        era = value.get("era", 0)
+        self.catalog.eras.learn(era, host)
         source = value.get("configuration")
         if source is not None and not self.apply_configuration(source.encode()):
-            return
+            return True
         for model, version in value.get("wanted", {}).items():
             self.catalog.update_wanted(WantedWeights(model, version))
+        if era < self.catalog.upstreams_era:
+            logging.warning("state of host=%s is of the older era %d", host, era)
+            return False
         current = age_s is not None
         if "upstreams" in value and (current or not self.catalog.upstreams_loaded):
-            known = {} if value.get("complete", True) else dict(self.catalog.upstreams)
+            is_complete = value.get("complete", True)
+            known = {} if is_complete else dict(self.catalog.registered)
             for name in value.get("removed", ()):
                 known.pop(name, None)
             upstreams = [decode_upstream(item) for item in value["upstreams"]]
             known.update({item.name: item for item in upstreams})
-            self.set_upstreams(known)
+            self.set_upstreams(known, era)
         if current:
             self.catalog.record_confirmation(age_s)
+        return True
 
     def apply_configuration(self, source: bytes) -> bool:
         """Apply an encoded configuration; return whether it is valid."""
--- a/rosemaryyoke/platform/documents.py
+++ b/rosemaryyoke/platform/documents.py
@@ -164,6 +164,7 @@
         weights={
             require_text(item["name"]): require_int(item["version"]) for item in models
         },
+        born=require_int(value.get("born") or 0),
     )
 
 
