--- a/rosemaryyoke/catalog/model.py
+++ b/rosemaryyoke/catalog/model.py
@@ -133,7 +133,9 @@
     """A registered upstream.
 
     ``weights`` maps each model to the version that the upstream serves. ``born_ms`` is
-    the Unix time of its start in milliseconds, or 0 if it is unknown.
+    the Unix time of its start in milliseconds, or 0 if it is unknown. ``written_era``
+    is the newest era of the store in which the upstream is known to have written its
+    registration.
     """
 
     name: str
@@ -145,6 +147,7 @@
     cold_s: float = 0.0
     weights: dict[str, int] = field(factory=dict)
     born_ms: int = 0
+    written_era: int = 0
 
 
 @frozen
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -5,7 +5,7 @@
 from typing import Callable
 
 from absl import logging
-from attrs import define
+from attrs import define, field
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
@@ -39,6 +39,7 @@
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
 from rosemaryyoke.objects import ObjectApi, ReportingObjectApi
+from rosemaryyoke.objects.eras import EraRecord
 from rosemaryyoke.placement.rendezvous import rank
 from rosemaryyoke.rollout import EngineClient
 from rosemaryyoke.rollout.rollout import TICK_INTERVAL_S, Rollout
@@ -72,6 +73,7 @@
     codec: HeaderCodec
     directory: DirectoryCodec
     engines: EngineClient
+    eras: EraRecord = field(factory=EraRecord)
 
 
 @define(eq=False)
@@ -115,7 +117,7 @@
         """Create the services and register them in start order."""
         settings, adapter, add = self.settings, self.adapter, self.kernel.add
         self.metrics = Metrics()
-        self.catalog = Catalog()
+        self.catalog = Catalog(eras=adapter.eras)
         self.fleet = Fleet(self.catalog)
         self.catalog.subscribe(self.fleet.refresh)
         self.catalog.subscribe(self.close_removed_upstreams)
@@ -128,7 +130,11 @@
         )
         self.connections = ConnectionPool()
         self.beacons = BeaconService(
-            self.table, self.fleet, self.make_beacon, Pacer(settings.link_mbps)
+            self.table,
+            self.fleet,
+            self.make_beacon,
+            Pacer(settings.link_mbps),
+            eras=adapter.eras,
         )
         pool = PoolService()
         self.timer = TimerService(pool.executor)
@@ -154,6 +160,7 @@
             self.roles,
             settings.name,
             settings.peers,
+            adapter.eras,
         )
         add("metrics", self.metrics)
         add("pool", pool)
@@ -252,7 +259,8 @@
             self.rollout.loading(),
             reads,
             tuple(self.fleet.silent_upstreams(())),
-            departures=self.fleet.departures(),
+            self.fleet.departures(),
+            self.catalog.eras.current,
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -21,6 +21,7 @@
   reads @13 :Data;
   silent @14 :Data;
   departures @15 :Data;
+  era @16 :UInt64;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -36,7 +36,8 @@
 
     ``loading`` names the upstreams that the host ordered to load weights, ``silent``
     those that do not respond to it. ``departures`` are the keys of the incarnations of
-    upstreams that announced their leaving.
+    upstreams that announced their leaving. ``era`` is the newest era of the store that
+    is known to the host.
     """
 
     loads: tuple[UpstreamLoad, ...] = ()
@@ -45,6 +46,7 @@
     reads: tuple[PromptPrefill, ...] = ()
     silent: tuple[str, ...] = ()
     departures: tuple[int, ...] = ()
+    era: int = 0
 
 
 @frozen
@@ -80,6 +82,7 @@
         reads=encode_reads(beacon.reads),
         silent=encode_upstream_names(beacon.silent),
         departures=encode_incarnations(beacon.departures),
+        era=beacon.era,
     )
     return message.to_bytes_packed()
 
@@ -108,6 +111,7 @@
             decode_reads(message.reads, names_by_key),
             decode_upstream_names(message.silent, names_by_key),
             decode_incarnations(message.departures),
+            message.era,
         )
     except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -32,6 +32,9 @@
 LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
 
+# Header of the store's responses; it rises whenever the store is restored from a copy.
+STORE_ERA = b"Store-Era"
+
 # Headers that only the router sets; the ones sent by callers are dropped.
 ROUTER_HEADERS = frozenset(
     name.lower()
@@ -71,6 +74,7 @@
     "Instance-Id",
     "pathPrefix",
     "storeRevision",
+    "Store-Era",
     "trafficSplit",
     "apiKeys",
     "maxAttempts",
--- a/rosemaryyoke/platform/tests/test_handover.py
+++ b/rosemaryyoke/platform/tests/test_handover.py
@@ -16,8 +16,8 @@
 from rosemaryyoke.platform.tests.test_stalled_engines import (
     LONG_DEADLINE,
     event_numbers,
-    stall_after,
     runs,
+    stall_after,
 )
 from rosemaryyoke.rollout.messages import EngineReport
 
