Hosts register again in a new era of the store

Users: after a drill a host that starts and hears nobody may not find the others in the store, because their addresses were lost with the seconds since the copy.

Cause: a host registered once for its life.

Ruled out: registering at the moment at which the era is learned. All hosts learn it within a beacon's period.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -160,6 +160,7 @@
             self.roles,
             settings.name,
             settings.peers,
+            adapter.eras,
         )
         add("metrics", self.metrics)
         add("pool", pool)
