Test that a host follows a store that comes back from a copy

A host on loopback reads a configuration, the store goes away, comes back from a copy without it and in a new era, and gets a newer one. The tests of eras call the adapter in memory, so that none showed the header on the wire, the threads that follow each kind, and the return after an outage together. On a scratch copy that ignores the header the test fails, as the host never takes up the store's era.

--- a/rosemaryyoke/platform/tests/test_hosts_and_store.py
+++ b/rosemaryyoke/platform/tests/test_hosts_and_store.py
@@ -77,6 +77,25 @@
     wait_for(deployment.host.catalog.is_fresh)
 
 
+def test_store_that_comes_back_from_a_copy_is_followed_again(deployment):
+    store, catalog = deployment.store, deployment.host.catalog
+    time.sleep(0.2)
+    copied_s = store.now_s()
+    store.set("config", "main", make_configuration(5))
+    wait_for(lambda: catalog.configuration.version == 5)
+    store.down = True
+    wait_for(lambda: not catalog.is_fresh())
+    store.restore(store.now_s() - copied_s)
+    store.down = False
+    wait_for(lambda: catalog.upstreams_era == catalog.eras.current == store.era)
+    wait_for(catalog.is_fresh)
+    assert store.objects["config"]["main"]["spec"]["version"] == 1
+    assert catalog.configuration.version == 5
+    assert deployment.stream().responses[0].complete
+    store.set("config", "main", make_configuration(7))
+    wait_for(lambda: catalog.configuration.version == 7)
+
+
 def test_lookup_names_live_hosts_and_leaves_out_one_that_stops(deployment):
     other = start_host(deployment.store, [deployment.host.settings.peers])
     try:
