Leave engines that announced their leaving out of roll-outs

A leaving engine got no orders, since placement and roll-out ask whether it is usable, but still counted as outdated, so that the holder kept its lease renewed for it. Found when the notices were merged; both kinds of draining now count alike in the list of serving engines.

--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -111,7 +111,7 @@
             return [
                 state
                 for state in self.fleet.states.values()
-                if model in state.weights and not state.upstream.draining
+                if model in state.weights and not state.draining
             ]
 
     def outdated(self, model: str, version: int) -> list[UpstreamState]:
