Date a lease's observation after the read that observed it

In a test, two hosts held one lease for up to half a second: a host that wants a lease dates what it has read with the time before the read, so that a slow response of the store, in which the holder renewed, counts as the holder's silence. The time after the read is later than any renewal that the read does not show. The test fails without the change; the write that takes the lease stays conditional.

--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -110,7 +110,7 @@
             return False
         era = self.observed_era = self.eras.current
         stored = read.ok_value
-        if not self._is_available(stored, started_at_s):
+        if not self._is_available(stored, now_s()):
             return False
         self.token = secrets.token_hex(12)
         version = stored.version if stored else 0
--- a/rosemaryyoke/objects/tests/test_leases.py
+++ b/rosemaryyoke/objects/tests/test_leases.py
@@ -104,6 +104,36 @@
     assert scenario.one.remaining_s() == 0
 
 
+@define
+class SlowApi(MemoryApi):
+    """Store that runs ``during_read`` while its next read is under way."""
+
+    during_read: list = field(factory=list)
+
+    def get(self, name):
+        """Return the object as it is at the end of the read."""
+        if self.during_read:
+            self.during_read.pop()()
+        return Ok(self.stored)
+
+
+# Guards against two holders at once after a slow response of the store.
+def test_lease_is_not_taken_over_early_after_a_slow_read(scenario):
+    clock, api = scenario.clock, SlowApi()
+    scenario.one.api = scenario.other.api = api
+
+    def renew_during_the_read():
+        clock.at_s += 0.5
+        assert scenario.one.acquire()
+        clock.at_s += 0.3
+
+    api.during_read.append(renew_during_the_read)
+    assert not scenario.other.acquire()
+    clock.at_s = 100.0 + DURATION_S + 0.1
+    assert scenario.one.remaining_s() > 0
+    assert not scenario.other.acquire()
+
+
 class LeaseHolders(RuleBasedStateMachine):
     """Two processes that acquire the lease, pause and lose responses."""
 
