Count a host as current before it has read the weights for the first time

Callers saw 503 stale_configuration in place of 404 or 401 at a host that had just become ready; test_unknown_route_and_key failed for it now and then, twice in 60 runs beside other work in this tree, and 21 of 150 hosts were ready but not current.

Cause: a follower of a kind that depends on the upstreams' reports its kind as unread while the upstreams are not read yet. For the configuration this changes nothing; the weights, which do not count for a host that starts, were added to the unread kinds until their first listing. Before the first reading of the store nothing is reported now; after an outage all kinds count as before. The new test fails without the change.

--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -204,6 +204,7 @@
         self.expired: set[str] = set()
         self.grace_until_s = 0.0
         self.reading_since_s: float | None = None
+        self.has_read_store = False
         self.lock = threading.RLock()
         self.upstream_follower = KindFollower(
             source.feed,
@@ -249,7 +250,8 @@
 
         def may_call(is_watch: bool) -> bool:
             if self.reading_since_s is None:
-                follower.stop_reading()
+                if self.has_read_store:
+                    follower.stop_reading()
                 return False
             settling_s = SETTLING_S if is_watch else 0.0
             return time.monotonic() - self.reading_since_s >= settling_s
@@ -263,6 +265,7 @@
             self.reading_since_s = None
         elif self.reading_since_s is None:
             self.reading_since_s = time.monotonic()
+            self.has_read_store = True
         self.catalog.record_store_status(kind, is_read)
 
     def start(self) -> None:
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -183,6 +183,20 @@
     assert catalog.unread_kinds == {"configuration", "upstreams", "weights"}
 
 
+# Guards against 503 in place of 404 at a host that has just started.
+def test_host_is_current_before_it_has_read_the_weights():
+    catalog = Catalog()
+    follower = Follower(Source(ScriptedFeed()), catalog)
+    upstreams, configuration, weights = follower.followers
+    for dependent in (configuration, weights):
+        assert not dependent.may_call(False)
+    upstreams.on_store_status(upstreams.kind, True)
+    configuration.on_store_status(configuration.kind, True)
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    catalog.replace_upstreams({})
+    assert catalog.is_fresh()
+
+
 def test_unchanged_registrations_keep_generation():
     listing = Ok(Listing(1, [make_object("u1")]))
     again = Ok(FeedChanges(2, [FeedChange(make_object("u1"))]))
