Soak: a store restored from an older copy, engines that announce leaving or want quiet

The store may come back from a copy some seconds old, with an outage before and another soon after; the operator's and the upstreams' writes are then made again, and entries of upstreams that left meanwhile are removed again. An upstream that leaves says so in half of the cases in its answers, and a busy one may ask for a pause with Retry-After.

--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -9,7 +9,13 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.http1 import Address, RequestMessage, ResponseMessage, ResponseParser
+from rosemaryyoke.http1 import (
+    Address,
+    Headers,
+    RequestMessage,
+    ResponseMessage,
+    ResponseParser,
+)
 from rosemaryyoke.http1.messages import encode_head, find_header
 from rosemaryyoke.http1.sockets import (
     READ_BYTES,
@@ -61,7 +67,8 @@
 class SimulatedUpstream(EngineStandin):
     """Upstream that executes requests and orders addressed to it and reports them.
 
-    While ``busy`` it refuses requests as not executed. No response begins before
+    While ``busy`` it refuses requests as not executed, and asks for ``quiet_s`` of
+    pause if that is set. No response begins before
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
     are times of the monotonic clock.
     """
@@ -74,6 +81,7 @@
     orders: int = 0
     loading: bool = False
     busy: bool = False
+    quiet_s: float = 0.0
     first_event_after_s: float = 0.0
     next_event_after_s: float = 0.0
     order_lock: threading.Lock = field(factory=threading.Lock)
@@ -92,12 +100,18 @@
             status = self.accept_order(orjson.loads(message.body))
             caller.send_response(status, b"", [], b"{}")
         elif self.loading or self.busy:
-            self.reply(message, caller, 503, not_run)
+            self.reply(message, caller, 503, [*not_run, *self.quiet_headers()])
         elif not self.has_weights(message):
             self.reply(message, caller, 421, not_run)
         else:
             self.run_request(message, caller)
 
+    def quiet_headers(self) -> Headers:
+        """Return the header that asks for a pause, if the upstream wants one."""
+        if not (self.busy and self.quiet_s):
+            return []
+        return [(b"Retry-After", b"%.3f" % self.quiet_s)]
+
     def has_weights(self, message: RequestMessage) -> bool:
         """Return whether the weights that a request expects are loaded."""
         expected = find_header(message.headers, names.EXPECTED_WEIGHTS.lower())
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -15,6 +15,7 @@
 SHORT_S = (0.1, 0.6)
 LONG_S = (0.3, 3.0)
 DELAY_S = (0.02, 0.6)
+COPY_AGE_S = (0.5, 6.0)  # of the copy from which the store is restored
 LOST_WRITES = 3
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
@@ -152,7 +153,7 @@
             node.link.reset()
             context.testbed.replace_incarnation(node)
             context.wait(SHORT_S)
-            context.testbed.store.remove("servers", old_name)
+            context.testbed.deregister(old_name)
             context.wait(SHORT_S)
             context.testbed.register_node(node, READY)
 
@@ -175,3 +176,23 @@
             store.forget_history()
         context.wait(LONG_S)
         store.down, store.writes_to_lose, store.call_delay_s = False, 0, 0.0
+
+
+@faults.register("store restored from an older copy")
+def restore_store(context: FaultContext) -> None:
+    """Take the store down, set it back, and take it down once more when it is up."""
+    testbed = context.testbed
+    with try_lock(testbed.store_lock) as acquired:
+        if not acquired:
+            return
+        testbed.store.down = True
+        context.wait(LONG_S)
+        testbed.store.restore(context.rng.uniform(*COPY_AGE_S))
+        testbed.store.down = False
+        context.wait(SHORT_S)
+        testbed.write_again()
+        context.wait(SHORT_S)
+        testbed.store.down = True
+        context.wait(LONG_S)
+        testbed.store.down = False
+        context.wait(LONG_S)
--- a/rosemaryyoke/soak/planned_work.py
+++ b/rosemaryyoke/soak/planned_work.py
@@ -24,8 +24,10 @@
 BURST_PAUSE_S = (0.05, 0.8)
 RELOADS = 3
 PAUSE_S = (0.3, 2.2)
+QUIET_S = (0.5, 3.0)
 DRAIN_S = (2.0, 3.0)  # how long a leaving upstream goes on serving
-ANNOUNCED_SHARE = 0.5  # of the upstreams that leave; others are just deregistered
+# Of the upstreams that leave: in the store, and, drawn apart, in all their answers.
+ANNOUNCED_SHARE = 0.5
 
 planned_work: Registry[Fault] = Registry("planned work")
 
@@ -63,6 +65,7 @@
         if node is None:
             return
         testbed, announced = context.testbed, context.rng.random() < ANNOUNCED_SHARE
+        node.upstream.leaving = context.rng.random() < ANNOUNCED_SHARE
         if announced:
             testbed.register_node(node, DRAINING)
             context.wait(DRAIN_S)
@@ -72,6 +75,7 @@
         testbed.history.record_broken_off(node.upstream.name)
         node.link.reset()
         context.wait(LONG_S)
+        node.upstream.leaving = False
         testbed.replace_incarnation(node)
         node.link.heal()
         testbed.register_node(node, READY)
@@ -120,8 +124,20 @@
 @planned_work.register("upstream refuses while busy")
 def refuse_requests(context: FaultContext) -> None:
     """Let an upstream refuse all requests, as not executed, for a random time."""
+    refuse(context, 0.0)
+
+
+@planned_work.register("upstream asks for quiet")
+def ask_for_quiet(context: FaultContext) -> None:
+    """Let an upstream refuse all requests and ask for a pause."""
+    refuse(context, context.rng.uniform(*QUIET_S))
+
+
+def refuse(context: FaultContext, quiet_s: float) -> None:
+    """Let an upstream refuse for a random time; ``quiet_s`` is the pause it wants."""
     with reserve_upstream(context) as node:
         if node is not None:
+            node.upstream.quiet_s = quiet_s
             node.upstream.busy = True
             context.wait(LONG_S)
             node.upstream.busy = False
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -129,6 +129,7 @@
     store: StoreStandin = field(factory=StoreStandin)
     store_lock: threading.Lock = field(factory=threading.Lock)
     configuration: int = 0
+    published: dict = field(factory=dict)
     weights: int = 1
     resumed_s: float = 0.0
 
@@ -214,7 +215,7 @@
         """Write the registration of an upstream to the store, or remove it."""
         upstream, node.state = node.upstream, state
         if state == GONE:
-            self.store.remove("servers", upstream.name)
+            self.deregister(upstream.name)
             return
         entry = make_registration(
             str(node.link.address), node.service, upstream.version, state=state
@@ -224,6 +225,23 @@
             entry["models"] = [model]
         self.store.set("servers", upstream.name, entry)
 
+    def deregister(self, name: str) -> None:
+        """Remove a registration, unless the store has lost it."""
+        with self.store.lock:
+            if name in self.store.objects.get("servers", {}):
+                self.store.remove("servers", name)
+
+    def write_again(self) -> None:
+        """Write what the operator and the upstreams wrote to a store set back."""
+        self.store.set("config", "main", self.published)
+        if self.weights > 1:
+            self.store.set(*make_wanted_weights(self.weights))
+        for node in self.nodes:
+            self.register_weights(node)
+        present = {node.upstream.name for node in self.nodes if node.state != GONE}
+        for name in set(self.store.objects.get("servers", {})) - present:
+            self.deregister(name)
+
     def register_weights(self, node: UpstreamNode) -> None:
         """Register the weights that an engine has loaded, unless it is leaving."""
         if node.state != GONE:
@@ -240,7 +258,8 @@
     def publish(self, document: dict) -> None:
         """Publish a configuration as the next version."""
         self.configuration += 1
-        self.store.set("config", "main", {**document, "version": self.configuration})
+        self.published = {**document, "version": self.configuration}
+        self.store.set("config", "main", self.published)
 
     def request_weights(self) -> None:
         """Request the next weights of the model."""
--- a/rosemaryyoke/soak/tests/test_simulated_upstreams.py
+++ b/rosemaryyoke/soak/tests/test_simulated_upstreams.py
@@ -84,6 +84,13 @@
     assert find_header(exchange.message.headers, b"not-executed") == b"1"
 
 
+def test_upstream_asks_for_quiet(upstream):
+    upstream.busy, upstream.quiet_s = True, 1.5
+    exchange, _ = call(upstream)
+    assert exchange.message.status == 503
+    assert find_header(exchange.message.headers, b"retry-after") == b"1.500"
+
+
 def test_client_keeps_its_connection(upstream):
     client = Client(upstream.address)
     assert client.exchange(request_bytes(), TIMEOUT_S).ending == COMPLETE
