--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -105,7 +105,7 @@
         return self.departures.apply(registered, self.upstreams, era, self.eras.age_s())
 
     def release_withheld(self) -> None:
-        """Use withheld upstreams whose entries have outlived their writers' silence."""
+        """Use withheld upstreams whose entries the store still has after their TTL."""
         if self.departures.withheld:
             self.replace_upstreams(self.registered, self.upstreams_era)
 
--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -360,7 +360,7 @@
                 self.handover_end_s = math.inf
                 self.predecessor.abandon()
             self.relay.feed(data)
-            # Time spent on a slow caller is no pause of the upstream.
+            # Time spent writing to a slow caller is no stall of the upstream.
             self.last_byte_s = time.monotonic()
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
