Log the framing, the connection and the rest of an upstream's answer

For the incident of streams that ended as complete too early. The line of an answered request told neither what determined the end of the engine's answer (length, chunks, its connection), nor how that connection stood, nor how many events were relayed and how many bytes of an event were left, so the hypotheses on the cause could not be told apart. These fields are now in the lines of answered and cut requests and of failed attempts. No change of the logic.

The builder of test_health_checks.py gets the new attribute of an exchange. New test: test_end_of_an_answered_stream_is_in_the_logs, which fails without the fields (KeyError).

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import time
+from enum import StrEnum
 from typing import Callable
 
 from attrs import define, field, frozen
@@ -18,7 +19,7 @@
 from rosemaryyoke.exchanges.events import EventRelay
 from rosemaryyoke.exchanges.messages import HeaderCodec, ResponseMetadata
 from rosemaryyoke.fleet import UpstreamState
-from rosemaryyoke.http1 import ResponseMessage, ResponseParser
+from rosemaryyoke.http1 import Framing, ResponseMessage, ResponseParser
 from rosemaryyoke.http1.messages import end_to_end_headers
 from rosemaryyoke.http1.sockets import HANGUP_EVENTS, MS_PER_S, READ_BYTES, close
 
@@ -30,6 +31,27 @@
 HANDOVER_S = 0.3
 
 
+class ConnectionState(StrEnum):
+    """How an attempt found its connection to the upstream at the end."""
+
+    OPEN = "open"
+    CLOSED = "closed"  # in order, by the upstream
+    LOST = "lost"  # reset, or timed out
+
+
+@frozen
+class ResponseSummary:
+    """What an attempt received of its response, for the log.
+
+    ``framing`` is ``None`` if no head arrived. ``partial_event_bytes`` is the size of
+    the incomplete event at the end of a stream.
+    """
+
+    framing: Framing | None
+    connection: ConnectionState
+    partial_event_bytes: int
+
+
 @frozen
 class ResponseReceived:
     """The complete response was read."""
@@ -102,6 +124,7 @@
     unsent: memoryview = field(init=False)
     metadata: ResponseMetadata | None = None
     last_byte_s: float = 0.0
+    connection_state: ConnectionState = ConnectionState.OPEN
     started_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
     on_first_stall: Callable[[], None] = lambda: None
@@ -147,6 +170,15 @@
         """Return whether the upstream may still work on the request."""
         return self.connection is not None
 
+    def summarize_response(self) -> ResponseSummary:
+        """Return what was received so far of the response to this request."""
+        message = self._matching_response()
+        return ResponseSummary(
+            framing=message.framing if message is not None else None,
+            connection=self.connection_state,
+            partial_event_bytes=len(self.relay.buffer) if self.relay is not None else 0,
+        )
+
     def _await_outcome(self) -> Outcome:
         try:
             outcome = self._send_and_receive()
@@ -154,6 +186,7 @@
             self.abandon()
             raise
         except OSError as error:
+            self.connection_state = ConnectionState.LOST
             stale_connection = (
                 error.errno != errno.ETIMEDOUT and self._is_stale_connection()
             )
@@ -299,6 +332,7 @@
         if data:
             self.reader.feed(data)
         else:
+            self.connection_state = ConnectionState.CLOSED
             self.reader.feed_eof()
         message = self._matching_response()
         if message is not None:
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -50,6 +50,7 @@
     else:
         fields["reason"] = outcome.reason
         fields["may_have_run"] = outcome.may_have_run
+        fields |= log_received(exchange)
         if outcome.timed_out:
             message = "attempt suspended"
     log_event(
@@ -61,6 +62,19 @@
     )
 
 
+def log_received(exchange: Exchange) -> dict:
+    """Return what the last attempt received, as fields of a log line."""
+    received = exchange.received
+    if received is None:
+        return {}
+    return {
+        "framing": received.framing,
+        "connection": received.connection,
+        "partial_event_bytes": received.partial_event_bytes,
+        "events": exchange.relay.events if exchange.relay is not None else None,
+    }
+
+
 def log_queues(compared: Sequence[ComparedQueue]) -> list[dict]:
     """Return the queues that led to a rejection, as fields of a log line."""
     return [
@@ -76,8 +90,13 @@
 
 def log_response(exchange: Exchange, status: int) -> None:
     """Log an upstream response that was forwarded to the caller."""
-    age_ms = exchange.age_ms()
-    log_event("answered", request=exchange.request_id, status=status, age_ms=age_ms)
+    log_event(
+        "answered",
+        request=exchange.request_id,
+        status=status,
+        age_ms=exchange.age_ms(),
+        **log_received(exchange),
+    )
 
 
 def log_refusal(request: str, error: ErrorResponse) -> None:
@@ -105,7 +124,7 @@
         sends=exchange.send_count,
         runs=exchange.run_count,
         upstream=exchange.last_upstream,
-        events=exchange.relay.events if exchange.relay is not None else None,
+        **{"events": None, **log_received(exchange)},
     )
 
 
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -6,7 +6,7 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import ClientAccount, Configuration, ExchangeRoute
-from rosemaryyoke.exchanges.attempt import Attempt
+from rosemaryyoke.exchanges.attempt import Attempt, ResponseSummary
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.exchanges.events import EventRelay
 from rosemaryyoke.exchanges.messages import RequestMetadata
@@ -58,7 +58,8 @@
     """One request in progress.
 
     ``reserved`` is where it goes next. ``suspended`` is an attempt without progress, to
-    which it returns if the upstream that was reserved does not accept it.
+    which it returns if the upstream that was reserved does not accept it. ``received``
+    summarizes the response of the last attempt.
     """
 
     message: RequestMessage
@@ -80,6 +81,7 @@
     last_upstream: str | None = None
     reserved: Placement | None = None
     suspended: SentAttempt | None = None
+    received: ResponseSummary | None = None
 
     @property
     def request_id(self) -> str:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -244,6 +244,7 @@
             outcome = run()
         finally:
             self.fleet.end(state, sent.work)
+            exchange.received = sent.attempt.summarize_response()
         self.record_outcome(exchange, sent.placement, sent.attempt, outcome)
         if isinstance(outcome, AttemptFailed) and outcome.timed_out:
             sent.counted_as_run = outcome.may_have_run
--- a/rosemaryyoke/exchanges/tests/test_health_checks.py
+++ b/rosemaryyoke/exchanges/tests/test_health_checks.py
@@ -38,7 +38,11 @@
         "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines
     )
     exchange = SimpleNamespace(
-        request_id="r1", may_have_run=False, run_count=0, age_ms=lambda: 1_000
+        request_id="r1",
+        may_have_run=False,
+        run_count=0,
+        age_ms=lambda: 1_000,
+        received=None,
     )
     checked = forwarder.check_health(exchange, state, outcome)
     placement = SimpleNamespace(state=state)
--- a/rosemaryyoke/http1/__init__.py
+++ b/rosemaryyoke/http1/__init__.py
@@ -3,6 +3,7 @@
 from rosemaryyoke.http1.client import HttpClient, Response, send_request
 from rosemaryyoke.http1.errors import MalformedMessage, MessageTooLarge, RequestError
 from rosemaryyoke.http1.messages import (
+    Framing,
     Headers,
     MessageLimits,
     RequestMessage,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Address",
+    "Framing",
     "Headers",
     "HttpClient",
     "MalformedMessage",
--- a/rosemaryyoke/http1/messages.py
+++ b/rosemaryyoke/http1/messages.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from enum import StrEnum
 
 import httptools
 from attrs import define, field, frozen
@@ -174,6 +175,15 @@
             raise MessageTooLarge(431, "the head is too large")
 
 
+class Framing(StrEnum):
+    """What determines where the body of a response ends."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"  # the body ends with its connection
+
+
 @define(eq=False)
 class ResponseMessage:
     """A response, possibly still incomplete."""
@@ -198,12 +208,16 @@
         return data
 
     @property
-    def is_self_delimited(self) -> bool:
-        """Return whether the message itself determines where its body ends."""
+    def framing(self) -> Framing:
+        """Return what determines where the body ends."""
         if self.status in BODILESS_STATUSES:
-            return True
+            return Framing.NO_BODY
         names = {key.lower() for key, _ in self.headers}
-        return b"content-length" in names or b"transfer-encoding" in names
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKED
+        if b"content-length" in names:
+            return Framing.LENGTH
+        return Framing.CONNECTION
 
 
 class ResponseParser:
@@ -232,7 +246,9 @@
         if not self.responses or self.malformed:
             return
         last = self.responses[-1]
-        if last.head_complete and not last.complete and not last.is_self_delimited:
+        if not last.head_complete or last.complete:
+            return
+        if last.framing is Framing.CONNECTION:
             last.complete = True
             last.keep_alive = False
 
--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -1,11 +1,14 @@
 """A routing host on loopback with scripted stand-ins."""
 
+import socket
+import struct
 import time
 
 from attrs import define, evolve
 
 from rosemaryyoke.exchanges.host import RoutingHost
 from rosemaryyoke.http1 import Address
+from rosemaryyoke.http1.messages import encode_head
 from rosemaryyoke.platform.adapter import make_adapter
 from rosemaryyoke.platform.settings_file import read_settings
 from rosemaryyoke.platform.standins.documents import (
@@ -22,6 +25,12 @@
 PORTS = 6
 
 
+def reset_on_close(connection):
+    """Let a socket reset its connection when it is closed."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def wait_for(condition, timeout_s=5.0):
     """Wait until a condition holds; fail after the timeout."""
     deadline_s = time.monotonic() + timeout_s
@@ -78,6 +87,33 @@
     return step
 
 
+def send_unframed(body, reset=False):
+    """Return a step that ends an answer without length or chunks by its connection."""
+
+    def step(engine, message, caller):
+        engine.executed.append(b"")
+        head = encode_head(b"HTTP/1.1 200 OK", engine.headers(message))
+        caller.write(head + body)
+        if reset:
+            reset_on_close(caller.socket)
+        raise OSError("connection closed after the answer")
+
+    return step
+
+
+def send_chunked(body, close=False):
+    """Return a step that ends an answer by its last chunk."""
+
+    def step(engine, message, caller):
+        engine.executed.append(b"")
+        caller.keep_alive = not close
+        head = caller.begin_stream(200, b"OK", engine.headers(message))
+        caller.write_events(head, body)
+        caller.end_stream(b"")
+
+    return step
+
+
 def run_and_drop_answer(engine, message, caller):
     """Execute the request and close the connection without a response."""
     engine.executed.append(b"")
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -13,6 +13,8 @@
     abort_after,
     run_and_drop_answer,
     script_all,
+    send_chunked,
+    send_unframed,
     wait_for,
 )
 
@@ -44,6 +46,21 @@
     assert any("closed" in reason or "lost" in reason for reason in reasons)
 
 
+# Guards against an ended stream whose log line does not tell what its engine sent.
+def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
+    events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+    cases = [
+        ("c5", send_unframed(events), "connection", "closed"),
+        ("c6", send_chunked(events), "chunked", "open"),
+    ]
+    for request, step, framing, connection in cases:
+        script_all(deployment.engines, step)
+        deployment.stream(**{"Request-Id": request})
+        fields = logged(request)[-1].fields
+        assert (fields["framing"], fields["connection"]) == (framing, connection)
+        assert (fields["events"], fields["partial_event_bytes"]) == (2, 0)
+
+
 def test_cause_of_an_unknown_outcome_is_in_the_logs(deployment, logged):
     script_all(deployment.records, run_and_drop_answer)
     send_client_request(deployment.callers, "/issue/1", **{"Request-Id": "c3"})
