Failing test: a stream broken off inside an event is ended as complete

Callers got streams that lacked their last events, with the last chunk of a complete answer behind part of an event.

--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -101,12 +101,21 @@
     return step
 
 
-def send_chunked(body, close=False):
+def send_with_length(body):
+    """Return a step that sends an answer with its length."""
+
+    def step(engine, message, caller):
+        engine.executed.append(b"")
+        caller.send_response(200, b"OK", engine.headers(message), body)
+
+    return step
+
+
+def send_chunked(body):
     """Return a step that ends an answer by its last chunk."""
 
     def step(engine, message, caller):
         engine.executed.append(b"")
-        caller.keep_alive = not close
         head = caller.begin_stream(200, b"OK", engine.headers(message))
         caller.write_events(head, body)
         caller.end_stream(b"")
