A stream that ends inside an event is broken off, whatever its framing

Cause: a stream was complete as soon as its HTTP message was. An answer without length or chunks ends with its connection, so an engine that crashed and whose connection was closed in order ended it; EventRelay.finish then wrote the part of the event that was left, and the last chunk. Nothing compared the events with the end of the message. The same happened with a last chunk, or a length that held, inside an event.

Ruled out: joined runs (one send each) and an early end on the caller's side ('answered' is written only for a complete answer of the engine).

The end of a stream now needs both: a complete message and no event under way. Else the attempt has failed, and the stream is resumed at another engine, or cut. A stream without framing that brings no event at all has shown nothing and has failed too. Events are split at every line end of the event stream format (LF, CR LF, CR) by http1/event_stream.py, since events that ended in CR LF CR LF were only delivered through the bytes written at the end; they are now passed on as they arrive. Comments behind the last event are no part of an event.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -122,6 +122,7 @@
     connection: UpstreamConnection | None = None
     reader: ResponseParser = field(factory=ResponseParser)
     unsent: memoryview = field(init=False)
+    events_before: int = field(init=False)
     metadata: ResponseMetadata | None = None
     last_byte_s: float = 0.0
     connection_state: ConnectionState = ConnectionState.OPEN
@@ -138,6 +139,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.unsent = memoryview(self.request)
+        self.events_before = self.relay.events if self.relay is not None else 0
 
     def run(self) -> Outcome:
         """Connect, send and receive, then release or close the connection."""
@@ -176,9 +178,14 @@
         return ResponseSummary(
             framing=message.framing if message is not None else None,
             connection=self.connection_state,
-            partial_event_bytes=len(self.relay.buffer) if self.relay is not None else 0,
+            partial_event_bytes=self._partial_event_bytes(),
         )
 
+    def _partial_event_bytes(self) -> int:
+        if self.relay is None or not self.relay.is_within_event:
+            return 0
+        return len(self.relay.splitter.partial)
+
     def _await_outcome(self) -> Outcome:
         try:
             outcome = self._send_and_receive()
@@ -399,7 +406,14 @@
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
                 self.on_first_event = None
-        if message.complete:
-            self.relay.finish()
-            return StreamCompleted()
-        return None
+        if not message.complete:
+            return None
+        if self.relay.is_within_event:
+            return AttemptFailed("the stream ended within an event", may_have_run=True)
+        if message.framing is Framing.CONNECTION and not self._has_delivered_events():
+            return AttemptFailed("the stream ended without events", may_have_run=True)
+        self.relay.finish()
+        return StreamCompleted()
+
+    def _has_delivered_events(self) -> bool:
+        return self.relay.events > self.events_before
--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -1,13 +1,10 @@
-"""Relay of server-sent events, in whole events.
+"""Relay of server-sent events, in whole events."""
 
-Source: the WHATWG HTML standard, "Server-sent events".
-"""
-
-from attrs import define
+from attrs import define, field
 
 from rosemaryyoke.exchanges.caller import CallerConnection
+from rosemaryyoke.http1.event_stream import EventSplitter, split_events
 
-EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 
 
@@ -21,45 +18,48 @@
 
     caller: CallerConnection
     head: bytes = b""
-    buffer: bytes = b""
+    splitter: EventSplitter = field(factory=EventSplitter)
     last_event_id: bytes | None = None
     events: int = 0
     started: bool = False
 
     def feed(self, data: bytes) -> None:
         """Buffer bytes and write the events that they complete."""
-        self.buffer += data
-        end = self.buffer.rfind(EVENT_END)
-        if end < 0:
-            return
-        whole = self.buffer[: end + len(EVENT_END)]
-        self.buffer = self.buffer[len(whole) :]
-        self._record_events(whole)
-        self.caller.write_events(self._take_head(), whole)
+        whole = self.splitter.feed(data)
+        if whole:
+            self._record_events(whole)
+            self.caller.write_events(self._take_head(), whole)
+
+    @property
+    def is_within_event(self) -> bool:
+        """Return whether the stream so far ends within an event."""
+        return self.splitter.is_within_event
 
     def finish(self) -> None:
-        """Write the remaining bytes and end the response."""
+        """End the response; comments behind the last event are written too."""
         head = self._take_head()
-        if self.buffer:
-            self.caller.write_events(head, self.buffer)
+        if self.splitter.partial:
+            self.caller.write_events(head, self.take_partial_event())
             head = b""
         self.caller.end_stream(head)
 
     def take_partial_event(self) -> bytes:
         """Remove and return the buffered part of an incomplete event."""
-        partial, self.buffer = self.buffer, b""
+        partial, self.splitter.partial = self.splitter.partial, b""
         return partial
 
+    def restore_partial_event(self, partial: bytes) -> None:
+        """Continue within an event that an upstream has begun."""
+        self.splitter.partial = partial
+
     def _take_head(self) -> bytes:
         head, self.head = self.head, b""
         self.started = True
         return head
 
     def _record_events(self, whole: bytes) -> None:
-        for event in whole.split(EVENT_END):
-            if not event:
-                continue
+        for fields in split_events(whole):
             self.events += 1
-            for line in event.split(b"\n"):
+            for line in fields:
                 if line.startswith(ID_FIELD):
                     self.last_event_id = line[len(ID_FIELD) :].strip()
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -179,7 +179,7 @@
         if sent.counted_as_run:  # it counts again at its end
             exchange.run_count -= 1
         if exchange.relay is not None:
-            exchange.relay.buffer = sent.partial_event
+            exchange.relay.restore_partial_event(sent.partial_event)
         log_event(
             "attempt resumed",
             request=exchange.request_id,
--- /dev/null
+++ b/rosemaryyoke/http1/event_stream.py
@@ -0,0 +1,61 @@
+"""Boundaries of events in an event stream.
+
+Source: the WHATWG HTML standard, "Server-sent events", "Parsing an event stream". A
+line ends with CR LF, LF or CR; a blank line ends an event.
+"""
+
+import re
+from typing import Iterator
+
+from attrs import define
+
+# The last pattern leaves a final CR alone, since the LF of its line end may follow.
+EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r\n?|\r?\n\r(?=[^\n])")
+MAX_EVENT_END_BYTES = 4
+COMMENT_START = b":"
+LINE_END_BYTES = (b"\r", b"\n")
+
+
+@define(eq=False)
+class EventSplitter:
+    """Splits a byte stream after its last whole event.
+
+    ``partial`` holds the bytes behind that event.
+    """
+
+    partial: bytes = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes and return the whole events that they complete."""
+        searched = max(0, len(self.partial) - MAX_EVENT_END_BYTES)
+        self.partial += data
+        end = 0
+        for match in EVENT_END.finditer(self.partial, searched):
+            end = match.end()
+        whole, self.partial = self.partial[:end], self.partial[end:]
+        return whole
+
+    @property
+    def is_within_event(self) -> bool:
+        """Return whether the bytes so far end within an event."""
+        if not self.partial:
+            return False
+        if not self.partial.endswith(LINE_END_BYTES):
+            return True
+        return any(map(is_field, self.partial.splitlines()))
+
+
+def is_field(line: bytes) -> bool:
+    """Return whether a line belongs to an event: it is neither blank nor a comment."""
+    return bool(line) and not line.startswith(COMMENT_START)
+
+
+def split_events(whole: bytes) -> Iterator[list[bytes]]:
+    """Yield the fields of each event, given bytes that end with a whole event."""
+    fields: list[bytes] = []
+    for line in whole.splitlines():
+        if is_field(line):
+            fields.append(line)
+        elif not line and fields:
+            yield fields
+            fields = []
--- a/rosemaryyoke/platform/tests/test_broken_off_streams.py
+++ b/rosemaryyoke/platform/tests/test_broken_off_streams.py
@@ -115,7 +115,7 @@
     assert not answer.complete and answer.body == TWO_EVENTS
 
 
-# Guards against whole streams that are cut, or sent again, because they have no framing.
+# Guards against whole streams that are cut or sent again.
 @pytest.mark.parametrize("line_end", LINE_ENDS)
 @pytest.mark.parametrize("send", FRAMINGS)
 def test_whole_stream_is_delivered_as_it_is(deployment, send, line_end):
@@ -153,7 +153,7 @@
     assert not answer.complete
 
 
-# Guards against a plain answer without framing that is refused, or whose reset is missed.
+# Guards against a plain answer without framing that is refused, or complete by a reset.
 @pytest.mark.parametrize("reset, status", [(False, 200), (True, 502)])
 def test_plain_unframed_answer_ends_with_its_connection(deployment, reset, status):
     script_all(deployment.records, send_unframed(b"body", reset))
