Parse responses in a module of their own

http1/messages.py held requests and responses; http1/responses.py now has Framing, ResponseMessage and ResponseParser, unchanged, before limits are added to them. The package exports the same names. No change of behaviour: the tests of http1 and of the routing host pass.

--- a/rosemaryyoke/http1/__init__.py
+++ b/rosemaryyoke/http1/__init__.py
@@ -3,14 +3,12 @@
 from rosemaryyoke.http1.client import HttpClient, Response, send_request
 from rosemaryyoke.http1.errors import MalformedMessage, MessageTooLarge, RequestError
 from rosemaryyoke.http1.messages import (
-    Framing,
     Headers,
     MessageLimits,
     RequestMessage,
     RequestParser,
-    ResponseMessage,
-    ResponseParser,
 )
+from rosemaryyoke.http1.responses import Framing, ResponseMessage, ResponseParser
 from rosemaryyoke.http1.sockets import Address
 
 __all__ = [
--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -8,12 +8,8 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.http1.errors import RequestError
-from rosemaryyoke.http1.messages import (
-    Headers,
-    ResponseMessage,
-    ResponseParser,
-    encode_head,
-)
+from rosemaryyoke.http1.messages import Headers, encode_head
+from rosemaryyoke.http1.responses import ResponseMessage, ResponseParser
 from rosemaryyoke.http1.sockets import (
     READ_BYTES,
     Address,
