Bound what an attempt and the HTTP client read of a response

An upstream in trouble may send bytes that are no answer, in a head or a body, without end. A host read a head of 128 MB in 0.8 s and kept it in memory; a plain body took 437 MB in 1.5 s and ended with 504 at the route's timeout; interim responses, an event without end, trailers and chunk extensions were read until the engine's stall was noticed, blank lines and comments for as long as they came.

ResponseParser now limits what is no body (heads, interim and late responses, trailers, chunk extensions: 64 KiB and eight bytes for each byte of body) and the bodies held in memory (8 MiB, as for requests); a stream limits an event, and what stands between two events, to 1 MiB. Beyond that the connection is closed, the attempt fails with 'the response is too large' or 'an event is too large', the engine's health hears of it as of any failed attempt, and another engine is asked where the kind of request allows it. The limits hold for the store's client and for calls to engines too, since they share the parser; its errors now tell a timeout from a close. Bytes alone are limited, not their rate: time is limited by the deadlines of attempts and calls.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -20,6 +20,7 @@
 from rosemaryyoke.exchanges.messages import HeaderCodec, ResponseMetadata
 from rosemaryyoke.fleet import UpstreamState
 from rosemaryyoke.http1 import Framing, ResponseMessage, ResponseParser
+from rosemaryyoke.http1.errors import ResponseTooLarge
 from rosemaryyoke.http1.messages import end_to_end_headers
 from rosemaryyoke.http1.sockets import HANGUP_EVENTS, MS_PER_S, READ_BYTES, close
 
@@ -352,7 +353,7 @@
                 reason, sent, stale_connection=self._is_stale_connection()
             )
         if self.reader.malformed:
-            return AttemptFailed("the response is malformed", self._sent_whole())
+            return AttemptFailed(self.reader.error, self._sent_whole())
         return None
 
     def _matching_response(self) -> ResponseMessage | None:
@@ -400,7 +401,10 @@
             if self.predecessor is not None:
                 self.handover_end_s = math.inf
                 self.predecessor.abandon()
-            self.relay.feed(data)
+            try:
+                self.relay.feed(data)
+            except ResponseTooLarge as error:
+                return AttemptFailed(str(error), may_have_run=True)
             # Time spent writing to a slow caller is no stall of the upstream.
             self.last_byte_s = time.monotonic()
             if self.on_first_event is not None and self.relay.events > before:
--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -3,7 +3,12 @@
 from attrs import define, field
 
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.http1.event_stream import EventSplitter, split_events
+from rosemaryyoke.http1.errors import ResponseTooLarge
+from rosemaryyoke.http1.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    split_events,
+)
 
 ID_FIELD = b"id:"
 
@@ -22,13 +27,26 @@
     last_event_id: bytes | None = None
     events: int = 0
     started: bool = False
+    bytes_without_event: int = 0
 
     def feed(self, data: bytes) -> None:
-        """Buffer bytes and write the events that they complete."""
+        """Buffer bytes and write the events that they complete.
+
+        Raise ``ResponseTooLarge`` if an event, or what stands between two events,
+        exceeds ``MAX_EVENT_BYTES``.
+        """
         whole = self.splitter.feed(data)
-        if whole:
-            self._record_events(whole)
-            self.caller.write_events(self._take_head(), whole)
+        if not whole:
+            return
+        events_before = self.events
+        self._record_events(whole)
+        if self.events > events_before:
+            self.bytes_without_event = 0
+        else:
+            self.bytes_without_event += len(whole)
+        if self.bytes_without_event > MAX_EVENT_BYTES:
+            raise ResponseTooLarge("too many bytes without an event")
+        self.caller.write_events(self._take_head(), whole)
 
     @property
     def is_within_event(self) -> bool:
--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -66,15 +66,14 @@
         try:
             self.connection.settimeout(timeout_s)
             self.connection.sendall(self._encode(method, target, body, headers))
-            message = self._receive(deadline_s)
+            received = self._receive(deadline_s)
         except OSError as error:
             self.close()
             return Err(RequestError(str(error), sent=True))
-        if message is None:
+        if isinstance(received, Err):
             self.close()
-            return Err(
-                RequestError("timed out or received an incomplete response", sent=True)
-            )
+            return Err(RequestError(received.err_value, sent=True))
+        message = received.ok_value
         if not message.keep_alive:
             self.close()
         return Ok(Response(message.status, message.body, message.headers))
@@ -101,23 +100,23 @@
         first_line = f"{method} {target} HTTP/1.1".encode()
         return encode_head(first_line, headers) + (body or b"")
 
-    def _receive(self, deadline_s: float) -> ResponseMessage | None:
+    def _receive(self, deadline_s: float) -> Result[ResponseMessage, str]:
         reader = ResponseParser()
         while not (reader.responses and reader.responses[0].complete):
-            if reader.malformed:
-                return None
+            if reader.error is not None:
+                return Err(reader.error)
             if not wait_readable(self.connection, deadline_s - time.monotonic()):
-                return None
+                return Err("timed out")
             data = self.connection.recv(READ_BYTES)
             if data:
                 reader.feed(data)
                 continue
             reader.feed_eof()
             if not (reader.responses and reader.responses[0].complete):
-                return None
+                return Err("the connection was closed before the response was complete")
         if len(reader.responses) > 1 or reader.malformed:
             self.close()
-        return reader.responses[0]
+        return Ok(reader.responses[0])
 
 
 def send_request(
--- a/rosemaryyoke/http1/errors.py
+++ b/rosemaryyoke/http1/errors.py
@@ -15,6 +15,10 @@
         self.status = status
 
 
+class ResponseTooLarge(Exception):
+    """A response, or an event of a stream, exceeds a size limit."""
+
+
 @frozen
 class RequestError:
     """No complete response; ``sent`` is true if the request may have arrived."""
--- a/rosemaryyoke/http1/event_stream.py
+++ b/rosemaryyoke/http1/event_stream.py
@@ -9,6 +9,9 @@
 
 from attrs import define
 
+from rosemaryyoke.http1.errors import ResponseTooLarge
+
+MAX_EVENT_BYTES = 1024 * 1024
 # The last pattern leaves a final CR alone, since the LF of its line end may follow.
 EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r\n?|\r?\n\r(?=[^\n])")
 MAX_EVENT_END_BYTES = 4
@@ -26,13 +29,18 @@
     partial: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the whole events that they complete."""
+        """Add bytes and return the whole events that they complete.
+
+        Raise ``ResponseTooLarge`` if an event exceeds ``MAX_EVENT_BYTES``.
+        """
         searched = max(0, len(self.partial) - MAX_EVENT_END_BYTES)
         self.partial += data
         end = 0
         for match in EVENT_END.finditer(self.partial, searched):
             end = match.end()
         whole, self.partial = self.partial[:end], self.partial[end:]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise ResponseTooLarge("an event is too large")
         return whole
 
     @property
--- a/rosemaryyoke/http1/responses.py
+++ b/rosemaryyoke/http1/responses.py
@@ -6,12 +6,32 @@
 from enum import StrEnum
 
 import httptools
-from attrs import define, field
+from attrs import define, field, frozen
 
+from rosemaryyoke.http1.errors import ResponseTooLarge
 from rosemaryyoke.http1.messages import Headers
 
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# A chunk of one byte takes five bytes of framing.
+MAX_FRAMING_PER_BODY_BYTE = 8
+MALFORMED = "the response is malformed"
+TOO_LARGE = "the response is too large"
+
+
+@frozen
+class ResponseLimits:
+    """Maximum sizes of the responses on a connection, in bytes.
+
+    ``framing_bytes`` limits what is no body: heads, interim responses, trailers and
+    chunk extensions. ``body_bytes`` limits the bodies held in memory.
+    """
+
+    framing_bytes: int = 65_536
+    body_bytes: int = 8 * 1024 * 1024
+
+
+DEFAULT_RESPONSE_LIMITS = ResponseLimits()
 
 
 class Framing(StrEnum):
@@ -31,6 +51,7 @@
     reason: bytes = b""
     headers: Headers = field(factory=list)
     body_chunks: list[bytes] = field(factory=list)
+    body_bytes: int = 0
     head_complete: bool = False
     complete: bool = False
     keep_alive: bool = False
@@ -44,6 +65,7 @@
         """Return the body received since the last call."""
         data = b"".join(self.body_chunks)
         self.body_chunks.clear()
+        self.body_bytes = 0
         return data
 
     @property
@@ -62,23 +84,43 @@
 class ResponseParser:
     """Parse the bytes of an upstream connection into responses.
 
-    ``malformed`` is set when invalid bytes arrive; responses completed before them
-    remain valid.
+    ``error`` is set when invalid bytes arrive or a limit is exceeded; responses
+    completed before that remain valid.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS) -> None:
+        self.limits = limits
         self.responses: list[ResponseMessage] = []
-        self.malformed = False
+        self.error: str | None = None
+        self.fed_bytes = 0
+        self.received_body_bytes = 0
+        self.earlier_body_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
 
+    @property
+    def malformed(self) -> bool:
+        """Return whether no more responses can be parsed."""
+        return self.error is not None
+
     def feed(self, data: bytes) -> None:
         """Parse bytes."""
         if self.malformed:
             return
+        self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            is_too_large = isinstance(error.__context__, ResponseTooLarge)
+            self.error = TOO_LARGE if is_too_large else MALFORMED
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.malformed = True
+            self.error = MALFORMED
+        if not self.malformed and self._exceeds_framing_limit():
+            self.error = TOO_LARGE
+
+    def _exceeds_framing_limit(self) -> bool:
+        framing_bytes = self.fed_bytes - self.received_body_bytes
+        allowance = MAX_FRAMING_PER_BODY_BYTE * self.received_body_bytes
+        return framing_bytes > self.limits.framing_bytes + allowance
 
     def feed_eof(self) -> None:
         """Handle end of file, which completes a response without explicit framing."""
@@ -93,6 +135,8 @@
 
     def on_message_begin(self) -> None:
         """Start a new response."""
+        if self.responses:
+            self.earlier_body_bytes += self.responses[-1].body_bytes
         self.responses.append(ResponseMessage())
 
     def on_status(self, reason: bytes) -> None:
@@ -111,8 +155,13 @@
         message.head_complete = True
 
     def on_body(self, body: bytes) -> None:
-        """Append part of the body."""
-        self.responses[-1].body_chunks.append(body)
+        """Append part of the body; raise ``ResponseTooLarge``."""
+        message = self.responses[-1]
+        message.body_chunks.append(body)
+        message.body_bytes += len(body)
+        self.received_body_bytes += len(body)
+        if self.earlier_body_bytes + message.body_bytes > self.limits.body_bytes:
+            raise ResponseTooLarge(TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Complete a response; discard an interim (1xx) response."""
