Bound the framing of a caller's body too

A caller's body could have chunk extensions without end: the limit on the head holds until the body begins, and the one on the body counts its bytes only, so nothing was counted while a host read on. The framing of a body is now limited as in responses (413). No memory was taken by it before; processor time was, until the time-out for idle connections.

test_request_with_endless_chunk_extensions_is_too_large: an extension without end was read on before (no error raised), and is refused now.

--- a/rosemaryyoke/http1/messages.py
+++ b/rosemaryyoke/http1/messages.py
@@ -13,6 +13,8 @@
 Header = tuple[bytes, bytes]
 Headers = list[Header]
 
+# A chunk of one byte takes five bytes of framing.
+MAX_FRAMING_PER_BODY_BYTE = 8
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -121,6 +123,13 @@
         if not self.in_body and self.fed_bytes > self.limits.head_bytes:
             if not self.requests:
                 raise MessageTooLarge(431, "the head is too large")
+        if self.in_body and self._exceeds_framing_limit():
+            raise MessageTooLarge(413, "the framing of the body is too large")
+
+    def _exceeds_framing_limit(self) -> bool:
+        allowance = self.limits.head_bytes + MAX_FRAMING_PER_BODY_BYTE * self.body_bytes
+        framing_bytes = self.fed_bytes - self.head_bytes - self.body_bytes
+        return framing_bytes > self.limits.head_bytes + allowance
 
     def on_message_begin(self) -> None:
         """Start a new request."""
--- a/rosemaryyoke/http1/responses.py
+++ b/rosemaryyoke/http1/responses.py
@@ -9,12 +9,10 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.http1.errors import ResponseTooLarge
-from rosemaryyoke.http1.messages import Headers
+from rosemaryyoke.http1.messages import MAX_FRAMING_PER_BODY_BYTE, Headers
 
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
-# A chunk of one byte takes five bytes of framing.
-MAX_FRAMING_PER_BODY_BYTE = 8
 MALFORMED = "the response is malformed"
 TOO_LARGE = "the response is too large"
 
--- a/rosemaryyoke/http1/tests/test_messages.py
+++ b/rosemaryyoke/http1/tests/test_messages.py
@@ -66,6 +66,16 @@
     assert (head.value.status, body.value.status) == (431, 413)
 
 
+# Guards against a caller that sends framing without end and next to no body.
+@pytest.mark.parametrize(
+    "endless", [b"1;a=" + b"x" * 2_000, b"1;%b\r\nx\r\n" % (b"a" * 90) * 50]
+)
+def test_request_with_endless_chunk_extensions_is_too_large(endless):
+    head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with pytest.raises(MessageTooLarge):
+        read_requests(head + endless * 4, 100)
+
+
 def test_answer_with_a_second_answer_behind():
     reader = read_answers(OK + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     assert len(reader.responses) == 2
