A follower avoids a host whose catalog can't be decoded

test_host_with_a_malformed_catalog_is_avoided: five cases, each raised an error before (zlib.error, JSONDecodeError).

--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -20,6 +20,7 @@
 LONG_POLL_S = 0.8
 REQUEST_TIMEOUT_S = 1.2  # a drain must be in force 2 s after its acknowledgement
 COMPRESSION_LEVEL = 1
+MAX_CATALOG_BYTES = 32 * 1024 * 1024
 COMPRESSED_TYPE = (b"Content-Type", b"application/zlib")
 
 
@@ -64,6 +65,18 @@
     return zlib.compress(orjson.dumps(value), COMPRESSION_LEVEL)
 
 
+def decode_changes(data: bytes) -> dict:
+    """Decode what ``encode_changes`` returned; raise ``ValueError`` if invalid."""
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(data, MAX_CATALOG_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not decompressor.eof:
+        raise ValueError("the catalog is incomplete or too large")
+    return orjson.loads(text)
+
+
 @define(eq=False)
 class CatalogRelay:
     """Polls a relay or a watcher, unless this host is a watcher itself."""
@@ -98,7 +111,12 @@
             logging.warning("polling host %s failed refused=%s", peer.host, refused)
             self.avoid(peer, refused)
             return False
-        value = orjson.loads(zlib.decompress(reply.ok_value.body))
+        try:
+            value = decode_changes(reply.ok_value.body)
+        except ValueError as error:
+            logging.warning("answer of host %s is malformed: %s", peer.host, error)
+            self.avoid(peer, refused=True)
+            return False
         if not self.transfer.apply(value, value["age_s"], peer.host):
             self.avoid(peer, refused=True)
             return False
--- /dev/null
+++ b/rosemaryyoke/hosts/tests/test_relay_answers.py
@@ -0,0 +1,56 @@
+"""A follower leaves a host whose catalog can't be decoded for another one."""
+
+import time
+import zlib
+
+import pytest
+from attrs import define
+from result import Ok
+
+from rosemaryyoke.hosts.relay import MAX_CATALOG_BYTES, CatalogRelay, encode_changes
+from rosemaryyoke.hosts.tests.test_eras import (
+    make_catalog,
+    make_transfer,
+    make_upstream,
+)
+from rosemaryyoke.hosts.tests.test_table import make_beacon
+from rosemaryyoke.http1 import Address, Response
+
+WHOLE = encode_changes(make_catalog(make_upstream("e1")), "", 1)
+
+
+@define
+class BrokenHost:
+    """Answers polls with given bytes."""
+
+    body: bytes
+    address: Address
+
+    def request(self, method, target, body=None, timeout_s=1.0, headers=()):
+        """Answer a poll."""
+        return Ok(Response(200, self.body))
+
+    def close(self):
+        """Close the connection."""
+
+
+# Guards against a task that fails, or takes all memory, for one host's answer.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"no catalog",
+        WHOLE[: len(WHOLE) // 2],
+        zlib.compress(b"no document"),
+        zlib.compress(b" " * (MAX_CATALOG_BYTES + 1)),
+    ],
+    ids=["empty", "text", "half", "no JSON", "too large"],
+)
+def test_host_with_a_malformed_catalog_is_avoided(body):
+    catalog = make_catalog(make_upstream("e1"))
+    transfer = make_transfer(catalog)
+    peer = make_beacon(2)
+    relay = CatalogRelay(transfer.roles, catalog, transfer)
+    relay.client = BrokenHost(body, peer.peer_address)
+    assert not relay.poll_peer(peer)
+    assert transfer.roles.avoid_until_s[peer.host] > time.monotonic()
