Limit the memory for responses of all attempts of a host

A response may hold 8 MiB of a body, or 1 MiB of an event, while it is received. Many attempts at upstreams in trouble would still take more than a host has (150 MB on the smallest deployments).

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -18,6 +18,7 @@
 from rosemaryyoke.exchanges.connections import ConnectionPool, UpstreamConnection
 from rosemaryyoke.exchanges.events import EventRelay
 from rosemaryyoke.exchanges.messages import HeaderCodec, ResponseMetadata
+from rosemaryyoke.exchanges.response_memory import ResponseMemory
 from rosemaryyoke.fleet import UpstreamState
 from rosemaryyoke.http1 import Framing, ResponseMessage, ResponseParser
 from rosemaryyoke.http1.errors import ResponseTooLarge
@@ -125,6 +126,8 @@
     unsent: memoryview = field(init=False)
     events_before: int = field(init=False)
     metadata: ResponseMetadata | None = None
+    memory: ResponseMemory = field(factory=ResponseMemory)
+    held_bytes: int = 0
     last_byte_s: float = 0.0
     connection_state: ConnectionState = ConnectionState.OPEN
     started_s: float = field(factory=time.monotonic)
@@ -164,6 +167,7 @@
 
     def abandon(self) -> None:
         """Close the connection, which ends the upstream's work on the request."""
+        self._fits_in_memory(0)
         if self.connection is not None:
             close(self.connection.socket)
             self.connection = None
@@ -185,7 +189,7 @@
     def _partial_event_bytes(self) -> int:
         if self.relay is None or not self.relay.is_within_event:
             return 0
-        return len(self.relay.splitter.partial)
+        return self.relay.buffered_bytes
 
     def _await_outcome(self) -> Outcome:
         try:
@@ -223,12 +227,18 @@
             and not self.reader.malformed
             and self._sent_whole()
         )
+        self._fits_in_memory(0)
         if clean:
             self.pool.release(self.connection, message)
             self.connection = None
         else:
             self.abandon()
 
+    def _fits_in_memory(self, held_bytes: int) -> bool:
+        """Count the bytes that this attempt holds; return whether they fit."""
+        before, self.held_bytes = self.held_bytes, held_bytes
+        return self.memory.resize(before, held_bytes)
+
     def _send_and_receive(self) -> Outcome:
         upstream = self.connection.socket
         poller = select.poll()
@@ -354,6 +364,9 @@
             )
         if self.reader.malformed:
             return AttemptFailed(self.reader.error, self._sent_whole())
+        partial_bytes = self.relay.buffered_bytes if self.relay is not None else 0
+        if not self._fits_in_memory(self.reader.held_bytes + partial_bytes):
+            return AttemptFailed("no memory for the response", self._sent_whole())
         return None
 
     def _matching_response(self) -> ResponseMessage | None:
--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -48,6 +48,11 @@
             raise ResponseTooLarge("too many bytes without an event")
         self.caller.write_events(self._take_head(), whole)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of what is not yet written."""
+        return len(self.splitter.partial)
+
     @property
     def is_within_event(self) -> bool:
         """Return whether the stream so far ends within an event."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -38,6 +38,7 @@
 from rosemaryyoke.exchanges.exchange_factory import ExchangeFactory
 from rosemaryyoke.exchanges.messages import HeaderCodec
 from rosemaryyoke.exchanges.request_writer import RequestWriter
+from rosemaryyoke.exchanges.response_memory import ResponseMemory
 from rosemaryyoke.exchanges.selection import UpstreamSelector
 from rosemaryyoke.fleet import (
     Fleet,
@@ -74,6 +75,7 @@
     engines: EngineClient
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
+    memory: ResponseMemory = field(factory=ResponseMemory)
     writer: RequestWriter = field(init=False)
     selector: UpstreamSelector = field(init=False)
     endings: Endings = field(init=False)
@@ -210,6 +212,7 @@
             exchange.response_deadline_s,
             now_s + attempt_timeout_s(exchange, state, now_s),
             STREAM_STALL_TIMEOUT_S if exchange.route.resumable else 0.0,
+            memory=self.memory,
             max_idle_s=(
                 math.inf if exchange.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
             ),
--- a/rosemaryyoke/http1/responses.py
+++ b/rosemaryyoke/http1/responses.py
@@ -100,6 +100,12 @@
         """Return whether no more responses can be parsed."""
         return self.error is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the bodies held in memory."""
+        current_bytes = self.responses[-1].body_bytes if self.responses else 0
+        return self.earlier_body_bytes + current_bytes
+
     def feed(self, data: bytes) -> None:
         """Parse bytes."""
         if self.malformed:
@@ -158,7 +164,7 @@
         message.body_chunks.append(body)
         message.body_bytes += len(body)
         self.received_body_bytes += len(body)
-        if self.earlier_body_bytes + message.body_bytes > self.limits.body_bytes:
+        if self.held_bytes > self.limits.body_bytes:
             raise ResponseTooLarge(TOO_LARGE)
 
     def on_message_complete(self) -> None:
