--- a/rosemaryyoke/http1/__init__.py
+++ b/rosemaryyoke/http1/__init__.py
@@ -8,7 +8,12 @@
     RequestMessage,
     RequestParser,
 )
-from rosemaryyoke.http1.responses import Framing, ResponseMessage, ResponseParser
+from rosemaryyoke.http1.responses import (
+    Framing,
+    ResponseLimits,
+    ResponseMessage,
+    ResponseParser,
+)
 from rosemaryyoke.http1.sockets import Address
 
 __all__ = [
@@ -23,6 +28,7 @@
     "RequestMessage",
     "RequestParser",
     "Response",
+    "ResponseLimits",
     "ResponseMessage",
     "ResponseParser",
     "send_request",
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -9,13 +9,21 @@
 
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.exchanges.server import ConnectionServer
-from rosemaryyoke.http1 import Address, RequestMessage, ResponseParser
+from rosemaryyoke.http1 import (
+    Address,
+    RequestMessage,
+    ResponseLimits,
+    ResponseParser,
+)
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform.names import STORE_ERA
 from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.standins.store_model import StoreModel
 from rosemaryyoke.testing.builders import free_port
 
+# Callers keep whole streams, which a host only passes on.
+CALLER_LIMITS = ResponseLimits(body_bytes=256 * 1024 * 1024)
+
 
 def stop_server(server: ConnectionServer) -> None:
     """Stop a server and all its tasks, which would otherwise block process exit."""
@@ -182,7 +190,7 @@
 
 def read_answer(connection):
     """Read a response until it is complete or cut off, and return the reader."""
-    reader = ResponseParser()
+    reader = ResponseParser(CALLER_LIMITS)
     while not (reader.responses and reader.responses[0].complete):
         try:
             data = connection.recv(65_536)
