Soak: upstreams answer without framing, break off inside events, or never end

A simulated upstream now has a form of answers: framed; unframed (a whole answer that ends with its connection), as planned work; broken off inside an event or a body, its connection closed in order, and endless, as faults. The invariants stay as they are: a complete answer has to be the whole one, and a host's memory is bounded.

--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import time
-from typing import Callable
+from typing import Callable, Iterator
 
 import orjson
 from attrs import define, field, frozen
@@ -25,6 +25,7 @@
     wait_readable,
 )
 from rosemaryyoke.platform import names
+from rosemaryyoke.platform.standins.answer_forms import AnswerForm, AnswerWriter
 from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.standins.servers import EngineStandin, stream_headers
 
@@ -69,7 +70,7 @@
 
     A request that it would run takes the next step of the script, if there is one.
     While ``busy`` it refuses requests as not executed, and asks for ``quiet_s`` of
-    pause if that is set. No response begins before
+    pause if that is set. ``form`` is how it answers. No response begins before
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
     are times of the monotonic clock.
     """
@@ -83,6 +84,7 @@
     loading: bool = False
     busy: bool = False
     quiet_s: float = 0.0
+    form: AnswerForm = AnswerForm.FRAMED
     first_event_after_s: float = 0.0
     next_event_after_s: float = 0.0
     order_lock: threading.Lock = field(factory=threading.Lock)
@@ -179,15 +181,18 @@
         ]
         if not streams:
             self.wait_event(first=True)
-            caller.send_response(200, b"", sealed, self.make_body(request, name))
+            body = self.make_body(request, name)
+            AnswerWriter(caller, sealed, self.form).write_body(body)
             return
         sealed.append((names.SERVED_WEIGHTS, b"%d" % self.version))
-        head = caller.begin_stream(200, b"OK", sealed)
-        for number in range(after + 1, self.events + 1):
-            self.wait_event(first=bool(head))
-            caller.write_events(head, self.make_event(request, number))
-            head = b""
-        caller.end_stream(head)
+        events = self.generate_events(request, after + 1)
+        AnswerWriter(caller, sealed, self.form).write_stream(events)
+
+    def generate_events(self, request: str, first: int) -> Iterator[bytes]:
+        """Yield the events of a request from a number on, each when it is due."""
+        for number in range(first, self.events + 1):
+            self.wait_event(first=number == first)
+            yield self.make_event(request, number)
 
     def wait_event(self, first: bool) -> None:
         """Wait until the next event may be sent."""
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -9,6 +9,7 @@
 from attrs import define
 
 from rosemaryyoke.core import Registry
+from rosemaryyoke.platform.standins.answer_forms import AnswerForm
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
 
@@ -144,6 +145,28 @@
             node.link.heal()
 
 
+@faults.register("upstream breaks its answers off")
+def break_off_answers(context: FaultContext) -> None:
+    """Let an upstream close its connections in order, in the middle of answers."""
+    answer_in_form(context, AnswerForm.BROKEN_OFF)
+
+
+@faults.register("upstream answers without end")
+def answer_without_end(context: FaultContext) -> None:
+    """Let an upstream send bytes after each answer for as long as they are read."""
+    answer_in_form(context, AnswerForm.ENDLESS)
+
+
+def answer_in_form(context: FaultContext, form: AnswerForm) -> None:
+    """Let an upstream answer in another form for a random time."""
+    with reserve_upstream(context) as node:
+        if node is not None:
+            node.upstream.form = form
+            context.wait(LONG_S)
+            node.upstream.form = AnswerForm.FRAMED
+            context.wait(SHORT_S)
+
+
 @faults.register("upstream replaced at its address")
 def replace_upstream(context: FaultContext) -> None:
     """Reuse an upstream's address for another before the first is deregistered."""
--- a/rosemaryyoke/soak/planned_work.py
+++ b/rosemaryyoke/soak/planned_work.py
@@ -3,6 +3,7 @@
 import signal
 
 from rosemaryyoke.core import Registry
+from rosemaryyoke.platform.standins.answer_forms import AnswerForm
 from rosemaryyoke.soak.configurations import (
     change_configuration,
     make_soak_configuration,
@@ -12,6 +13,7 @@
     SHORT_S,
     Fault,
     FaultContext,
+    answer_in_form,
     reserve_host,
     reserve_upstream,
     restart_host,
@@ -121,6 +123,12 @@
             context.wait(SHORT_S)
 
 
+@planned_work.register("upstream answers without framing")
+def answer_without_framing(context: FaultContext) -> None:
+    """Let an upstream end its answers with their connections for a random time."""
+    answer_in_form(context, AnswerForm.UNFRAMED)
+
+
 @planned_work.register("upstream refuses while busy")
 def refuse_requests(context: FaultContext) -> None:
     """Let an upstream refuse all requests, as not executed, for a random time."""
--- a/rosemaryyoke/soak/tests/test_simulated_upstreams.py
+++ b/rosemaryyoke/soak/tests/test_simulated_upstreams.py
@@ -9,6 +9,7 @@
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.http1.sockets import listen
+from rosemaryyoke.platform.standins.answer_forms import AnswerForm
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     ABANDONED,
     CLOSED,
@@ -111,3 +112,27 @@
 def test_client_not_connected():
     client = Client(Address("127.0.0.1", free_port()))
     assert client.exchange(request_bytes(), TIMEOUT_S).ending == NOT_CONNECTED
+
+
+@pytest.mark.parametrize("events", [2, 5])
+def test_unframed_stream_is_whole(upstream, events):
+    upstream.form, upstream.events = AnswerForm.UNFRAMED, events
+    exchange, _ = call(upstream)
+    assert exchange.ending == COMPLETE
+    expected = b"".join(event_text("r1", number + 1) for number in range(events))
+    assert exchange.message.body == expected
+
+
+def test_broken_off_stream_ends_within_an_event(upstream):
+    upstream.form, upstream.events = AnswerForm.BROKEN_OFF, 5
+    exchange, _ = call(upstream)
+    whole = b"".join(event_text("r1", number) for number in (1, 2, 3))
+    body = exchange.message.body
+    assert body.startswith(whole) and len(whole) < len(body)
+    assert not body.endswith(b"\n\n")
+
+
+def test_endless_answer_is_too_large(upstream):
+    upstream.form, upstream.events = AnswerForm.ENDLESS, 5
+    exchange, _ = call(upstream)
+    assert not exchange.message.complete
