Log the events of a stream also where no attempt has ended

Since the fields on what an attempt received, a line about a stream whose attempt was still under way, as at the end of the grace period, had no number of events. Found by reading the change once more. Only log lines change.

--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -2,6 +2,8 @@
 
 from typing import Sequence
 
+from attrs import asdict
+
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
     AttemptFailed,
@@ -64,15 +66,10 @@
 
 def log_received(exchange: Exchange) -> dict:
     """Return what the last attempt received, as fields of a log line."""
-    received = exchange.received
-    if received is None:
-        return {}
-    return {
-        "framing": received.framing,
-        "connection": received.connection,
-        "partial_event_bytes": received.partial_event_bytes,
-        "events": exchange.relay.events if exchange.relay is not None else None,
-    }
+    fields = {"events": exchange.relay.events if exchange.relay is not None else None}
+    if exchange.received is not None:
+        fields |= asdict(exchange.received)
+    return fields
 
 
 def log_queues(compared: Sequence[ComparedQueue]) -> list[dict]:
@@ -124,7 +121,7 @@
         sends=exchange.send_count,
         runs=exchange.run_count,
         upstream=exchange.last_upstream,
-        **{"events": None, **log_received(exchange)},
+        **log_received(exchange),
     )
 
 
--- a/rosemaryyoke/exchanges/tests/test_health_checks.py
+++ b/rosemaryyoke/exchanges/tests/test_health_checks.py
@@ -42,6 +42,7 @@
         may_have_run=False,
         run_count=0,
         age_ms=lambda: 1_000,
+        relay=None,
         received=None,
     )
     checked = forwarder.check_health(exchange, state, outcome)
