--- a/rosemaryyoke/platform/tests/test_broken_off_streams.py
+++ b/rosemaryyoke/platform/tests/test_broken_off_streams.py
@@ -154,9 +154,13 @@
 
 
 # Guards against a plain answer without framing that is refused, or complete by a reset.
+@pytest.mark.parametrize("size", [0, 4, 100_000, 1_000_000])
 @pytest.mark.parametrize("reset, status", [(False, 200), (True, 502)])
-def test_plain_unframed_answer_ends_with_its_connection(deployment, reset, status):
-    script_all(deployment.records, send_unframed(b"body", reset))
+def test_plain_unframed_answer_ends_with_its_connection(
+    deployment, reset, status, size
+):
+    body = b"x" * size
+    script_all(deployment.records, send_unframed(body, reset))
     answer = send_client_request(deployment.callers, "/issue/1").responses[0]
     assert answer.complete and answer.status == status
-    assert status != 200 or answer.body == b"body"
+    assert status != 200 or answer.body == body
--- a/rosemaryyoke/upstreams/tests/test_engine_streams.py
+++ b/rosemaryyoke/upstreams/tests/test_engine_streams.py
@@ -1,12 +1,9 @@
 """Streams of engines in the project's own protocol that do not end as they should."""
 
-import socket
-import threading
-from contextlib import suppress
-
 import pytest
 from result import Err
 
+from rosemaryyoke.testing.raw_server import RawServer
 from rosemaryyoke.upstreams import EngineRequest, Finished, Started, Token
 from rosemaryyoke.upstreams.engine import HttpEngineAdapter
 from rosemaryyoke.wire import HttpRequest, send
@@ -20,39 +17,9 @@
     b'{"kind":"finished","request":"r1","count":1}',
 ]
 PIECE = b"x" * 65_536
-MAX_ENDLESS_BYTES = 256 * 1024 * 1024
 MAX_READ_BYTES = 24 * 1024 * 1024
 
 
-class RawServer:
-    """A server that answers one request with given bytes, then closes in order.
-
-    ``endless`` is sent after them until the connection is closed.
-    """
-
-    def __init__(self, data, endless=b""):
-        self.data, self.endless = data, endless
-        self.sent_bytes = 0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        self.thread = threading.Thread(target=self.serve, daemon=True)
-        self.thread.start()
-
-    def serve(self):
-        """Answer one request."""
-        connection, _ = self.listener.accept()
-        with connection, suppress(OSError):
-            connection.recv(65_536)
-            connection.sendall(self.data)
-            while self.endless and self.sent_bytes < MAX_ENDLESS_BYTES:
-                self.sent_bytes += connection.send(self.endless)
-
-    def close(self):
-        """Wait for the end of the answer and stop listening."""
-        self.thread.join(5.0)
-        self.listener.close()
-
-
 @pytest.fixture()
 def start_server():
     servers = []
