--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -32,8 +32,8 @@
     def feed(self, data: bytes) -> None:
         """Buffer bytes and write the events that they complete.
 
-        Raise ``ResponseTooLarge`` if an event, or what stands between two events,
-        exceeds ``MAX_EVENT_BYTES``.
+        Raise ``ResponseTooLarge`` if an event, or the bytes between two events, exceed
+        ``MAX_EVENT_BYTES``.
         """
         whole = self.splitter.feed(data)
         if not whole:
--- a/rosemaryyoke/exchanges/response_memory.py
+++ b/rosemaryyoke/exchanges/response_memory.py
@@ -12,7 +12,7 @@
 class ResponseMemory:
     """Counts the bytes that the attempts of a host hold of unfinished responses.
 
-    Small responses always fit, so that large ones can't crowd them out.
+    Small responses always fit, whatever the other attempts hold.
     """
 
     limit_bytes: int = MAX_RESPONSE_MEMORY_BYTES
