--- a/rosemaryyoke/client/tests/test_broken_answers.py
+++ b/rosemaryyoke/client/tests/test_truncated_responses.py
@@ -19,9 +19,9 @@
 )
 
 
-def chat_once(data, endless=b""):
+def chat_once(data, unbounded=b""):
     """Send a chat request to a server; return the outcome, the state and the server."""
-    server, state = RawServer(data, endless), _StreamState()
+    server, state = RawServer(data, unbounded), _StreamState()
     client = Client([server.address], "key")
     outcome = client._chat_once(server.address, {}, state, lambda text: None)
     server.close()
@@ -30,14 +30,14 @@
 
 # Guards against a caller's program that reads, or keeps, an answer without end.
 @pytest.mark.parametrize("status", [b"200 OK", b"500 Failed"])
-def test_endless_answer_fails_the_call(status):
+def test_unbounded_answer_fails_the_call(status):
     head = b"HTTP/1.1 %s\r\n\r\n" % status
     outcome, _, server = chat_once(head, PIECE)
     assert isinstance(outcome, Err) and outcome.err_value.code == "cut"
     assert server.sent_bytes < MAX_READ_BYTES
 
 
-# Guards against a broken-off stream that the library returns as a whole answer.
+# Guards against a truncated stream that the library returns as a whole answer.
 @pytest.mark.parametrize("data", [TEXT, TEXT + LAST[:-1], TEXT + LAST[:20]])
 def test_stream_without_its_last_event_is_not_complete(data):
     outcome, state, _ = chat_once(b"HTTP/1.1 200 OK\r\n\r\n" + data)
--- a/rosemaryyoke/exchanges/tests/test_response_memory.py
+++ b/rosemaryyoke/exchanges/tests/test_response_memory.py
@@ -11,7 +11,7 @@
 )
 from rosemaryyoke.exchanges.tests.builders import RESPONSE, Sockets, make_attempt
 
-UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+CLOSE_DELIMITED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 MIB = 1024 * 1024
 
 
@@ -28,7 +28,7 @@
     def send():
         sockets.upstream.recv(64)
         try:
-            sockets.upstream.sendall(UNFRAMED_HEAD + b"x" * size)
+            sockets.upstream.sendall(CLOSE_DELIMITED_HEAD + b"x" * size)
         except OSError:
             pass
         sockets.upstream.close()
--- a/rosemaryyoke/http1/tests/test_messages.py
+++ b/rosemaryyoke/http1/tests/test_messages.py
@@ -68,12 +68,12 @@
 
 # Guards against a caller that sends framing without end and next to no body.
 @pytest.mark.parametrize(
-    "endless", [b"1;a=" + b"x" * 2_000, b"1;%b\r\nx\r\n" % (b"a" * 90) * 50]
+    "unbounded", [b"1;a=" + b"x" * 2_000, b"1;%b\r\nx\r\n" % (b"a" * 90) * 50]
 )
-def test_request_with_endless_chunk_extensions_is_too_large(endless):
+def test_request_with_unbounded_chunk_extensions_is_too_large(unbounded):
     head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
     with pytest.raises(MessageTooLarge):
-        read_requests(head + endless * 4, 100)
+        read_requests(head + unbounded * 4, 100)
 
 
 def test_answer_with_a_second_answer_behind():
--- a/rosemaryyoke/platform/standins/answer_forms.py
+++ b/rosemaryyoke/platform/standins/answer_forms.py
@@ -1,4 +1,4 @@
-"""Forms in which a simulated upstream answers: whole, broken off or without end."""
+"""Forms in which a simulated upstream answers: whole, truncated or unbounded."""
 
 from enum import StrEnum
 from typing import Iterable, NoReturn
@@ -10,7 +10,7 @@
 from rosemaryyoke.http1.messages import encode_head
 
 OK_LINE = b"HTTP/1.1 200 OK"
-WHOLE_EVENTS = 3  # before a stream is broken off, or goes on without end
+WHOLE_EVENTS = 3  # before a stream is truncated, or becomes unbounded
 PIECE = b"x" * 65_536
 MAX_PIECES = 1_024
 
@@ -19,9 +19,9 @@
     """How an answer is framed, and whether it is whole."""
 
     FRAMED = "framed"
-    UNFRAMED = "unframed"  # ends with its connection
-    BROKEN_OFF = "broken off"  # unframed and closed in order, within an event
-    ENDLESS = "endless"
+    CLOSE_DELIMITED = "close-delimited"
+    TRUNCATED = "truncated"  # closed in order within an event or a body
+    UNBOUNDED = "unbounded"
 
 
 @frozen
@@ -37,12 +37,12 @@
     form: AnswerForm
 
     def write_body(self, body: bytes) -> None:
-        """Write a plain answer; one that is broken off states its whole length."""
+        """Write a plain answer; one that is truncated states its whole length."""
         if self.form is AnswerForm.FRAMED:
             self.caller.send_response(200, b"", self.headers, body)
             return
         headers = self.headers
-        if self.form is AnswerForm.BROKEN_OFF:
+        if self.form is AnswerForm.TRUNCATED:
             headers = [*headers, (b"Content-Length", b"%d" % len(body))]
             body = body[: len(body) // 2]
         self.caller.write(encode_head(OK_LINE, headers) + body)
@@ -59,14 +59,14 @@
             return
         self.caller.write(encode_head(OK_LINE, self.headers))
         for number, event in enumerate(events):
-            if self.form is not AnswerForm.UNFRAMED and number == WHOLE_EVENTS:
+            if self.form is not AnswerForm.CLOSE_DELIMITED and number == WHOLE_EVENTS:
                 self.caller.write(event[: len(event) // 2])
                 break
             self.caller.write(event)
         self._end_with_connection()
 
     def _end_with_connection(self) -> NoReturn:
-        if self.form is AnswerForm.ENDLESS:
+        if self.form is AnswerForm.UNBOUNDED:
             for _ in range(MAX_PIECES):
                 self.caller.write(PIECE)
         raise OSError("the answer ends with its connection")
--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -87,7 +87,7 @@
     return step
 
 
-def send_unframed(body, reset=False):
+def send_close_delimited(body, reset=False):
     """Return a step that ends an answer without length or chunks by its connection."""
 
     def step(engine, message, caller):
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -14,7 +14,7 @@
     run_and_drop_answer,
     script_all,
     send_chunked,
-    send_unframed,
+    send_close_delimited,
     wait_for,
 )
 
@@ -50,7 +50,7 @@
 def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
     events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
     cases = [
-        ("c5", send_unframed(events), "connection", "closed"),
+        ("c5", send_close_delimited(events), "connection", "closed"),
         ("c6", send_chunked(events), "chunked", "open"),
     ]
     for request, step, framing, connection in cases:
--- a/rosemaryyoke/platform/tests/test_broken_off_streams.py
+++ b/rosemaryyoke/platform/tests/test_truncated_streams.py
@@ -14,7 +14,7 @@
 from rosemaryyoke.platform.tests.deployment import (
     script_all,
     send_chunked,
-    send_unframed,
+    send_close_delimited,
     send_with_length,
     wait_for,
 )
@@ -24,7 +24,7 @@
 ALL_EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 PARTIAL_EVENTS = [b"i", b"id: 3", b"id: 3\n", b"id: 3\nda", b"id: 3\ndata: x\n"]
-FRAMINGS = [send_unframed, send_chunked, send_with_length]
+FRAMINGS = [send_close_delimited, send_chunked, send_with_length]
 
 
 def with_line_end(events, line_end):
@@ -48,7 +48,7 @@
     return reader.responses[0]
 
 
-# Guards against a stream, broken off inside an event, that its caller gets as complete.
+# Guards against a truncated stream that its caller gets as complete.
 @pytest.mark.parametrize("send", FRAMINGS)
 @pytest.mark.parametrize("partial", PARTIAL_EVENTS)
 def test_stream_ended_within_an_event_is_resumed(deployment, send, partial):
@@ -85,7 +85,7 @@
 
 # Guards against a success that consists of part of one event.
 def test_stream_ended_within_its_first_event_is_sent_again(deployment):
-    script_all(deployment.engines, send_unframed(b"id: 1\nda"))
+    script_all(deployment.engines, send_close_delimited(b"id: 1\nda"))
     answer = deployment.stream().responses[0]
     assert answer.complete and answer.body == ALL_EVENTS
 
@@ -94,22 +94,24 @@
 def test_stream_that_runs_once_fails_when_it_ends_within_its_first_event(
     deployment, draft_path
 ):
-    script_all(deployment.engines, send_unframed(b"id: 1\nda"))
+    script_all(deployment.engines, send_close_delimited(b"id: 1\nda"))
     answer = send_draft(deployment, draft_path)
     assert answer.complete and answer.status == 502
 
 
 # Guards against a crash before the first event that is taken for an empty stream.
-def test_unframed_stream_without_events_is_sent_again(deployment):
-    script_all(deployment.engines, send_unframed(b""))
+def test_close_delimited_stream_without_events_is_sent_again(deployment):
+    script_all(deployment.engines, send_close_delimited(b""))
     answer = deployment.stream().responses[0]
     assert answer.complete and answer.body == ALL_EVENTS
 
 
 # Guards against a crash before the first event of a resumed stream, taken for its end.
-def test_unframed_resumption_without_events_is_no_end(deployment):
+def test_close_delimited_resumption_without_events_is_no_end(deployment):
     script_all(
-        deployment.engines, send_unframed(TWO_EVENTS + b"id: 3\nda"), send_unframed(b"")
+        deployment.engines,
+        send_close_delimited(TWO_EVENTS + b"id: 3\nda"),
+        send_close_delimited(b""),
     )
     answer = deployment.stream().responses[0]
     assert not answer.complete and answer.body == TWO_EVENTS
@@ -133,7 +135,7 @@
 ):
     events = with_line_end(TWO_EVENTS, line_end)
     partial = with_line_end(b"id: 3\ndata: x\n", line_end)
-    script_all(deployment.engines, send_unframed(events + partial))
+    script_all(deployment.engines, send_close_delimited(events + partial))
     answer = deployment.stream().responses[0]
     rest = ALL_EVENTS[len(TWO_EVENTS) :]
     assert answer.complete and answer.body == events + rest
@@ -141,14 +143,14 @@
 
 # Guards against a comment behind the last event that is taken for part of an event.
 def test_comments_behind_the_last_event_are_no_part_of_an_event(deployment):
-    script_all(deployment.engines, send_unframed(ALL_EVENTS + b": end\n"))
+    script_all(deployment.engines, send_close_delimited(ALL_EVENTS + b": end\n"))
     answer = deployment.stream().responses[0]
     assert answer.complete and runs(deployment.engines) == 1
 
 
 # Guards against a reset of an answer without framing that is taken for its end.
-def test_unframed_stream_that_is_reset_is_not_complete(deployment, draft_path):
-    script_all(deployment.engines, send_unframed(TWO_EVENTS, reset=True))
+def test_close_delimited_stream_that_is_reset_is_not_complete(deployment, draft_path):
+    script_all(deployment.engines, send_close_delimited(TWO_EVENTS, reset=True))
     answer = send_draft(deployment, draft_path)
     assert not answer.complete
 
@@ -156,11 +158,11 @@
 # Guards against a plain answer without framing that is refused, or complete by a reset.
 @pytest.mark.parametrize("size", [0, 4, 100_000, 1_000_000])
 @pytest.mark.parametrize("reset, status", [(False, 200), (True, 502)])
-def test_plain_unframed_answer_ends_with_its_connection(
+def test_plain_close_delimited_answer_ends_with_its_connection(
     deployment, reset, status, size
 ):
     body = b"x" * size
-    script_all(deployment.records, send_unframed(body, reset))
+    script_all(deployment.records, send_close_delimited(body, reset))
     answer = send_client_request(deployment.callers, "/issue/1").responses[0]
     assert answer.complete and answer.status == status
     assert status != 200 or answer.body == body
--- a/rosemaryyoke/platform/tests/test_endless_answers.py
+++ b/rosemaryyoke/platform/tests/test_unbounded_responses.py
@@ -15,7 +15,7 @@
 
 MIB = 1024 * 1024
 PIECE_BYTES = 65_536
-MAX_ENDLESS_BYTES = 256 * MIB
+MAX_UNBOUNDED_BYTES = 256 * MIB
 MAX_READ_BYTES = 24 * MIB  # three times the limit of a body, for socket buffers
 OK_LINE = b"HTTP/1.1 200 OK"
 
@@ -30,7 +30,7 @@
     return encode_head(OK_LINE, headers)[: -len(b"\r\n")]
 
 
-def begin_unframed(headers):
+def begin_close_delimited(headers):
     """Return the head of an answer that ends with its connection."""
     return encode_head(OK_LINE, headers)
 
@@ -57,7 +57,7 @@
 
 CHUNK = b"%x\r\n%s\r\n" % (1_024, b"x" * 1_024)
 LATE_ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n"
-ENDLESS_HEADS = {
+UNBOUNDED_HEADS = {
     "header": (begin_head, b"x"),
     "headers": (begin_head, b"A: b\r\n"),
     "interim responses": (begin_nothing, b"HTTP/1.1 102 Processing\r\n\r\n"),
@@ -66,20 +66,20 @@
     "chunk extension": (begin_chunk_extension, b"x"),
     "trailers": (begin_trailers, b"A: b\r\n"),
 }
-ENDLESS_BODIES = {
-    "body": (begin_unframed, b"x"),
+UNBOUNDED_BODIES = {
+    "body": (begin_close_delimited, b"x"),
     "chunked body": (begin_chunked, CHUNK),
 }
-ENDLESS_EVENTS = {
-    "event": (begin_unframed, b"x"),
+UNBOUNDED_EVENTS = {
+    "event": (begin_close_delimited, b"x"),
     "chunked event": (begin_chunked, CHUNK),
-    "blank lines": (begin_unframed, b"\n"),
-    "comments": (begin_unframed, b": x\n"),
-    "comments and blank lines": (begin_unframed, b": x\n\n"),
+    "blank lines": (begin_close_delimited, b"\n"),
+    "comments": (begin_close_delimited, b": x\n"),
+    "comments and blank lines": (begin_close_delimited, b": x\n\n"),
 }
 
 
-class EndlessStep:
+class UnboundedStep:
     """A step that sends bytes until the connection is closed, and counts them."""
 
     def __init__(self, begin, pattern):
@@ -90,15 +90,15 @@
     def __call__(self, engine, message, caller):
         engine.executed.append(b"")
         caller.socket.sendall(self.begin(engine.headers(message)))
-        while self.sent_bytes < MAX_ENDLESS_BYTES:
+        while self.sent_bytes < MAX_UNBOUNDED_BYTES:
             self.sent_bytes += caller.socket.send(self.piece)
-        raise OSError("connection closed after an endless answer")
+        raise OSError("connection closed after an unbounded answer")
 
 
 # Guards against streams that wait, or take memory, while their engine sends no event.
-@pytest.mark.parametrize("kind", [*ENDLESS_HEADS, *ENDLESS_EVENTS])
-def test_endless_stream_is_left_for_another_engine(deployment, kind):
-    step = EndlessStep(*{**ENDLESS_HEADS, **ENDLESS_EVENTS}[kind])
+@pytest.mark.parametrize("kind", [*UNBOUNDED_HEADS, *UNBOUNDED_EVENTS])
+def test_unbounded_stream_is_left_for_another_engine(deployment, kind):
+    step = UnboundedStep(*{**UNBOUNDED_HEADS, **UNBOUNDED_EVENTS}[kind])
     script_all(deployment.engines, step)
     answer = deployment.stream().responses[0]
     assert answer.complete and event_numbers(answer) == [1, 2, 3, 4, 5]
@@ -107,9 +107,9 @@
 
 
 # Guards against the same in answers that are no streams.
-@pytest.mark.parametrize("kind", [*ENDLESS_HEADS, *ENDLESS_BODIES])
-def test_endless_answer_is_left_for_another_upstream(deployment, kind):
-    step = EndlessStep(*{**ENDLESS_HEADS, **ENDLESS_BODIES}[kind])
+@pytest.mark.parametrize("kind", [*UNBOUNDED_HEADS, *UNBOUNDED_BODIES])
+def test_unbounded_answer_is_left_for_another_upstream(deployment, kind):
+    step = UnboundedStep(*{**UNBOUNDED_HEADS, **UNBOUNDED_BODIES}[kind])
     script_all(deployment.records, step)
     reader = send_client_request(deployment.callers, "/read/1", "GET")
     answer = reader.responses[0]
@@ -119,9 +119,9 @@
 
 
 # Guards against callers that wait for their deadline although no answer can come.
-@pytest.mark.parametrize("kind", [*ENDLESS_HEADS, *ENDLESS_BODIES])
-def test_endless_answer_to_a_request_that_runs_once_fails_early(deployment, kind):
-    step = EndlessStep(*{**ENDLESS_HEADS, **ENDLESS_BODIES}[kind])
+@pytest.mark.parametrize("kind", [*UNBOUNDED_HEADS, *UNBOUNDED_BODIES])
+def test_unbounded_answer_to_a_request_that_runs_once_fails_early(deployment, kind):
+    step = UnboundedStep(*{**UNBOUNDED_HEADS, **UNBOUNDED_BODIES}[kind])
     script_all(deployment.records, step)
     started_s = time.monotonic()
     answer = send_client_request(deployment.callers, "/issue/1").responses[0]
@@ -130,9 +130,9 @@
     assert runs(deployment.records) == 1
 
 
-# Guards against an endless answer whose cause is not in the logs.
-def test_cause_of_an_endless_answer_is_in_the_logs(deployment, logged):
-    script_all(deployment.records, EndlessStep(*ENDLESS_BODIES["body"]))
+# Guards against an unbounded answer whose cause is not in the logs.
+def test_cause_of_an_unbounded_answer_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, UnboundedStep(*UNBOUNDED_BODIES["body"]))
     send_client_request(deployment.callers, "/issue/1", **{"Request-Id": "c9"})
     failed = [e for e in logged("c9") if e.message == "attempt failed"]
     assert "too large" in failed[0].fields["reason"]
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -146,15 +146,15 @@
 
 
 @faults.register("upstream breaks its answers off")
-def break_off_answers(context: FaultContext) -> None:
+def truncate_answers(context: FaultContext) -> None:
     """Let an upstream close its connections in order, in the middle of answers."""
-    answer_in_form(context, AnswerForm.BROKEN_OFF)
+    answer_in_form(context, AnswerForm.TRUNCATED)
 
 
 @faults.register("upstream answers without end")
-def answer_without_end(context: FaultContext) -> None:
+def send_unbounded_answers(context: FaultContext) -> None:
     """Let an upstream send bytes after each answer for as long as they are read."""
-    answer_in_form(context, AnswerForm.ENDLESS)
+    answer_in_form(context, AnswerForm.UNBOUNDED)
 
 
 def answer_in_form(context: FaultContext, form: AnswerForm) -> None:
--- a/rosemaryyoke/soak/planned_work.py
+++ b/rosemaryyoke/soak/planned_work.py
@@ -126,7 +126,7 @@
 @planned_work.register("upstream answers without framing")
 def answer_without_framing(context: FaultContext) -> None:
     """Let an upstream end its answers with their connections for a random time."""
-    answer_in_form(context, AnswerForm.UNFRAMED)
+    answer_in_form(context, AnswerForm.CLOSE_DELIMITED)
 
 
 @planned_work.register("upstream refuses while busy")
--- a/rosemaryyoke/soak/tests/test_simulated_upstreams.py
+++ b/rosemaryyoke/soak/tests/test_simulated_upstreams.py
@@ -115,16 +115,16 @@
 
 
 @pytest.mark.parametrize("events", [2, 5])
-def test_unframed_stream_is_whole(upstream, events):
-    upstream.form, upstream.events = AnswerForm.UNFRAMED, events
+def test_close_delimited_stream_is_whole(upstream, events):
+    upstream.form, upstream.events = AnswerForm.CLOSE_DELIMITED, events
     exchange, _ = call(upstream)
     assert exchange.ending == COMPLETE
     expected = b"".join(event_text("r1", number + 1) for number in range(events))
     assert exchange.message.body == expected
 
 
-def test_broken_off_stream_ends_within_an_event(upstream):
-    upstream.form, upstream.events = AnswerForm.BROKEN_OFF, 5
+def test_truncated_stream_ends_within_an_event(upstream):
+    upstream.form, upstream.events = AnswerForm.TRUNCATED, 5
     exchange, _ = call(upstream)
     whole = b"".join(event_text("r1", number) for number in (1, 2, 3))
     body = exchange.message.body
@@ -132,7 +132,7 @@
     assert not body.endswith(b"\n\n")
 
 
-def test_endless_answer_is_too_large(upstream):
-    upstream.form, upstream.events = AnswerForm.ENDLESS, 5
+def test_unbounded_answer_is_too_large(upstream):
+    upstream.form, upstream.events = AnswerForm.UNBOUNDED, 5
     exchange, _ = call(upstream)
     assert not exchange.message.complete
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -27,7 +27,7 @@
 
 
 # An engine that closed in order inside an event, whose stream callers got as complete.
-def test_soak_stream_broken_off_within_an_event_is_not_complete():
+def test_soak_stream_truncated_within_an_event_is_not_complete():
     report = run_soak(BREAKS_SEED, BREAKS_SECONDS, "upstream breaks its answers off")
     assert not report.broken, report
     assert report.requests > 0 and report.faults
--- a/rosemaryyoke/testing/raw_server.py
+++ b/rosemaryyoke/testing/raw_server.py
@@ -4,17 +4,17 @@
 import threading
 from contextlib import suppress
 
-MAX_ENDLESS_BYTES = 256 * 1024 * 1024
+MAX_UNBOUNDED_BYTES = 256 * 1024 * 1024
 
 
 class RawServer:
     """A server that answers one request with given bytes, then closes in order.
 
-    ``endless`` is sent after them until the connection is closed.
+    ``unbounded`` is sent after them until the connection is closed.
     """
 
-    def __init__(self, data, endless=b""):
-        self.data, self.endless = data, endless
+    def __init__(self, data, unbounded=b""):
+        self.data, self.unbounded = data, unbounded
         self.sent_bytes = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -27,8 +27,8 @@
         with connection, suppress(OSError):
             connection.recv(65_536)
             connection.sendall(self.data)
-            while self.endless and self.sent_bytes < MAX_ENDLESS_BYTES:
-                self.sent_bytes += connection.send(self.endless)
+            while self.unbounded and self.sent_bytes < MAX_UNBOUNDED_BYTES:
+                self.sent_bytes += connection.send(self.unbounded)
 
     def close(self):
         """Wait for the end of the answer and stop listening."""
--- a/rosemaryyoke/upstreams/tests/test_engine_streams.py
+++ b/rosemaryyoke/upstreams/tests/test_engine_streams.py
@@ -49,7 +49,7 @@
 
 # Guards against an error of the program in place of a failed attempt.
 @pytest.mark.parametrize("framing", [b"", b"Transfer-Encoding: chunked\r\n"])
-def test_endless_event_fails_the_attempt(start_server, framing):
+def test_unbounded_event_fails_the_attempt(start_server, framing):
     piece = b"%x\r\n%s\r\n" % (len(PIECE), PIECE) if framing else PIECE
     server = start_server(HEAD + framing + b"\r\n", piece)
     outcome, events = complete(server)
@@ -59,7 +59,7 @@
 
 
 # Guards against a head that is read for as long as it comes.
-def test_endless_head_fails_the_attempt(start_server):
+def test_unbounded_head_fails_the_attempt(start_server):
     server = start_server(HEAD, b"A: b\r\n" * 10_000)
     outcome, _ = complete(server)
     assert isinstance(outcome, Err) and server.sent_bytes < MAX_READ_BYTES
@@ -82,14 +82,14 @@
 
 
 # Guards against an error's body that is read for as long as it comes.
-def test_endless_body_of_an_error_fails_the_attempt(start_server):
+def test_unbounded_body_of_an_error_fails_the_attempt(start_server):
     server = start_server(b"HTTP/1.1 500 Failed\r\n\r\n", PIECE)
     outcome, _ = complete(server)
     assert isinstance(outcome, Err) and server.sent_bytes < MAX_READ_BYTES
 
 
 # Guards against answers of services and of the store that take all memory.
-def test_endless_body_of_a_call_fails(start_server):
+def test_unbounded_body_of_a_call_fails(start_server):
     server = start_server(HEAD + b"\r\n", PIECE)
     outcome = send(HttpRequest("GET", f"http://{server.address}/"))
     assert isinstance(outcome, Err) and outcome.err_value.sent
