A host's lack of memory is no failure of the upstream

Found by reading the change as a newcomer: an attempt that ended since all attempts of the host held too much was counted against its upstream, which may have sent an ordinary answer. Such a failure is no longer recorded on the upstream. test_response_that_does_not_fit_fails demands it, and failed without it (health_recorded was false).

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -84,7 +84,7 @@
     upstream is reserved for the request; the connection stays open until that one has
     accepted it. ``upstream_responds`` means that the upstream answered a health check
     after the timeout, so that it is merely slow; ``health_recorded`` that its state has
-    been updated already.
+    been updated already, or that the failure says nothing about it.
     """
 
     reason: str
@@ -366,7 +366,9 @@
             return AttemptFailed(self.reader.error, self._sent_whole())
         partial_bytes = self.relay.buffered_bytes if self.relay is not None else 0
         if not self._fits_in_memory(self.reader.held_bytes + partial_bytes):
-            return AttemptFailed("no memory for the response", self._sent_whole())
+            return AttemptFailed(
+                "no memory for the response", self._sent_whole(), health_recorded=True
+            )
         return None
 
     def _matching_response(self) -> ResponseMessage | None:
--- a/rosemaryyoke/exchanges/tests/test_response_memory.py
+++ b/rosemaryyoke/exchanges/tests/test_response_memory.py
@@ -42,6 +42,7 @@
     send_and_close(sockets, 2 * MIB)
     outcome = make_attempt(sockets, memory=memory).run()
     assert isinstance(outcome, AttemptFailed) and "memory" in outcome.reason
+    assert outcome.health_recorded  # the upstream is not at fault
     assert memory.held_bytes == 3 * MIB
 
 
