Name the shared parts of prompts where requests are placed and where attempts fail

`placed` and `attempt failed` now list the shared parts (eight names of 32 characters at most), and the lines on answers say how long ago the head arrived. With them a part that crashes engines shows as the one name common to all crashes, in requests whose head is at most some hundred milliseconds old. No logic changes.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -45,13 +45,15 @@
 class ResponseSummary:
     """What an attempt received of its response, for the log.
 
-    ``framing`` is ``None`` if no head arrived. ``partial_event_bytes`` is the size of
-    the incomplete event at the end of a stream.
+    ``framing`` and ``head_age_ms`` are ``None`` if no head arrived. The latter is the
+    time from the head to the end. ``partial_event_bytes`` is the size of the incomplete
+    event at the end of a stream.
     """
 
     framing: Framing | None
     connection: ConnectionState
     partial_event_bytes: int
+    head_age_ms: int | None = None
 
 
 @frozen
@@ -129,6 +131,7 @@
     memory: ResponseMemory = field(factory=ResponseMemory)
     held_bytes: int = 0
     last_byte_s: float = 0.0
+    head_s: float | None = None
     connection_state: ConnectionState = ConnectionState.OPEN
     started_s: float = field(factory=time.monotonic)
     on_first_event: Callable[[], None] | None = None
@@ -184,8 +187,14 @@
             framing=message.framing if message is not None else None,
             connection=self.connection_state,
             partial_event_bytes=self._partial_event_bytes(),
+            head_age_ms=self._head_age_ms(),
         )
 
+    def _head_age_ms(self) -> int | None:
+        if self.head_s is None:
+            return None
+        return round((time.monotonic() - self.head_s) * MS_PER_S)
+
     def _partial_event_bytes(self) -> int:
         if self.relay is None or not self.relay.is_within_event:
             return 0
@@ -387,6 +396,8 @@
     def _process_response(self, message: ResponseMessage) -> Outcome | None:
         """Process new response data; return the outcome once it is complete."""
         self.last_byte_s = self.state.last_byte_s = time.monotonic()
+        if self.head_s is None:
+            self.head_s = self.last_byte_s
         if self.on_head is not None:
             self.on_head(self.metadata)
             self.on_head = None
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -15,6 +15,8 @@
 from rosemaryyoke.fleet import ComparedQueue, Placement
 
 MS_PER_S = 1_000
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_NAME = 32  # characters
 CUT_AT_DEADLINE = "deadline"
 CUT_BY_UPSTREAM = "upstream failed"
 CUT_BY_REFUSAL = "not run"
@@ -32,6 +34,7 @@
         configuration=configuration.version,
         upstream=placement.state.upstream.name,
         send=exchange.send_count,
+        parts=log_parts(exchange),
         hit_tokens=placement.hit_tokens,
         wait_ms=round(placement.wait_s * MS_PER_S),
         cost_ms=round(placement.cost_s * MS_PER_S),
@@ -60,10 +63,17 @@
         request=exchange.request_id,
         upstream=placement.state.upstream.name,
         age_ms=exchange.age_ms(),
+        parts=log_parts(exchange),
         **fields,
     )
 
 
+def log_parts(exchange: Exchange) -> list[str]:
+    """Return the names of the shared parts of the prompt, the first of many."""
+    shared = exchange.metadata.shared_parts[:MAX_LOGGED_PARTS]
+    return [part.name[:MAX_LOGGED_NAME] for part in shared]
+
+
 def log_received(exchange: Exchange) -> dict:
     """Return what the last attempt received, as fields of a log line."""
     fields = {"events": exchange.relay.events if exchange.relay is not None else None}
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -35,10 +35,15 @@
     output_tokens: int = 0
     last_event_id: bytes | None = None
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may share."""
+        return self.parts[:-1]
+
     @property
     def shared_tokens(self) -> int:
         """Return the size of the parts that other requests may share."""
-        return sum(part.tokens for part in self.parts[:-1])
+        return sum(part.tokens for part in self.shared_parts)
 
     @property
     def prompt_tokens(self) -> int:
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -46,6 +46,18 @@
     assert any("closed" in reason or "lost" in reason for reason in reasons)
 
 
+# Guards against a crash of engines that the logs can't lay to a part of a prompt.
+def test_parts_of_a_prompt_are_in_the_logs(deployment, logged):
+    script_all(deployment.engines, abort_after(0), abort_after(1))
+    deployment.stream(**{"Request-Id": "c7"})
+    events = [item for item in logged("c7") if "parts" in item.fields]
+    messages = [event.message for event in events]
+    assert messages == ["placed", "attempt failed"] * 2
+    assert all(event.fields["parts"] == ["aa", "bb"] for event in events)
+    ages_ms = [item.fields["head_age_ms"] for item in events[1::2]]
+    assert ages_ms[0] is None and ages_ms[1] < 1_000
+
+
 # Guards against an ended stream whose log line does not tell what its engine sent.
 def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
     events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
