--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -29,6 +29,8 @@
 HTTP_OK = 200
 SUCCESS_START = b"HTTP/1.1 200"
 STALL_CHECK_INTERVAL_S = 0.25
+SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
+RESET_ERRORS = frozenset({errno.ECONNRESET, errno.EPIPE})
 # Two upstreams may work on one request for at most 0.4 s.
 HANDOVER_S = 0.3
 
@@ -82,11 +84,13 @@
     """No complete response arrived. ``may_have_run`` is false only if that is certain.
 
     ``stale_connection`` means that the upstream had closed an idle connection, which
-    says nothing about the health of the upstream. ``timed_out`` means that another
-    upstream is reserved for the request; the connection stays open until that one has
-    accepted it. ``upstream_responds`` means that the upstream answered a health check
-    after the timeout, so that it is merely slow; ``health_recorded`` that its state has
-    been updated already, or that the failure says nothing about it.
+    says nothing about the health of the upstream. ``broken_off`` means that the
+    upstream ended the response early or closed the connection, as it does when it
+    crashes. ``timed_out`` means that another upstream is reserved for the request; the
+    connection stays open until that one has accepted it. ``upstream_responds`` means
+    that the upstream answered a health check after the timeout, so that it is merely
+    slow; ``health_recorded`` that its state has been updated already, or that the
+    failure says nothing about it.
     """
 
     reason: str
@@ -94,6 +98,7 @@
     deadline_exceeded: bool = False
     timed_out: bool = False
     stale_connection: bool = False
+    broken_off: bool = False
     upstream_responds: bool = False
     health_recorded: bool = False
 
@@ -110,7 +115,8 @@
     is called once, and then ``on_stall`` at intervals until it returns that another
     upstream is reserved; without one the attempt continues. ``response_deadline_s`` is
     the deadline of the whole exchange. ``predecessor`` is the attempt that this one
-    takes over from: which of them delivers first, goes on.
+    takes over from: which of them delivers first, goes on. ``on_sustained`` is called
+    once when the response has gone on for ``SUSTAINED_S`` after its head.
     """
 
     state: UpstreamState
@@ -142,6 +148,7 @@
     predecessor: "Attempt | None" = None
     handover_end_s: float = math.inf
     on_head: Callable[[ResponseMetadata], None] | None = None
+    on_sustained: Callable[[], None] | None = None
     max_idle_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
@@ -180,6 +187,17 @@
         """Return whether the upstream may still work on the request."""
         return self.connection is not None
 
+    @property
+    def delivered_events(self) -> int:
+        """Return the number of events of this attempt that the caller was sent."""
+        return self.relay.events - self.events_before if self.relay is not None else 0
+
+    @property
+    def is_sustained(self) -> bool:
+        """Return whether the response has gone on for some time after its head."""
+        age_s = time.monotonic() - (self.head_s or math.inf)
+        return age_s >= SUSTAINED_S and self._has_delivered_events()
+
     def summarize_response(self) -> ResponseSummary:
         """Return what was received so far of the response to this request."""
         message = self._matching_response()
@@ -213,7 +231,10 @@
             )
             reason = f"connection lost: {error}"
             outcome = AttemptFailed(
-                reason, self._sent_whole(), stale_connection=stale_connection
+                reason,
+                self._sent_whole(),
+                stale_connection=stale_connection,
+                broken_off=error.errno in RESET_ERRORS,
             )
         if not (isinstance(outcome, AttemptFailed) and outcome.timed_out):
             self._release_connection(outcome)
@@ -369,7 +390,10 @@
         if not data:
             reason, sent = "the upstream closed its connection", self._sent_whole()
             return AttemptFailed(
-                reason, sent, stale_connection=self._is_stale_connection()
+                reason,
+                sent,
+                stale_connection=self._is_stale_connection(),
+                broken_off=True,
             )
         if self.reader.malformed:
             return AttemptFailed(self.reader.error, self._sent_whole())
@@ -436,14 +460,21 @@
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
                 self.on_first_event = None
+            if self.on_sustained is not None and self.is_sustained:
+                self.on_sustained()
+                self.on_sustained = None
         if not message.complete:
             return None
         if self.relay.is_within_event:
-            return AttemptFailed("the stream ended within an event", may_have_run=True)
+            return AttemptFailed(
+                "the stream ended within an event", may_have_run=True, broken_off=True
+            )
         if message.framing is Framing.CONNECTION and not self._has_delivered_events():
-            return AttemptFailed("the stream ended without events", may_have_run=True)
+            return AttemptFailed(
+                "the stream ended without events", may_have_run=True, broken_off=True
+            )
         self.relay.finish()
         return StreamCompleted()
 
     def _has_delivered_events(self) -> bool:
-        return self.relay.events > self.events_before
+        return self.delivered_events > 0
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -13,6 +13,7 @@
 )
 from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange
 from rosemaryyoke.fleet import ComparedQueue, Placement
+from rosemaryyoke.quarantine import format_keys
 
 MS_PER_S = 1_000
 MAX_LOGGED_PARTS = 8
@@ -116,6 +117,7 @@
         reason=error.message,
         retry_after_s=error.retry_after_s,
         compared=log_queues(error.compared),
+        quarantined=format_keys(error.quarantined),
     )
 
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -37,6 +37,7 @@
 )
 from rosemaryyoke.exchanges.exchange_factory import ExchangeFactory
 from rosemaryyoke.exchanges.messages import HeaderCodec
+from rosemaryyoke.exchanges.outcome_reporter import OutcomeReporter
 from rosemaryyoke.exchanges.request_writer import RequestWriter
 from rosemaryyoke.exchanges.response_memory import ResponseMemory
 from rosemaryyoke.exchanges.selection import UpstreamSelector
@@ -79,11 +80,13 @@
     writer: RequestWriter = field(init=False)
     selector: UpstreamSelector = field(init=False)
     endings: Endings = field(init=False)
+    reporter: OutcomeReporter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.exchange_factory = ExchangeFactory(self.catalog, self.codec)
         self.writer = RequestWriter(self.fleet, self.codec)
         self.endings = Endings(self.metrics)
+        self.reporter = OutcomeReporter(self.fleet.quarantine)
         self.selector = UpstreamSelector(
             self.data_centre,
             self.catalog,
@@ -231,6 +234,7 @@
         attempt.on_head = partial(self.fleet.record_notices, state)
         attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
         attempt.on_stall = lambda: self.selector.reserve_alternative(exchange)
+        attempt.on_sustained = partial(self.reporter.record_success, exchange, sent)
         return sent
 
     def run_attempt(
@@ -248,6 +252,7 @@
         finally:
             self.fleet.end(state, sent.work)
             exchange.received = sent.attempt.summarize_response()
+        self.reporter.record(exchange, sent, outcome)
         self.record_outcome(exchange, sent.placement, sent.attempt, outcome)
         if isinstance(outcome, AttemptFailed) and outcome.timed_out:
             sent.counted_as_run = outcome.may_have_run
@@ -363,6 +368,8 @@
             exchange.prepare_resume()
             if not outcome.may_have_run:
                 return True
+            if self.fleet.quarantine.is_suspect(exchange.shared_keys):
+                return False
         if exchange.run_count >= route.max_attempts:
             return False
         return self.budget.try_retry(exchange.service, time.monotonic())
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -261,6 +261,7 @@
             tuple(self.fleet.silent_upstreams(())),
             self.fleet.departures(),
             self.catalog.eras.current,
+            self.fleet.quarantine.reported_bans(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
@@ -289,6 +290,7 @@
         """Divide the retry budget among the live hosts."""
         self.budget.hosts = 1 + self.table.log_changes(time.monotonic())
         self.fleet.hosts = self.budget.hosts
+        self.fleet.quarantine.hosts = self.budget.hosts
 
     def poll_watcher(self) -> bool:
         """Poll another host for changes; watch briefly if others rely on this one."""
@@ -318,6 +320,9 @@
             "store_answers": int(self.catalog.is_fresh()),
             "upstreams_usable": usable,
             "connections_opened_total": self.connections.opened,
+            "parts_quarantined": len(self.fleet.quarantine.bans),
+            "crash_reports_total": self.fleet.quarantine.own_reports,
+            "crash_reports_received_total": self.fleet.quarantine.received_reports,
         }
         for name, value in gauges.items():
             self.metrics.set(name, value)
--- /dev/null
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -0,0 +1,91 @@
+"""Report to the quarantine how attempts on prompts ended."""
+
+import time
+
+from attrs import frozen
+
+from rosemaryyoke.exchanges.attempt import (
+    Attempt,
+    AttemptFailed,
+    Outcome,
+    ResponseReceived,
+    StreamCompleted,
+)
+from rosemaryyoke.exchanges.decision_log import log_parts
+from rosemaryyoke.exchanges.exchange import Exchange, SentAttempt
+from rosemaryyoke.fleet import upstream_key
+from rosemaryyoke.http1 import Framing
+from rosemaryyoke.quarantine import PromptOutcome, Quarantine, attempt_key
+
+HTTP_OK = 200
+# A reused connection that is lost sooner was closed before the request arrived.
+STALE_CONNECTION_S = 0.1
+# A stream without framing looks complete if the engine crashes between two events.
+MIN_UNFRAMED_EVENTS = 5
+
+
+@frozen
+class OutcomeReporter:
+    """Tells crashes and successes from ends that say nothing about the prompt."""
+
+    quarantine: Quarantine
+
+    def record(self, exchange: Exchange, sent: SentAttempt, outcome: Outcome) -> None:
+        """Report the end of an attempt."""
+        if is_crash(sent.attempt, outcome):
+            self.record_crash(exchange, sent)
+        elif is_success(sent.attempt, outcome):
+            self.record_success(exchange, sent)
+
+    def record_crash(self, exchange: Exchange, sent: SentAttempt) -> None:
+        """Report that an engine crashed as it began to answer."""
+        self.quarantine.record_crash(
+            prompt_outcome(exchange, sent, time.monotonic(), crashed=True),
+            request=exchange.request_id,
+            upstream=sent.placement.state.upstream.name,
+            parts=log_parts(exchange),
+        )
+
+    def record_success(self, exchange: Exchange, sent: SentAttempt) -> None:
+        """Report that a prompt was answered, or that its answer goes on."""
+        sent_s = sent.attempt.started_s
+        self.quarantine.record_success(
+            prompt_outcome(exchange, sent, sent_s, crashed=False)
+        )
+
+
+def prompt_outcome(
+    exchange: Exchange, sent: SentAttempt, at_s: float, crashed: bool
+) -> PromptOutcome:
+    """Return the outcome of an attempt as reported to other hosts."""
+    return PromptOutcome(
+        attempt_key(exchange.metadata.request_id, exchange.send_count),
+        upstream_key(sent.placement.state.upstream.name),
+        exchange.shared_keys,
+        at_s,
+        crashed,
+    )
+
+
+def is_crash(attempt: Attempt, outcome: Outcome) -> bool:
+    """Return whether an engine seems to have crashed as it began to answer.
+
+    Requests that it had answered for a while are lost with it, but aren't the cause.
+    """
+    if not (isinstance(outcome, AttemptFailed) and outcome.broken_off):
+        return False
+    if attempt.is_sustained:
+        return False
+    age_s = time.monotonic() - attempt.started_s
+    return not outcome.stale_connection or age_s >= STALE_CONNECTION_S
+
+
+def is_success(attempt: Attempt, outcome: Outcome) -> bool:
+    """Return whether the whole answer shows that the prompt crashes no engine."""
+    if isinstance(outcome, ResponseReceived):
+        if outcome.message.status != HTTP_OK:
+            return False
+    elif not isinstance(outcome, StreamCompleted):
+        return False
+    framed = attempt.summarize_response().framing is not Framing.CONNECTION
+    return framed or attempt.delivered_events >= MIN_UNFRAMED_EVENTS
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -9,7 +9,11 @@
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.attempt import HANDOVER_S
-from rosemaryyoke.exchanges.error_responses import no_upstream_error, timeout_error
+from rosemaryyoke.exchanges.error_responses import (
+    no_upstream_error,
+    quarantine_error,
+    timeout_error,
+)
 from rosemaryyoke.exchanges.exchange import (
     Exchange,
     RequestRejected,
@@ -47,6 +51,7 @@
         now_s = time.monotonic()
         if now_s >= exchange.response_deadline_s:
             raise RequestRejected(timeout_error(exchange))
+        self.check_quarantine(exchange, now_s)
         # The bound on queues is for admission: a request that may have run cannot be
         # rejected as not run any more, so that a long queue is better than none.
         max_wait_s = max_queue_wait_s(exchange.route)
@@ -60,6 +65,13 @@
             raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
         return chosen.ok_value
 
+    def check_quarantine(self, exchange: Exchange, now_s: float) -> None:
+        """Raise ``RequestRejected`` if the prompt may not be sent to engines."""
+        ban = self.fleet.quarantine.find_ban(exchange.shared_keys)
+        if ban is not None:
+            error = quarantine_error(exchange, ban, ban.left_s(now_s))
+            raise RequestRejected(error)
+
     def choose(
         self, exchange: Exchange, request: PlacementRequest, now_s: float
     ) -> Result[Placement, NoUpstream]:
@@ -84,6 +96,8 @@
             return False
         if not self.may_send_again(exchange, now_s):
             return False
+        if self.fleet.quarantine.is_suspect(exchange.shared_keys):
+            return False
         max_wait_s = min(max_queue_wait_s(exchange.route), HANDOVER_S)
         request = self.placement_request(exchange, now_s, max_wait_s, probe_share=0.0)
         chosen = self.choose(exchange, request, now_s)
--- a/rosemaryyoke/exchanges/tests/test_health_checks.py
+++ b/rosemaryyoke/exchanges/tests/test_health_checks.py
@@ -11,6 +11,7 @@
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.attempt import AttemptFailed
 from rosemaryyoke.exchanges.forward import Forwarder
+from rosemaryyoke.exchanges.messages import RequestMetadata
 from rosemaryyoke.fleet import Fleet
 from rosemaryyoke.fleet.tests.builders import make_state
 
@@ -39,6 +40,7 @@
     )
     exchange = SimpleNamespace(
         request_id="r1",
+        metadata=RequestMetadata(),
         may_have_run=False,
         run_count=0,
         age_ms=lambda: 1_000,
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -29,6 +29,7 @@
     UpstreamState,
 )
 from rosemaryyoke.fleet.stores import CacheStores
+from rosemaryyoke.quarantine import Quarantine
 
 KEY_BYTES = 4
 KEY_CACHE_SIZE = 4_096  # upstream names; the planned fleet has 600 upstreams
@@ -76,6 +77,7 @@
     catalog: Catalog
     stores: CacheStores = field(factory=CacheStores)
     notices: NoticeRegister = field(factory=NoticeRegister)
+    quarantine: Quarantine = field(factory=Quarantine)
     unsent_prefills: deque[PromptPrefill] = field(
         factory=lambda: deque(maxlen=MAX_UNSENT_PREFILLS)
     )
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -22,10 +22,11 @@
   silent @14 :Data;
   departures @15 :Data;
   era @16 :UInt64;
+  bans @17 :Data;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
-# datagram with tellsLoads has all of loads, loading, silent and departures; the others
+# datagram with tellsLoads has all of loads, loading, silent, departures and bans; the others
 # omit them.
 struct Digest {
   dataCentre @0 :Text;
@@ -36,4 +37,13 @@
   reads @5 :Data;
   silent @6 :Data;
   departures @7 :Data;
+  bans @8 :Data;
+}
+
+# What a host tells all others as soon as it learns of it: how attempts on prompts that
+# may crash engines ended, and which parts of prompts are banned since.
+struct QuarantineNotice {
+  host @0 :Text;
+  outcomes @1 :Data;
+  bans @2 :Data;
 }
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -18,12 +18,15 @@
     Beacon,
     Digest,
     MalformedBeacon,
+    QuarantineNotice,
     decode_beacon,
     decode_digest,
+    decode_notice,
     encode_beacon,
     encode_digest,
+    encode_notice,
 )
-from rosemaryyoke.hosts.digests import make_digests, make_host_digests
+from rosemaryyoke.hosts.digests import batched, make_digests, make_host_digests
 from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.table import HostTable, peers_in_data_centre
 from rosemaryyoke.http1 import Address
@@ -43,11 +46,19 @@
 # loads; several digests may be lost before beacons are used again.
 DIGEST_LOADS_VALID_S = 4.0
 
+# Also how often the quarantine is reviewed.
+NOTICE_PERIOD_S = 0.1
+NOTICE_MIN_INTERVAL_S = 0.02  # collects what one crash ends at this host
+# With up to 16 parts each, the rows of a datagram stay below 1,400 bytes.
+OUTCOMES_PER_NOTICE = 8
+BANS_PER_NOTICE = 8
+
 # Kinds of datagrams: the first byte.
 BEACON = b"B"
 # The receiver relays it to a share of its data centre, given by a header.
 SHARED_DIGEST = b"S"
 RELAYED_DIGEST = b"P"  # the receiver does not relay it
+QUARANTINE_NOTICE = b"Q"  # sent to all hosts, also of other data centres
 SHARE_HEADER = struct.Struct("<BB")  # number of this share, count of shares
 
 MakeBeacon = Callable[[int, tuple[PromptPrefill, ...]], Beacon]
@@ -77,6 +88,7 @@
     )
     load_digest_received_s: dict[str, float] = field(factory=dict)
     host_digest_sent_s: float = -math.inf
+    news: threading.Event = field(factory=threading.Event)
     eras: EraRecord = field(factory=EraRecord)
     udp_socket: socket.socket | None = None
     now_s: Callable[[], float] = time.monotonic
@@ -86,13 +98,15 @@
         address = self.table.own_address
         self.udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.udp_socket.bind((address.ip, address.port))
-        for target in (self.receive, self.send, self.relay):
+        self.fleet.quarantine.on_news = self.news.set
+        for target in (self.receive, self.send, self.relay, self.send_notices):
             name = f"beacons-{target.__name__}"
             threading.Thread(target=target, name=name, daemon=True).start()
 
     def stop(self) -> None:
         """Signal the threads to end."""
         self.stopping.set()
+        self.news.set()
 
     def send(self) -> None:
         """Send beacons and digests periodically until stopped."""
@@ -160,6 +174,33 @@
                 addresses = [peer.beacon.peer_address for peer in unlisted]
                 self.send_to_all(RELAYED_DIGEST + encode_digest(digest), addresses)
 
+    def send_notices(self) -> None:
+        """Review the quarantine and send its notices until stopped."""
+        while not self.stopping.is_set():
+            self.news.wait(NOTICE_PERIOD_S)
+            self.news.clear()
+            try:
+                self.fleet.quarantine.review()
+                self.send_due_notices()
+            except Exception:
+                logging.exception("reviewing the quarantine failed")
+            self.stopping.wait(NOTICE_MIN_INTERVAL_S)
+
+    def send_due_notices(self) -> None:
+        """Send all live hosts what they should know of prompts that crash engines."""
+        outcomes, bans = self.fleet.quarantine.take_due()
+        peers = self.table.live_peers(self.now_s())
+        destinations = [peer.beacon.peer_address for peer in peers]
+        notices = [
+            QuarantineNotice(self.table.host, outcomes=part)
+            for part in batched(outcomes, OUTCOMES_PER_NOTICE)
+        ] + [
+            QuarantineNotice(self.table.host, bans=part)
+            for part in batched(bans, BANS_PER_NOTICE)
+        ]
+        for notice in notices:
+            self.send_to_all(QUARANTINE_NOTICE + encode_notice(notice), destinations)
+
     def relay(self) -> None:
         """Relay queued digests until stopped."""
         while not self.stopping.is_set():
@@ -218,6 +259,9 @@
             self.handle_beacon(decode_beacon(data, self.fleet.names_by_key))
         elif kind == RELAYED_DIGEST:
             self.handle_digest(decode_digest(data, self.fleet.names_by_key))
+        elif kind == QUARANTINE_NOTICE:
+            notice = decode_notice(data)
+            self.fleet.quarantine.receive(notice.host, notice.outcomes, notice.bans)
         elif kind == SHARED_DIGEST:
             decode_share(data)
             digest = data[SHARE_HEADER.size :]
@@ -245,6 +289,7 @@
         if is_local:
             self.pending_reads.extend(beacon.reads)
         self.fleet.record_departures(beacon.host, beacon.departures)
+        self.fleet.quarantine.receive(beacon.host, (), beacon.bans)
         for read in beacon.reads:
             self.fleet.record_remote_prefill(read)
         load_digest_received_s = self.load_digest_received_s.get(
@@ -263,6 +308,7 @@
         if digest.data_centre == self.table.data_centre:
             return
         self.fleet.record_departures(digest.data_centre, digest.departures)
+        self.fleet.quarantine.receive(digest.data_centre, (), digest.bans)
         for read in digest.reads:
             self.fleet.record_remote_prefill(read)
         if digest.has_loads:
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -1,6 +1,7 @@
 """Encode and decode beacons and digests as Cap'n Proto datagrams."""
 
 import struct
+import time
 from pathlib import Path
 from typing import Mapping
 
@@ -21,11 +22,27 @@
     encode_reads,
     encode_upstream_names,
 )
+from rosemaryyoke.hosts.quarantine_rows import (
+    decode_bans,
+    decode_outcomes,
+    encode_bans,
+    encode_outcomes,
+)
 from rosemaryyoke.http1 import Address
+from rosemaryyoke.quarantine import Ban, PromptOutcome
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("beacon.capnp")))
 
 
+DECODING_ERRORS = (
+    capnp.KjException,
+    struct.error,
+    ValueError,
+    OSError,
+    MemoryError,
+)
+
+
 class MalformedBeacon(Exception):
     """A datagram that cannot be decoded as a beacon or a digest."""
 
@@ -47,6 +64,7 @@
     silent: tuple[str, ...] = ()
     departures: tuple[int, ...] = ()
     era: int = 0
+    bans: tuple[Ban, ...] = ()
 
 
 @frozen
@@ -61,6 +79,16 @@
     reads: tuple[PromptPrefill, ...] = ()
     silent: tuple[str, ...] = ()
     departures: tuple[int, ...] = ()
+    bans: tuple[Ban, ...] = ()
+
+
+@frozen
+class QuarantineNotice:
+    """What a host tells all others about prompts that crash engines."""
+
+    host: str
+    outcomes: tuple[PromptOutcome, ...] = ()
+    bans: tuple[Ban, ...] = ()
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -83,6 +111,7 @@
         silent=encode_upstream_names(beacon.silent),
         departures=encode_incarnations(beacon.departures),
         era=beacon.era,
+        bans=encode_bans(beacon.bans, time.monotonic()),
     )
     return message.to_bytes_packed()
 
@@ -112,8 +141,9 @@
             decode_upstream_names(message.silent, names_by_key),
             decode_incarnations(message.departures),
             message.era,
+            decode_bans(message.bans, time.monotonic()),
         )
-    except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
+    except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
 
 
@@ -128,6 +158,7 @@
         reads=encode_reads(digest.reads),
         silent=encode_upstream_names(digest.silent),
         departures=encode_incarnations(digest.departures),
+        bans=encode_bans(digest.bans, time.monotonic()),
     ).to_bytes_packed()
 
 
@@ -145,6 +176,31 @@
             decode_reads(message.reads, names_by_key),
             decode_upstream_names(message.silent, names_by_key),
             decode_incarnations(message.departures),
+            decode_bans(message.bans, time.monotonic()),
+        )
+    except DECODING_ERRORS as error:
+        raise MalformedBeacon(str(error)) from error
+
+
+def encode_notice(notice: QuarantineNotice) -> bytes:
+    """Encode a notice as a datagram."""
+    now_s = time.monotonic()
+    return SCHEMA.QuarantineNotice.new_message(
+        host=notice.host,
+        outcomes=encode_outcomes(notice.outcomes, now_s),
+        bans=encode_bans(notice.bans, now_s),
+    ).to_bytes_packed()
+
+
+def decode_notice(data: bytes) -> QuarantineNotice:
+    """Decode a notice; raise ``MalformedBeacon`` if the datagram is invalid."""
+    now_s = time.monotonic()
+    try:
+        message = SCHEMA.QuarantineNotice.from_bytes_packed(data)
+        return QuarantineNotice(
+            message.host,
+            decode_outcomes(message.outcomes, now_s),
+            decode_bans(message.bans, now_s),
         )
-    except (capnp.KjException, struct.error, ValueError, OSError, MemoryError) as error:
+    except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -36,6 +36,7 @@
         loading=tuple(loading),
         silent=tuple(fleet.silent_upstreams(names)),
         departures=fleet.departures(),
+        bans=fleet.quarantine.reported_bans(),
     )
     if with_hosts:
         hosts = [own, *(peer.beacon for peer in local_peers)]
--- /dev/null
+++ b/rosemaryyoke/hosts/quarantine_rows.py
@@ -0,0 +1,81 @@
+"""Packed rows of prompt outcomes and bans; times are ages, in milliseconds."""
+
+import struct
+from typing import Iterable, Sequence
+
+from rosemaryyoke.quarantine import Ban, PromptOutcome
+
+MS_PER_S = 1_000
+MAX_AGE_MS = 2**32 - 1
+KEY_ROW = struct.Struct("<Q")
+# Attempt key, upstream key, age, whether the engine crashed, count of part keys.
+OUTCOME_HEADER = struct.Struct("<QII?B")
+BAN_HEADER = struct.Struct("<IBB")  # age, level, count of part keys
+
+
+def encode_keys(keys: Iterable[int]) -> bytes:
+    """Encode the keys of parts."""
+    return b"".join(KEY_ROW.pack(key) for key in keys)
+
+
+def decode_keys(data: bytes, offset: int, count: int) -> tuple[tuple[int, ...], int]:
+    """Return some keys of parts, and the offset behind them."""
+    end = offset + count * KEY_ROW.size
+    keys = tuple(row[0] for row in KEY_ROW.iter_unpack(data[offset:end]))
+    if len(keys) != count:
+        raise ValueError("a row of part keys is incomplete")
+    return keys, end
+
+
+def age_ms(at_s: float, now_s: float) -> int:
+    """Return how long ago something was, as encoded."""
+    return min(MAX_AGE_MS, max(0, round((now_s - at_s) * MS_PER_S)))
+
+
+def encode_outcomes(outcomes: Iterable[PromptOutcome], now_s: float) -> bytes:
+    """Encode outcomes of attempts."""
+    return b"".join(
+        OUTCOME_HEADER.pack(
+            outcome.request,
+            outcome.upstream,
+            age_ms(outcome.at_s, now_s),
+            outcome.crashed,
+            len(outcome.keys),
+        )
+        + encode_keys(outcome.keys)
+        for outcome in outcomes
+    )
+
+
+def decode_outcomes(data: bytes, now_s: float) -> tuple[PromptOutcome, ...]:
+    """Decode outcomes of attempts; raise ``ValueError`` or ``struct.error``."""
+    outcomes, offset = [], 0
+    while offset < len(data):
+        request, upstream, age, crashed, count = OUTCOME_HEADER.unpack_from(
+            data, offset
+        )
+        keys, offset = decode_keys(data, offset + OUTCOME_HEADER.size, count)
+        at_s = now_s - age / MS_PER_S
+        outcomes.append(PromptOutcome(request, upstream, keys, at_s, crashed))
+    return tuple(outcomes)
+
+
+def encode_bans(bans: Sequence[Ban], now_s: float) -> bytes:
+    """Encode bans."""
+    return b"".join(
+        BAN_HEADER.pack(age_ms(ban.began_s, now_s), ban.level, len(ban.keys))
+        + encode_keys(sorted(ban.keys))
+        for ban in bans
+    )
+
+
+def decode_bans(data: bytes, now_s: float) -> tuple[Ban, ...]:
+    """Decode bans; raise ``ValueError`` or ``struct.error``."""
+    bans, offset = [], 0
+    while offset < len(data):
+        age, level, count = BAN_HEADER.unpack_from(data, offset)
+        keys, offset = decode_keys(data, offset + BAN_HEADER.size, count)
+        if not keys:
+            raise ValueError("a ban names no part")
+        bans.append(Ban(frozenset(keys), now_s - age / MS_PER_S, level))
+    return tuple(bans)
--- /dev/null
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -0,0 +1,97 @@
+"""Crashes of engines, and the prompts that each of them was working on."""
+
+from collections import OrderedDict
+from typing import AbstractSet, Iterable
+
+from attrs import define, field
+
+from rosemaryyoke.quarantine.outcomes import PromptOutcome
+
+CRASH_TTL_S = 600.0
+MAX_CRASHES = 256
+MAX_PROMPTS_PER_CRASH = 32
+# Hosts notice one crash at different times; an engine needs longer to start again.
+SAME_CRASH_S = 1.0
+MAX_SUCCESSES = 2_048  # parts
+
+Keys = AbstractSet[int]
+
+
+@define(eq=False)
+class Crash:
+    """One crash of an engine, with the keys of the prompts that it ended.
+
+    ``prompts`` maps attempts to the keys of their prompts.
+    """
+
+    upstream: int
+    at_s: float
+    prompts: dict[int, Keys] = field(factory=dict)
+
+
+@define(eq=False)
+class CrashEvidence:
+    """Known crashes, oldest first, and when each part last succeeded.
+
+    A success refutes the part's involvement in all crashes before the attempt that
+    succeeded was sent.
+    """
+
+    crashes: list[Crash] = field(factory=list)
+    crashes_by_key: dict[int, list[Crash]] = field(factory=dict)
+    successes: OrderedDict[int, float] = field(factory=OrderedDict)
+
+    def add_crash(self, outcome: PromptOutcome) -> bool:
+        """Add a prompt that a crash ended; return whether it was not known yet."""
+        crash = self._find(outcome)
+        if crash is None:
+            crash = Crash(outcome.upstream, outcome.at_s)
+            self._replace([*self.crashes, crash][-MAX_CRASHES:])
+        known = outcome.request in crash.prompts
+        if known or len(crash.prompts) >= MAX_PROMPTS_PER_CRASH:
+            return False
+        crash.prompts[outcome.request] = frozenset(outcome.keys)
+        for key in outcome.keys:
+            involving = self.crashes_by_key.setdefault(key, [])
+            if crash not in involving:
+                involving.append(crash)
+        return True
+
+    def _replace(self, crashes: list[Crash]) -> None:
+        self.crashes = sorted(crashes, key=lambda item: item.at_s)
+        self.crashes_by_key = {}
+        for crash in self.crashes:
+            for key in set().union(*crash.prompts.values()):
+                self.crashes_by_key.setdefault(key, []).append(crash)
+
+    def _find(self, outcome: PromptOutcome) -> Crash | None:
+        for crash in self.crashes:
+            if outcome.request in crash.prompts:
+                return crash
+        for crash in self.crashes:
+            is_near = abs(crash.at_s - outcome.at_s) <= SAME_CRASH_S
+            if crash.upstream == outcome.upstream and is_near:
+                return crash
+        return None
+
+    def add_success(self, keys: Iterable[int], sent_s: float) -> None:
+        """Record that an attempt on a prompt with some parts succeeded."""
+        for key in keys:
+            self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
+        while len(self.successes) > MAX_SUCCESSES:
+            self.successes.popitem(last=False)
+
+    def has_succeeded(self, key: int) -> bool:
+        """Return whether a success of a part is remembered."""
+        return key in self.successes
+
+    def crashes_since(self, key: int, since_s: float) -> int:
+        """Return the number of crashes after a time that ended prompts with a part."""
+        return sum(crash.at_s > since_s for crash in self.crashes_by_key.get(key, ()))
+
+    def expire(self, now_s: float) -> None:
+        """Forget old crashes."""
+        if self.crashes and now_s - self.crashes[0].at_s > CRASH_TTL_S:
+            self._replace(
+                [item for item in self.crashes if now_s - item.at_s <= CRASH_TTL_S]
+            )
--- /dev/null
+++ b/rosemaryyoke/quarantine/outcomes.py
@@ -0,0 +1,53 @@
+"""Outcomes of prompts at engines, as hosts report them to each other."""
+
+import functools
+import hashlib
+from typing import Iterable
+
+from attrs import frozen
+
+KEY_BYTES = 8
+KEY_CACHE_SIZE = 4_096
+MAX_KEYS = 16  # parts of one prompt
+
+
+@frozen
+class PromptOutcome:
+    """How one attempt on a prompt ended.
+
+    ``request`` identifies the attempt, ``upstream`` the engine. ``keys`` are those of
+    the parts that other prompts may share. ``at_s`` is when the engine crashed, or when
+    the attempt that succeeded was sent, by the clock of this host.
+    """
+
+    request: int
+    upstream: int
+    keys: tuple[int, ...]
+    at_s: float
+    crashed: bool
+
+
+@functools.lru_cache(KEY_CACHE_SIZE)
+def part_key(name: str) -> int:
+    """Return the hash of a part's name.
+
+    Unlike the keys of cache entries it is the same for all accounts and models: a part
+    crashes engines whatever else the request holds.
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def prompt_keys(names: Iterable[str]) -> tuple[int, ...]:
+    """Return the distinct keys of shared parts: of many, the first and the last."""
+    keys = tuple(dict.fromkeys(part_key(name) for name in names))
+    if len(keys) <= MAX_KEYS:
+        return keys
+    return keys[: MAX_KEYS // 2] + keys[-MAX_KEYS // 2 :]
+
+
+def attempt_key(request_id: bytes, send: int) -> int:
+    """Return the key of one attempt to send a request."""
+    text = b"%s %d" % (request_id, send)
+    digest = hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -0,0 +1,261 @@
+"""A host's quarantine: evidence in, bans out, and what to tell the other hosts."""
+
+import math
+import random
+import threading
+import time
+from collections import OrderedDict
+from typing import Callable, Iterable, Sequence
+
+from attrs import define, field
+
+from rosemaryyoke.core.logs import log_event
+from rosemaryyoke.quarantine.bans import RENEWAL_AGE_S, Ban
+from rosemaryyoke.quarantine.evidence import CrashEvidence
+from rosemaryyoke.quarantine.outbox import Outbox
+from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.suspicion import (
+    Explanation,
+    collect_involvements,
+    find_explanation,
+)
+
+SUSPECT_CRASHES = 2
+MAX_BANS = 64
+MAX_ENDED_BANS = 256
+MAX_REPORTED_BANS = 8  # per datagram
+# All hosts may see a suspected part succeed; the first ones to tell speak for all.
+SPREAD_S_PER_HOST = 0.004
+MAX_SPREAD_S = 0.5
+MAX_PENDING = 64
+
+
+@define(eq=False)
+class Quarantine:
+    """Bans the parts of prompts that crash engines.
+
+    ``suspects`` are the parts that occur in several crashes and never succeeded.
+    ``announced`` is when the last success that all hosts know of was sent, by part;
+    ``pending`` holds successes to announce, and when. ``on_news`` is called when there
+    is something to tell the other hosts at once, ``on_ban`` and ``on_end`` when a ban
+    of this host begins or a ban ends.
+    """
+
+    now_s: Callable[[], float] = time.monotonic
+    hosts: int = 1
+    evidence: CrashEvidence = field(factory=CrashEvidence)
+    bans: dict[frozenset[int], Ban] = field(factory=dict)
+    ended: OrderedDict[frozenset[int], float] = field(factory=OrderedDict)
+    suspects: set[int] = field(factory=set)
+    announced: OrderedDict[int, float] = field(factory=OrderedDict)
+    pending: dict[tuple[int, ...], tuple[float, PromptOutcome]] = field(factory=dict)
+    outbox: Outbox = field(factory=Outbox)
+    own_reports: int = 0
+    received_reports: int = 0
+    on_news: Callable[[], None] = lambda: None
+    on_ban: Callable[[Ban], None] = lambda ban: None
+    on_end: Callable[[Ban], None] = lambda ban: None
+    lock: threading.RLock = field(factory=threading.RLock)
+
+    def find_ban(self, keys: Sequence[int]) -> Ban | None:
+        """Return the ban that keeps a prompt from engines, if there is one.
+
+        A request may be let through to try a part whose ban has run out.
+        """
+        if not self.bans or not keys:
+            return None
+        now_s, held = self.now_s(), frozenset(keys)
+        with self.lock:
+            for ban in self.bans.values():
+                if ban.keys <= held and not ban.admits_probe(now_s):
+                    return ban
+        return None
+
+    def is_suspect(self, keys: Iterable[int]) -> bool:
+        """Return whether a prompt holds parts that are banned or suspected."""
+        if not self.suspects and not self.bans:
+            return False
+        held = frozenset(keys)
+        with self.lock:
+            return not self.suspects.isdisjoint(held) or any(
+                banned <= held for banned in self.bans
+            )
+
+    def record_crash(self, outcome: PromptOutcome, **details) -> None:
+        """Record a crash that this host saw, and tell the other hosts."""
+        if not outcome.keys:
+            return
+        with self.lock:
+            self.own_reports += 1
+            if self._add_crash(outcome):
+                self.outbox.add_outcome(outcome, self.now_s())
+        log_event("crash reported", keys=format_keys(outcome.keys), **details)
+        self.on_news()
+
+    def record_success(self, outcome: PromptOutcome) -> None:
+        """Record that a prompt was answered, or that its answer went on for a while."""
+        if not outcome.keys:
+            return
+        with self.lock:
+            is_news = self._is_news(outcome.keys)
+            self._add_success(outcome)
+            if is_news and len(self.pending) < MAX_PENDING:
+                spread_s = min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
+                due_s = self.now_s() + random.uniform(0.0, spread_s)
+                self.pending.setdefault(outcome.keys, (due_s, outcome))
+
+    def receive(
+        self, host: str, outcomes: Iterable[PromptOutcome], bans: Iterable[Ban]
+    ) -> None:
+        """Apply what another host tells."""
+        with self.lock:
+            for outcome in outcomes:
+                if not outcome.crashed:
+                    self._mark_announced(outcome)
+                    self._add_success(outcome)
+                elif self._add_crash(outcome):
+                    self.received_reports += 1
+                    log_event(
+                        "crash report received",
+                        reported_by=host,
+                        age_ms=round((self.now_s() - outcome.at_s) * 1_000),
+                        keys=format_keys(outcome.keys),
+                    )
+            for ban in bans:
+                self._adopt(ban, host)
+
+    def review(self) -> None:
+        """Ban the parts that explain the known crashes."""
+        now_s = self.now_s()
+        with self.lock:
+            if not self.evidence.crashes:
+                return
+            self.evidence.expire(now_s)
+            self._announce_pending(now_s)
+            while True:
+                found = find_explanation(self.evidence, self.bans.keys(), now_s)
+                if found is None:
+                    break
+                self._ban(found, now_s)
+            self._update_suspects()
+
+    def take_due(self) -> tuple[list[PromptOutcome], list[Ban]]:
+        """Return the outcomes and the bans to send to the other hosts now."""
+        with self.lock:
+            due = self.outbox.take_due(self.now_s())
+        outcomes = [item for item in due if isinstance(item, PromptOutcome)]
+        return outcomes, [item for item in due if isinstance(item, Ban)]
+
+    def reported_bans(self) -> tuple[Ban, ...]:
+        """Return the bans to repeat to other hosts, a random sample of many."""
+        with self.lock:
+            bans = list(self.bans.values())
+        return tuple(random.sample(bans, min(MAX_REPORTED_BANS, len(bans))))
+
+    def _announce_pending(self, now_s: float) -> None:
+        """Announce the successes that are due, unless another host was faster."""
+        due = [keys for keys, (due_s, _) in self.pending.items() if due_s <= now_s]
+        for keys in due:
+            _, outcome = self.pending.pop(keys)
+            if self._is_news(keys):
+                self._mark_announced(outcome)
+                self.outbox.add_outcome(outcome, now_s)
+
+    def _ban(self, found: Explanation, now_s: float) -> None:
+        ban = Ban(found.keys, now_s)
+        self._insert(ban, None, crashes=found.crashes)
+        self.outbox.add_ban(ban, now_s)
+        self.on_ban(ban)
+        self.on_news()
+
+    def _insert(self, ban: Ban, reported_by: str | None, **details) -> None:
+        for keys in [keys for keys in self.bans if keys > ban.keys]:
+            self._end(self.bans[keys], "narrowed")
+        self.bans[ban.keys] = ban
+        while len(self.bans) > MAX_BANS:
+            self._end(min(self.bans.values(), key=lambda item: item.until_s), "evicted")
+        log_event(
+            "prompt parts quarantined",
+            keys=format_keys(ban.keys),
+            level=ban.level,
+            until_s=round(ban.left_s(self.now_s())),
+            reported_by=reported_by,
+            **details,
+        )
+
+    def _end(self, ban: Ban, cause: str) -> None:
+        del self.bans[ban.keys]
+        self.ended[ban.keys] = ban.began_s
+        while len(self.ended) > MAX_ENDED_BANS:
+            self.ended.popitem(last=False)
+        log_event("quarantine ended", keys=format_keys(ban.keys), cause=cause)
+        self.on_end(ban)
+
+    def _adopt(self, ban: Ban, host: str) -> None:
+        """Apply a ban of another host, unless it has ended or is known."""
+        if ban.began_s <= self.ended.get(ban.keys, -math.inf) + RENEWAL_AGE_S:
+            return
+        if any(keys < ban.keys for keys in self.bans):
+            return
+        known = self.bans.get(ban.keys)
+        if known is None or ban.level > known.level:
+            self._insert(ban, host)
+
+    def _add_crash(self, outcome: PromptOutcome) -> bool:
+        if not self.evidence.add_crash(outcome):
+            return False
+        held = frozenset(outcome.keys)
+        for ban in list(self.bans.values()):
+            if ban.keys <= held and outcome.at_s - ban.began_s > RENEWAL_AGE_S:
+                self._renew(ban)
+        self._update_suspects()
+        return True
+
+    def _renew(self, ban: Ban) -> None:
+        renewed = ban.renewed(self.now_s())
+        self._insert(renewed, None)
+        self.outbox.add_ban(renewed, self.now_s())
+        self.on_ban(renewed)
+
+    def _add_success(self, outcome: PromptOutcome) -> None:
+        self.evidence.add_success(outcome.keys, outcome.at_s)
+        held = frozenset(outcome.keys)
+        for ban in list(self.bans.values()):
+            if ban.keys <= held and outcome.at_s > ban.began_s:
+                self._end(ban, "answered")
+        if not self.suspects.isdisjoint(held):
+            self._update_suspects()
+
+    def _update_suspects(self) -> None:
+        involvements = collect_involvements(self.evidence, self.bans.keys())
+        self.suspects = {
+            key
+            for key, involvement in involvements.items()
+            if len(involvement.crashes) >= SUSPECT_CRASHES
+            and not self.evidence.has_succeeded(key)
+        }
+
+    def _is_news(self, keys: Sequence[int]) -> bool:
+        """Return whether other hosts may suspect a part of a prompt."""
+        if not self.evidence.crashes:
+            return False
+        if any(banned <= frozenset(keys) for banned in self.bans):
+            return True
+        return any(
+            self.evidence.crashes_since(key, self.announced.get(key, -math.inf))
+            >= SUSPECT_CRASHES
+            for key in keys
+        )
+
+    def _mark_announced(self, outcome: PromptOutcome) -> None:
+        for key in outcome.keys:
+            self.announced[key] = max(
+                outcome.at_s, self.announced.pop(key, outcome.at_s)
+            )
+        while len(self.announced) > MAX_ENDED_BANS:
+            self.announced.popitem(last=False)
+
+
+def format_keys(keys: Iterable[int]) -> list[str]:
+    """Return the keys of parts as text for the log."""
+    return [f"{key:016x}" for key in sorted(keys)]
--- /dev/null
+++ b/rosemaryyoke/quarantine/suspicion.py
@@ -0,0 +1,91 @@
+"""Find the parts of prompts that explain crashes of engines."""
+
+from collections import defaultdict
+from typing import Collection
+
+from attrs import define, field, frozen
+
+from rosemaryyoke.quarantine.evidence import Crash, CrashEvidence, Keys
+
+MIN_CRASHES = 4
+# One prompt sent twice shows nothing about the parts that it shares with others.
+MIN_PROMPTS = 3
+# Answers that the part's other requests receive meanwhile refute the suspicion.
+SETTLE_S = 1.2
+
+
+@define(eq=False)
+class Involvement:
+    """The crashes and the prompts that speak against one part."""
+
+    crashes: set[Crash] = field(factory=set)
+    prompts: int = 0
+
+    def is_sufficient(self, now_s: float) -> bool:
+        """Return whether the evidence is enough, and old enough to be refuted."""
+        if len(self.crashes) < MIN_CRASHES or self.prompts < MIN_PROMPTS:
+            return False
+        times_s = sorted(crash.at_s for crash in self.crashes)
+        return now_s - times_s[MIN_CRASHES - 1] >= SETTLE_S
+
+
+@frozen
+class Explanation:
+    """Parts that occur together in all crashes that speak against them."""
+
+    keys: frozenset[int]
+    crashes: int
+
+
+def is_explained(prompt: Keys, key: int, banned: Collection[Keys]) -> bool:
+    """Return whether a ban without some part, or of it alone, covers a prompt.
+
+    A ban of several parts leaves open which of them is the cause.
+    """
+    return any(
+        keys <= prompt and (key not in keys or len(keys) == 1) for keys in banned
+    )
+
+
+def collect_involvements(
+    evidence: CrashEvidence, banned: Collection[Keys]
+) -> dict[int, Involvement]:
+    """Return what speaks against each part, except what bans explain."""
+    found: dict[int, Involvement] = defaultdict(Involvement)
+    requests: dict[int, set[int]] = defaultdict(set)
+    for crash in evidence.crashes:
+        for request, prompt in crash.prompts.items():
+            for key in prompt:
+                refuted_s = evidence.successes.get(key)
+                if refuted_s is not None and crash.at_s <= refuted_s:
+                    continue
+                if not is_explained(prompt, key, banned):
+                    found[key].crashes.add(crash)
+                    requests[key].add(request)
+    for key, involvement in found.items():
+        involvement.prompts = len(requests[key])
+    return found
+
+
+def find_explanation(
+    evidence: CrashEvidence, banned: Collection[Keys], now_s: float
+) -> Explanation | None:
+    """Return the parts that best explain the crashes, or ``None`` if none do.
+
+    Parts that never succeeded come first, then those with the most crashes. Parts with
+    exactly the same crashes can't be told apart and are returned together.
+    """
+    groups: dict[tuple[bool, frozenset[Crash]], set[int]] = defaultdict(set)
+    for key, involvement in collect_involvements(evidence, banned).items():
+        if involvement.is_sufficient(now_s):
+            crashes = frozenset(involvement.crashes)
+            groups[evidence.has_succeeded(key), crashes].add(key)
+    groups = {
+        group: keys
+        for group, keys in groups.items()
+        if not any(known <= keys for known in banned)
+    }
+    if not groups:
+        return None
+    succeeded, crashes = min(groups, key=lambda group: (group[0], -len(group[1])))
+    return Explanation(frozenset(groups[succeeded, crashes]), len(crashes))
--- /dev/null
+++ b/rosemaryyoke/quarantine/tests/builders.py
@@ -0,0 +1,82 @@
+"""Builders of outcomes, and hosts that exchange them over links with losses."""
+
+import itertools
+import random
+
+from attrs import define, field
+
+from rosemaryyoke.quarantine import PromptOutcome, Quarantine
+
+START_S = 1_000.0
+TICK_S = 0.1
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.at_s = START_S
+
+    def __call__(self):
+        return self.at_s
+
+
+REQUESTS = itertools.count()
+
+
+def make_outcome(keys, upstream=1, at_s=START_S, crashed=True, request=None):
+    """Return the outcome of an attempt on a prompt."""
+    number = next(REQUESTS) if request is None else request
+    return PromptOutcome(number, upstream, tuple(keys), at_s, crashed)
+
+
+@define(eq=False)
+class HostGroup:
+    """Quarantines of several hosts on one clock, and the loss of their datagrams."""
+
+    count: int = 3
+    loss: float = 0.0
+    clock: Clock = field(factory=Clock)
+    generator: random.Random = field(factory=lambda: random.Random(1))
+    hosts: list[Quarantine] = field(init=False)
+    datagrams: int = 0
+
+    def __attrs_post_init__(self):
+        self.hosts = [self.make_host() for _ in range(self.count)]
+
+    def make_host(self):
+        """Return a quarantine that knows nothing."""
+        return Quarantine(now_s=self.clock, hosts=self.count)
+
+    def crash(self, host, keys, upstream):
+        """Let a host see an engine crash on a prompt."""
+        outcome = make_outcome(keys, upstream, self.clock.at_s)
+        self.hosts[host].record_crash(outcome)
+
+    def answer(self, host, keys):
+        """Let a host see a prompt answered that it just sent."""
+        outcome = make_outcome(keys, at_s=self.clock.at_s, crashed=False)
+        self.hosts[host].record_success(outcome)
+
+    def pass_time(self, seconds):
+        """Let the hosts review and exchange their news for some time."""
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.at_s += TICK_S
+            for number, host in enumerate(self.hosts):
+                host.review()
+                outcomes, bans = host.take_due()
+                if outcomes or bans:
+                    self.deliver(number, outcomes, bans)
+
+    def deliver(self, sender, outcomes, bans):
+        """Send a notice to all others."""
+        for number, host in enumerate(self.hosts):
+            if number == sender:
+                continue
+            self.datagrams += 1
+            if self.generator.random() >= self.loss:
+                host.receive(f"h{sender}", outcomes, bans)
+
+    def banning(self, *keys):
+        """Return how many hosts keep a prompt from engines."""
+        return sum(host.find_ban(keys) is not None for host in self.hosts)
--- /dev/null
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -0,0 +1,242 @@
+"""Which prompts are kept from engines, at all hosts, for how long."""
+
+import random
+
+import pytest
+
+from rosemaryyoke.quarantine.bans import BAN_GROWTH, BAN_S, END_JITTER
+from rosemaryyoke.quarantine.evidence import (
+    MAX_CRASHES,
+    MAX_PROMPTS_PER_CRASH,
+    MAX_SUCCESSES,
+)
+from rosemaryyoke.quarantine.quarantine import MAX_BANS
+from rosemaryyoke.quarantine.suspicion import MIN_CRASHES, SETTLE_S
+from rosemaryyoke.quarantine.tests.builders import HostGroup, make_outcome
+
+COMMON, OTHER, BAD, WORSE = 1, 2, 3, 4
+STABLE_S = 3.0
+CRASHES = 5
+
+
+@pytest.fixture()
+def group():
+    return HostGroup()
+
+
+def crash_series(group, *keys, crashes=CRASHES, gap_s=0.5, sound=(COMMON,)):
+    """Let engines crash on prompts of one host after the other; answer sound ones."""
+    for number in range(crashes):
+        group.crash(number % group.count, keys, upstream=100 + number)
+        group.pass_time(gap_s)
+        if sound:
+            group.answer((number + 1) % group.count, sound)
+
+
+# Guards against hosts that go on to send a part that crashed five engines.
+@pytest.mark.parametrize(
+    "count, loss", [(1, 0.0), (8, 0.0), (8, 0.3), (30, 0.2), (195, 0.2)]
+)
+def test_part_is_banned_at_all_hosts_within_the_bound(count, loss):
+    group = HostGroup(count, loss)
+    crash_series(group, COMMON, BAD, gap_s=0.1)
+    group.pass_time(STABLE_S)
+    assert group.banning(COMMON, BAD) == group.banning(BAD) == count
+    assert not group.banning(COMMON) and not group.banning(COMMON, OTHER)
+
+
+def test_crashes_seen_by_one_host_each_are_added_up(group):
+    group = HostGroup(CRASHES)
+    for number in range(CRASHES):
+        group.crash(number, (COMMON, BAD), upstream=100 + number)
+        group.answer(number, (COMMON,))
+    group.pass_time(STABLE_S)
+    assert group.banning(COMMON, BAD) == CRASHES
+
+
+def test_crash_that_several_hosts_see_counts_once(group):
+    for _ in range(2 * MIN_CRASHES):
+        for host in range(group.count):
+            group.crash(host, (BAD,), upstream=100)
+    group.pass_time(STABLE_S)
+    assert not group.banning(BAD)
+
+
+def test_repeats_of_one_request_are_no_evidence_for_its_shared_parts(group):
+    for upstream in range(CRASHES):
+        outcome = make_outcome((BAD,), upstream, group.clock.at_s, request=7)
+        group.hosts[0].record_crash(outcome)
+    group.pass_time(STABLE_S)
+    assert not group.banning(BAD)
+
+
+def test_wave_of_crashes_bans_no_part_that_is_answered(group):
+    for upstream in range(2 * CRASHES):
+        group.crash(upstream % 3, (COMMON, OTHER), upstream)
+    group.pass_time(SETTLE_S / 2)
+    group.answer(0, (COMMON, OTHER))
+    group.pass_time(STABLE_S)
+    assert not group.banning(COMMON, OTHER)
+
+
+def test_answers_elsewhere_protect_a_part_at_a_host_that_sees_only_crashes():
+    group = HostGroup(30)
+    for number in range(4 * CRASHES):
+        group.crash(0, (COMMON,), upstream=number)
+        group.pass_time(0.3)
+        group.answer(1 + number % 29, (COMMON,))
+    group.pass_time(STABLE_S)
+    assert not group.banning(COMMON)
+
+
+def test_shared_parts_are_not_banned_for_crashes_of_some_requests():
+    generator = random.Random(5)
+    for _ in range(20):
+        group = HostGroup()
+        for upstream in range(100):
+            host = upstream % 3
+            if generator.random() < 0.25:
+                group.crash(host, (COMMON, OTHER), upstream)
+            else:
+                group.answer(host, (COMMON, OTHER))
+            group.pass_time(0.1)
+        group.pass_time(STABLE_S)
+        assert not group.banning(COMMON, OTHER)
+
+
+def test_two_bad_parts_at_once_are_both_banned(group):
+    for number in range(CRASHES):
+        group.crash(0, (COMMON, BAD), upstream=2 * number)
+        group.crash(1, (COMMON, WORSE), upstream=2 * number + 1)
+        group.pass_time(0.3)
+        group.answer(2, (COMMON, OTHER))
+    group.pass_time(STABLE_S)
+    assert group.banning(COMMON, BAD) == group.banning(COMMON, WORSE) == 3
+    assert not group.banning(COMMON, OTHER)
+
+
+# Guards against a ban of a sound part that occurs only beside the bad one.
+def test_parts_that_cannot_be_told_apart_are_banned_only_together(group):
+    crash_series(group, COMMON, BAD, sound=())
+    group.pass_time(STABLE_S)
+    assert group.banning(COMMON, BAD) == 3
+    assert not group.banning(COMMON) and not group.banning(BAD)
+
+
+def test_answer_shows_which_of_two_parts_is_bad(group):
+    crash_series(group, COMMON, BAD, sound=())
+    group.pass_time(STABLE_S)
+    group.answer(0, (COMMON, OTHER))
+    group.pass_time(1.0)
+    assert group.banning(BAD) == 3 and not group.banning(COMMON)
+
+
+def test_one_more_crash_shows_which_of_two_parts_is_bad(group):
+    crash_series(group, COMMON, BAD, sound=())
+    group.pass_time(STABLE_S)
+    group.crash(1, (OTHER, BAD), upstream=200)
+    group.pass_time(1.0)
+    assert group.banning(BAD, WORSE) == 3
+    assert not group.banning(COMMON) and not group.banning(OTHER)
+
+
+def test_part_that_was_sound_before_is_banned_too(group):
+    for _ in range(50):
+        group.answer(0, (COMMON, BAD))
+    group.pass_time(1.0)
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    assert group.banning(BAD) == 3 and not group.banning(COMMON)
+
+
+def test_part_that_never_succeeded_is_blamed_before_one_that_did(group):
+    group.answer(0, (COMMON,))
+    group.pass_time(1.0)
+    crash_series(group, COMMON, BAD, sound=())
+    group.pass_time(STABLE_S)
+    assert group.banning(BAD) == 3 and not group.banning(COMMON)
+
+
+def test_new_host_learns_of_bans_from_a_beacon(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    new = group.make_host()
+    assert new.find_ban((BAD,)) is None
+    new.receive("h1", (), group.hosts[0].reported_bans())
+    assert new.find_ban((BAD,)) is not None
+
+
+def end_of_ban(level=0):
+    return BAN_S * BAN_GROWTH**level * END_JITTER[1] + 1.0
+
+
+def test_one_request_tries_the_part_after_the_ban(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    group.clock.at_s += end_of_ban()
+    host = group.hosts[0]
+    assert host.find_ban((BAD,)) is None
+    assert host.find_ban((BAD,)) is not None
+    assert host.is_suspect((BAD,))
+
+
+# Guards against several engines that are lost to find out whether a part still crashes.
+def test_crash_after_the_ban_renews_it_at_all_hosts(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    group.clock.at_s += end_of_ban()
+    assert group.hosts[0].find_ban((BAD,)) is None
+    group.crash(0, (COMMON, BAD), upstream=300)
+    group.pass_time(0.5)
+    group.clock.at_s += end_of_ban() - BAN_S
+    assert group.banning(BAD) == 3
+
+
+def test_answer_after_the_ban_ends_it_at_all_hosts(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    group.clock.at_s += end_of_ban()
+    bans = group.hosts[1].reported_bans()
+    assert group.hosts[0].find_ban((BAD,)) is None
+    group.answer(0, (COMMON, BAD))
+    group.pass_time(STABLE_S)
+    assert not any(host.bans for host in group.hosts)
+    group.hosts[0].receive("h9", (), bans)
+    assert not group.hosts[0].bans
+
+
+def test_suspected_part_is_not_repeated(group):
+    group.crash(0, (COMMON, BAD), upstream=1)
+    group.pass_time(0.3)
+    assert not group.hosts[0].is_suspect((COMMON, BAD))
+    group.crash(1, (COMMON, BAD), upstream=2)
+    group.pass_time(0.3)
+    assert all(host.is_suspect((COMMON, BAD)) for host in group.hosts)
+    group.answer(0, (COMMON,))
+    group.pass_time(0.3)
+    assert not group.hosts[0].is_suspect((COMMON, OTHER))
+
+
+def test_memory_is_bounded(group):
+    host = group.hosts[0]
+    for number in range(2 * MAX_CRASHES):
+        group.clock.at_s += 0.01
+        for part in range(3):
+            host.record_crash(
+                make_outcome((number, part), 10_000 + number, group.clock.at_s)
+            )
+    for number in range(2 * MAX_SUCCESSES):
+        host.record_success(make_outcome((number,), crashed=False))
+    assert len(host.evidence.crashes) <= MAX_CRASHES
+    assert len(host.evidence.successes) <= MAX_SUCCESSES
+    assert len(host.evidence.crashes_by_key) <= MAX_CRASHES + 3
+    for number in range(2 * MAX_PROMPTS_PER_CRASH):
+        host.record_crash(make_outcome((number,), 1, group.clock.at_s))
+    assert len(host.evidence.crashes[-1].prompts) <= MAX_PROMPTS_PER_CRASH
+
+
+def test_number_of_bans_is_bounded(group):
+    for number in range(2 * MAX_BANS):
+        crash_series(group, 1_000 + number, crashes=MIN_CRASHES, gap_s=0.1, sound=())
+    group.pass_time(STABLE_S)
+    assert 0 < len(group.hosts[0].bans) <= MAX_BANS
