Keep bans of prompt parts in the store

When all hosts are killed at the same moment no host remembers a ban, and the part would crash four more engines before it is known again; hosts that are back for longer than 3 s would exceed the bound of three requests. Watchers now write bans to the store (prompt-bans), rewrite them in a new era, and remove those that ended; a watcher that starts reads them once. While nothing changes no call is made. Bans that no request tries for an hour end. Not used: a copy at each host (no disk), asking other hosts only (none remembers).

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -32,6 +32,7 @@
 from rosemaryyoke.exchanges.settings import RoutingSettings
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.hosts import Beacon, BeaconService, HostTable
+from rosemaryyoke.hosts.ban_register import BanRegister
 from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.registration import Registration
 from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
@@ -162,6 +163,13 @@
             settings.peers,
             adapter.eras,
         )
+        self.ban_register = BanRegister(
+            api,
+            adapter.source.feed,
+            self.roles,
+            self.fleet.quarantine,
+            adapter.eras,
+        )
         add("metrics", self.metrics)
         add("pool", pool)
         add("timer", self.timer)
@@ -192,6 +200,7 @@
         self.timer.every(TICK_INTERVAL_S, self.rollout.tick)
         self.timer.every(TRANSFER_PERIOD_S, self.transfer.fetch)
         self.timer.every(TRANSFER_PERIOD_S, self.registration.tick)
+        self.timer.every(TRANSFER_PERIOD_S, self.ban_register.tick)
         self.timer.every(POOL_SWEEP_PERIOD_S, self.connections.close_expired)
         self.timer.every(POOL_SWEEP_PERIOD_S, self.update_host_count)
         self.timer.every(GAUGES_PERIOD_S, self.update_gauges)
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -22,6 +22,7 @@
 
 SUSPECT_CRASHES = 2
 MAX_BANS = 64
+FORGET_S = 3_600.0  # after the time from which a request may try the parts
 MAX_ENDED_BANS = 256
 MAX_REPORTED_BANS = 8  # per datagram
 # All hosts may see a suspected part succeed; the first ones to tell speak for all.
@@ -37,8 +38,7 @@
     ``suspects`` are the parts that occur in several crashes and never succeeded.
     ``announced`` is when the last success that all hosts know of was sent, by part;
     ``pending`` holds successes to announce, and when. ``on_news`` is called when there
-    is something to tell the other hosts at once, ``on_ban`` and ``on_end`` when a ban
-    of this host begins or a ban ends.
+    is something to tell the other hosts at once.
     """
 
     now_s: Callable[[], float] = time.monotonic
@@ -53,8 +53,6 @@
     own_reports: int = 0
     received_reports: int = 0
     on_news: Callable[[], None] = lambda: None
-    on_ban: Callable[[Ban], None] = lambda ban: None
-    on_end: Callable[[Ban], None] = lambda ban: None
     lock: threading.RLock = field(factory=threading.RLock)
 
     def find_ban(self, keys: Sequence[int]) -> Ban | None:
@@ -128,6 +126,7 @@
         """Ban the parts that explain the known crashes."""
         now_s = self.now_s()
         with self.lock:
+            self._end_forgotten(now_s)
             if not self.evidence.crashes:
                 return
             self.evidence.expire(now_s)
@@ -146,12 +145,21 @@
         outcomes = [item for item in due if isinstance(item, PromptOutcome)]
         return outcomes, [item for item in due if isinstance(item, Ban)]
 
+    def current_bans(self) -> list[Ban]:
+        """Return all bans."""
+        with self.lock:
+            return list(self.bans.values())
+
     def reported_bans(self) -> tuple[Ban, ...]:
         """Return the bans to repeat to other hosts, a random sample of many."""
-        with self.lock:
-            bans = list(self.bans.values())
+        bans = self.current_bans()
         return tuple(random.sample(bans, min(MAX_REPORTED_BANS, len(bans))))
 
+    def _end_forgotten(self, now_s: float) -> None:
+        for ban in list(self.bans.values()):
+            if now_s - ban.until_s > FORGET_S:
+                self._end(ban, "expired")
+
     def _announce_pending(self, now_s: float) -> None:
         """Announce the successes that are due, unless another host was faster."""
         due = [keys for keys, (due_s, _) in self.pending.items() if due_s <= now_s]
@@ -165,7 +173,6 @@
         ban = Ban(found.keys, now_s)
         self._insert(ban, None, crashes=found.crashes)
         self.outbox.add_ban(ban, now_s)
-        self.on_ban(ban)
         self.on_news()
 
     def _insert(self, ban: Ban, reported_by: str | None, **details) -> None:
@@ -189,7 +196,6 @@
         while len(self.ended) > MAX_ENDED_BANS:
             self.ended.popitem(last=False)
         log_event("quarantine ended", keys=format_keys(ban.keys), cause=cause)
-        self.on_end(ban)
 
     def _adopt(self, ban: Ban, host: str) -> None:
         """Apply a ban of another host, unless it has ended or is known."""
@@ -215,7 +221,6 @@
         renewed = ban.renewed(self.now_s())
         self._insert(renewed, None)
         self.outbox.add_ban(renewed, self.now_s())
-        self.on_ban(renewed)
 
     def _add_success(self, outcome: PromptOutcome) -> None:
         self.evidence.add_success(outcome.keys, outcome.at_s)
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -10,7 +10,7 @@
     MAX_PROMPTS_PER_CRASH,
     MAX_SUCCESSES,
 )
-from rosemaryyoke.quarantine.quarantine import MAX_BANS
+from rosemaryyoke.quarantine.quarantine import FORGET_S, MAX_BANS
 from rosemaryyoke.quarantine.suspicion import MIN_CRASHES, SETTLE_S
 from rosemaryyoke.quarantine.tests.builders import HostGroup, make_outcome
 
@@ -205,6 +205,14 @@
     assert not group.hosts[0].bans
 
 
+def test_ban_whose_part_is_never_requested_ends(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    group.clock.at_s += end_of_ban() + FORGET_S
+    group.pass_time(1.0)
+    assert not any(host.bans for host in group.hosts)
+
+
 def test_suspected_part_is_not_repeated(group):
     group.crash(0, (COMMON, BAD), upstream=1)
     group.pass_time(0.3)
