--- a/rosemaryyoke/hosts/ban_register.py
+++ b/rosemaryyoke/hosts/ban_register.py
@@ -128,7 +128,7 @@
             logging.warning("writing a ban failed: %s", written.err_value.message)
             return False
         self.stored[ban.keys] = ban.level
-        log_event("ban stored", object=name, level=ban.level)
+        log_event("ban stored", object=name, renewals=ban.level)
         return True
 
     def remove(self, keys: frozenset[int]) -> bool:
--- a/rosemaryyoke/objects/reporting.py
+++ b/rosemaryyoke/objects/reporting.py
@@ -28,6 +28,10 @@
         """Write an object if its version matches; version 0 creates the object."""
         return self._report(self.api.put(name, body, expected_version))
 
+    def delete(self, name: str, expected_version: int) -> Result[None, PlatformError]:
+        """Delete an object if its version matches."""
+        return self._report(self.api.delete(name, expected_version))
+
     def _report(self, outcome: Result) -> Result:
         self.on_call(not isinstance(outcome, Err) or outcome.err_value.conflict)
         return outcome
--- a/rosemaryyoke/platform/standins/store_model.py
+++ b/rosemaryyoke/platform/standins/store_model.py
@@ -101,7 +101,9 @@
         if method == "GET" and "watch" in query:
             return self.watch(kind, int(query["watch"]), int(query["waitMs"]))
         with self.lock:
-            if method != "GET":
+            if method == "DELETE":
+                status, value = self._delete(kind, name, int(query["revision"]))
+            elif method != "GET":
                 status, value = self._write(method, kind, orjson.loads(body))
             elif name:
                 stored = self.objects.get(kind, {}).get(name)
@@ -110,6 +112,16 @@
                 status, value = 200, self._page(kind, query.get("after", ""))
             return StoreAnswer(status, value, self.era)
 
+    def _delete(self, kind: str, name: str, revision: int) -> tuple[int, dict]:
+        """Remove an object if its revision matches."""
+        existing = self.objects.get(kind, {}).get(name)
+        if existing is None:
+            return 404, {}
+        if existing["metadata"]["revision"] != revision:
+            return 409, existing
+        self.remove(kind, name)
+        return 200, existing
+
     def _page(self, kind: str, after: str) -> dict:
         stored = self.objects.get(kind, {})
         names = sorted(name for name in stored if name > after)
