An outage of all engines bans no part that was answered before

Now crashes of three engines at least are needed, and parts that were answered before are banned only while prompts without them succeed; hosts that saw a suspected part succeed tell those that didn't. Should an outage still ban a part that nobody knows, the first ban lasts 30 to 45 s in place of 5 min, and one answer ends it everywhere; renewals grow sixfold, so that in the first 20 minutes two or three requests try the part. Ruled out: the crashes of the banned part bad2a4cd92b as cause (another key).

--- a/rosemaryyoke/quarantine/bans.py
+++ b/rosemaryyoke/quarantine/bans.py
@@ -4,8 +4,8 @@
 
 from attrs import define
 
-BAN_S = 300.0
-BAN_GROWTH = 4.0  # per renewal
+BAN_S = 30.0
+BAN_GROWTH = 6.0  # per renewal
 MAX_BAN_S = 6 * 3_600.0
 # Hosts end a ban at different times, so that one request tries the part first.
 END_JITTER = (1.0, 1.5)
--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -1,6 +1,6 @@
 """Crashes of engines, and the prompts that each of them was working on."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import AbstractSet, Iterable
 
 from attrs import define, field
@@ -15,6 +15,7 @@
 # Reports of other hosts seem younger than they are, by the time on their way.
 MIN_OVERLAP_S = 0.02
 MAX_SUCCESSES = 2_048  # parts
+MAX_RECENT = 64  # prompts
 
 Keys = AbstractSet[int]
 
@@ -52,12 +53,14 @@
     """Known crashes, oldest first, and when each part last succeeded.
 
     A success refutes the part's involvement in all crashes before the attempt that
-    succeeded was sent.
+    succeeded was sent. ``recent`` holds the prompts that succeeded last, and when each
+    was sent.
     """
 
     crashes: list[Crash] = field(factory=list)
     crashes_by_key: dict[int, list[Crash]] = field(factory=dict)
     successes: OrderedDict[int, float] = field(factory=OrderedDict)
+    recent: deque[tuple[float, Keys]] = field(factory=lambda: deque(maxlen=MAX_RECENT))
 
     def add_crash(self, outcome: PromptOutcome) -> bool:
         """Add a prompt that a crash ended; return whether it was not known yet."""
@@ -94,6 +97,8 @@
 
     def add_success(self, keys: Iterable[int], sent_s: float) -> None:
         """Record that an attempt on a prompt with some parts succeeded."""
+        keys = frozenset(keys)
+        self.recent.append((sent_s, keys))
         for key in keys:
             self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
         while len(self.successes) > MAX_SUCCESSES:
@@ -103,6 +108,12 @@
         """Return whether a success of a part is remembered."""
         return key in self.successes
 
+    def others_succeed(self, key: int, since_s: float) -> bool:
+        """Return whether prompts without a part were sent since and succeeded."""
+        return any(
+            sent_s > since_s and key not in prompt for sent_s, prompt in self.recent
+        )
+
     def crashes_since(self, key: int, since_s: float) -> int:
         """Return the number of crashes after a time that ended prompts with a part."""
         return sum(crash.at_s > since_s for crash in self.crashes_by_key.get(key, ()))
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -97,10 +97,8 @@
         with self.lock:
             is_news = self._is_news(outcome.keys)
             self._add_success(outcome)
-            if is_news and len(self.pending) < MAX_PENDING:
-                spread_s = min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
-                due_s = self.now_s() + random.uniform(0.0, spread_s)
-                self.pending.setdefault(outcome.keys, (due_s, outcome))
+            if is_news:
+                self._schedule(outcome)
 
     def receive(
         self, host: str, outcomes: Iterable[PromptOutcome], bans: Iterable[Ban]
@@ -160,6 +158,20 @@
             if now_s - ban.until_s > FORGET_S:
                 self._end(ban, "expired")
 
+    def _schedule(self, success: PromptOutcome) -> None:
+        if len(self.pending) < MAX_PENDING:
+            spread_s = min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
+            due_s = self.now_s() + random.uniform(0.0, spread_s)
+            self.pending.setdefault(success.keys, (due_s, success))
+
+    def _schedule_earlier_success(self, key: int) -> None:
+        """Tell hosts that never saw a suspected part succeed that it did before."""
+        sent_s = self.evidence.successes.get(key)
+        if sent_s is None or key in self.announced:
+            return
+        if self.evidence.crashes_since(key, -math.inf) >= SUSPECT_CRASHES:
+            self._schedule(PromptOutcome(0, 0, (key,), sent_s, sent_s, False))
+
     def _announce_pending(self, now_s: float) -> None:
         """Announce the successes that are due, unless another host was faster."""
         due = [keys for keys, (due_s, _) in self.pending.items() if due_s <= now_s]
@@ -184,8 +196,8 @@
         log_event(
             "prompt parts quarantined",
             keys=format_keys(ban.keys),
-            level=ban.level,
-            until_s=round(ban.left_s(self.now_s())),
+            renewals=ban.level,
+            left_s=round(ban.left_s(self.now_s())),
             reported_by=reported_by,
             **details,
         )
@@ -214,6 +226,8 @@
         for ban in list(self.bans.values()):
             if ban.keys <= held and outcome.ended_s - ban.began_s > RENEWAL_AGE_S:
                 self._renew(ban)
+        for key in outcome.keys:
+            self._schedule_earlier_success(key)
         self._update_suspects()
         return True
 
--- a/rosemaryyoke/quarantine/suspicion.py
+++ b/rosemaryyoke/quarantine/suspicion.py
@@ -8,6 +8,7 @@
 from rosemaryyoke.quarantine.evidence import Crash, CrashEvidence, Keys
 
 MIN_CRASHES = 4
+MIN_UPSTREAMS = 3  # a single faulty engine may break off all answers
 # One prompt sent twice shows nothing about the parts that it shares with others.
 MIN_PROMPTS = 3
 # Answers that the part's other requests receive meanwhile refute the suspicion.
@@ -25,6 +26,8 @@
         """Return whether the evidence is enough, and old enough to be refuted."""
         if len(self.crashes) < MIN_CRASHES or self.prompts < MIN_PROMPTS:
             return False
+        if len({crash.upstream for crash in self.crashes}) < MIN_UPSTREAMS:
+            return False
         times_s = sorted(crash.at_s for crash in self.crashes)
         return now_s - times_s[MIN_CRASHES - 1] >= SETTLE_S
 
@@ -67,6 +70,15 @@
     return found
 
 
+def is_alone(evidence: CrashEvidence, key: int, crashes: Collection[Crash]) -> bool:
+    """Return whether other prompts succeed since the first crash.
+
+    While none does, the engines or the network may be the cause.
+    """
+    first_s = min(crash.at_s for crash in crashes)
+    return evidence.others_succeed(key, first_s)
+
+
 def find_explanation(
     evidence: CrashEvidence, banned: Collection[Keys], now_s: float
 ) -> Explanation | None:
@@ -77,9 +89,13 @@
     """
     groups: dict[tuple[bool, frozenset[Crash]], set[int]] = defaultdict(set)
     for key, involvement in collect_involvements(evidence, banned).items():
-        if involvement.is_sufficient(now_s):
-            crashes = frozenset(involvement.crashes)
-            groups[evidence.has_succeeded(key), crashes].add(key)
+        if not involvement.is_sufficient(now_s):
+            continue
+        crashes = frozenset(involvement.crashes)
+        succeeded = evidence.has_succeeded(key)
+        if succeeded and not is_alone(evidence, key, crashes):
+            continue
+        groups[succeeded, crashes].add(key)
     groups = {
         group: keys
         for group, keys in groups.items()
