Soak: parts of prompts that crash upstreams

Simulated upstreams crash as they begin to answer a prompt with one of some parts; a fault sends such prompts through all hosts for 6 to 9 s. Invariant: more than 3 s after the fifth crash at most three more, unless a host was killed or frozen.

--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import time
-from typing import Callable, Iterator
+from typing import Callable, Iterator, NoReturn
 
 import orjson
 from attrs import define, field, frozen
@@ -72,7 +72,8 @@
     While ``busy`` it refuses requests as not executed, and asks for ``quiet_s`` of
     pause if that is set. ``form`` is how it answers. No response begins before
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
-    are times of the monotonic clock.
+    are times of the monotonic clock. It crashes as it begins to answer a prompt with
+    one of ``crashing_parts`` that is not the last part.
     """
 
     on_run: Callable[[RunRecord], None] = lambda record: None
@@ -85,6 +86,8 @@
     busy: bool = False
     quiet_s: float = 0.0
     form: AnswerForm = AnswerForm.FRAMED
+    crashing_parts: set[str] = field(factory=set)
+    on_crash: Callable[[str, str], None] = lambda name, part: None
     first_event_after_s: float = 0.0
     next_event_after_s: float = 0.0
     order_lock: threading.Lock = field(factory=threading.Lock)
@@ -185,9 +188,26 @@
             AnswerWriter(caller, sealed, self.form).write_body(body)
             return
         sealed.append((names.SERVED_WEIGHTS, b"%d" % self.version))
+        part = self.find_crashing_part(message)
+        if part is not None:
+            self.crash(caller, sealed, part)
         events = self.generate_events(request, after + 1)
         AnswerWriter(caller, sealed, self.form).write_stream(events)
 
+    def find_crashing_part(self, message: RequestMessage) -> str | None:
+        """Return a shared part of a prompt that crashes engines, if it has one."""
+        prompt = find_header(message.headers, names.PROMPT_PARTS.lower()) or b""
+        items = prompt.decode().split(",")[:-1]
+        shared = [item.partition(":")[0] for item in items]
+        return next((part for part in shared if part in self.crashing_parts), None)
+
+    def crash(self, caller: CallerConnection, headers: Headers, part: str) -> NoReturn:
+        """Begin an answer, then end this and all other connections."""
+        time.sleep(EVENT_INTERVAL_S)
+        caller.write(encode_head(b"HTTP/1.1 200 OK", headers))
+        self.on_crash(self.name, part)
+        raise OSError("the engine crashed")
+
     def generate_events(self, request: str, first: int) -> Iterator[bytes]:
         """Yield the events of a request from a number on, each when it is due."""
         for number in range(first, self.events + 1):
@@ -202,9 +222,15 @@
 
 
 def encode_request(
-    request: str, path: str, method: str, key: str, deadline_s: float, streams: bool
+    request: str,
+    path: str,
+    method: str,
+    key: str,
+    deadline_s: float,
+    streams: bool,
+    parts: str = "aa:600,bb:900,cc:100",
 ) -> bytes:
-    """Encode a caller's request."""
+    """Encode a caller's request; ``parts`` are those of the prompt of a stream."""
     headers = [
         (b"Host", b"a.example"),
         (names.REQUEST_ID, request.encode()),
@@ -213,7 +239,7 @@
         (b"Content-Length", b"0"),
     ]
     if streams:
-        headers += [(k.encode(), v.encode()) for k, v in stream_headers()]
+        headers += [(k.encode(), v.encode()) for k, v in stream_headers(parts)]
     return encode_head(f"{method} {path} HTTP/1.1".encode(), headers)
 
 
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -10,6 +10,8 @@
 
 from rosemaryyoke.core import Registry
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm
+from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
+from rosemaryyoke.soak.history import now_s
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
 
@@ -17,6 +19,9 @@
 LONG_S = (0.3, 3.0)
 DELAY_S = (0.02, 0.6)
 COPY_AGE_S = (0.5, 6.0)  # of the copy from which the store is restored
+CRASHING_S = (6.0, 9.0)  # longer than five crashes and the time to stop the part
+CRASHING = "crashing"  # prefix of the requests that crash upstreams
+DEADLINE_S = 3.0
 LOST_WRITES = 3
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
@@ -167,6 +172,26 @@
             context.wait(SHORT_S)
 
 
+@faults.register("part of prompts crashes upstreams")
+def crash_upstreams_by_part(context: FaultContext) -> None:
+    """Send prompts with a part that crashes each engine that answers on it."""
+    testbed, rng = context.testbed, context.rng
+    part = f"bad{rng.getrandbits(32):x}"
+    testbed.crashing_parts.add(part)
+    clients = [Client(host.caller_link.address) for host in testbed.hosts]
+    until_s = now_s() + rng.uniform(*CRASHING_S)
+    while now_s() < until_s and not context.stopping.wait(rng.uniform(*SHORT_S)):
+        number = rng.getrandbits(32)
+        prompt = f"aa:600,{part}:900,last{number:x}:100"
+        request = f"{CRASHING}-{number:x}"
+        data = encode_request(
+            request, "/chat/1", "POST", "k1", DEADLINE_S, True, prompt
+        )
+        rng.choice(clients).exchange(data, DEADLINE_S)
+    for client in clients:
+        client.close()
+
+
 @faults.register("upstream replaced at its address")
 def replace_upstream(context: FaultContext) -> None:
     """Reuse an upstream's address for another before the first is deregistered."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -87,6 +87,15 @@
     at_s: float
 
 
+@frozen
+class CrashedRun:
+    """A run that crashed its engine because of a part of its prompt."""
+
+    part: str
+    upstream: str
+    at_s: float
+
+
 @define(eq=False)
 class History:
     """Written by callers, upstreams and the injector; read by the invariant checks."""
@@ -96,6 +105,7 @@
     orders: list[OrderExecution] = field(factory=list)
     disruptions: list[Disruption] = field(factory=list)
     broken_off: list[BrokenOff] = field(factory=list)
+    crashed_runs: list[CrashedRun] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -124,6 +134,11 @@
         with self.lock:
             self.broken_off.append(BrokenOff(upstream, now_s()))
 
+    def record_crashed_run(self, part: str, upstream: str) -> None:
+        """Record that a part of a prompt crashes an upstream now."""
+        with self.lock:
+            self.crashed_runs.append(CrashedRun(part, upstream, now_s()))
+
     def copy(self) -> "History":
         """Return a snapshot of the history."""
         with self.lock:
@@ -136,6 +151,7 @@
                 list(self.orders),
                 [evolve(item) for item in self.disruptions],
                 list(self.broken_off),
+                list(self.crashed_runs),
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -23,6 +23,9 @@
 LEASE_S = 1.0  # matches the settings of the soak's hosts
 STABLE_S = 3.0  # time after an unplanned fault in which requests may be lost
 LOSS_SLACK_S = 0.2  # a request not passed on may cross the host's close for this long
+CRASHES_BEFORE_BAN = 5
+MAX_LATE_CRASHES = 3
+HOST_DISRUPTIONS = frozenset({"host killed", "host frozen"})
 LIMIT_MARGIN_S = 0.1  # hosts end a request this long before its deadline
 
 Check = Callable[[History], list[str]]
@@ -196,3 +199,28 @@
         item.upstream in upstreams and call.sent_s <= item.at_s <= call.ended_s
         for item in history.broken_off
     )
+
+
+@invariants.register("a part that crashed five upstreams reaches few more")
+def check_crashing_parts(history: History) -> list[str]:
+    """Find parts that go on to crash upstreams while no host is disturbed."""
+    runs_by_part: dict[str, list[float]] = {}
+    for run in history.crashed_runs:
+        runs_by_part.setdefault(run.part, []).append(run.at_s)
+    violations = []
+    for part, times_s in runs_by_part.items():
+        known_s = sorted(times_s)[:CRASHES_BEFORE_BAN][-1] + STABLE_S
+        late = [at_s for at_s in times_s if at_s > known_s]
+        excused = any(is_host_disturbed(at_s, history) for at_s in late)
+        if len(late) > MAX_LATE_CRASHES and not excused:
+            violations.append(f"{part} crashed {len(late)} upstreams more")
+    return violations
+
+
+def is_host_disturbed(at_s: float, history: History) -> bool:
+    """Return whether a host was killed or frozen shortly before a moment."""
+    return any(
+        item.name in HOST_DISRUPTIONS
+        and item.started_s <= at_s <= item.ended_s + STABLE_S
+        for item in history.disruptions
+    )
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -131,6 +131,7 @@
     configuration: int = 0
     published: dict = field(factory=dict)
     weights: int = 1
+    crashing_parts: set[str] = field(factory=set)
     resumed_s: float = 0.0
 
     def __enter__(self) -> "Testbed":
@@ -183,6 +184,8 @@
         link = Link(upstream.address, Address("127.0.0.1", free_port()))
         link.start()
         node = UpstreamNode(upstream, link, service)
+        upstream.crashing_parts = self.crashing_parts
+        upstream.on_crash = lambda name, part: self.crash_node(node, part)
         upstream.on_loaded = lambda: self.register_weights(node)
         self.nodes.append(node)
         self.register_node(node, READY)
@@ -247,6 +250,11 @@
         if node.state != GONE:
             self.register_node(node, node.state)
 
+    def crash_node(self, node: UpstreamNode, part: str) -> None:
+        """End an upstream's connections, as a crash does; it is back at once."""
+        self.history.record_crashed_run(part, node.upstream.name)
+        node.link.reset()
+
     def replace_incarnation(self, node: UpstreamNode) -> None:
         """Let another upstream take the place of one, with the newest weights."""
         upstream = node.upstream
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -10,6 +10,10 @@
 PAUSES_SECONDS = 5.0
 BREAKS_SEED = 301
 BREAKS_SECONDS = 5.0
+CRASHES_SEED = 401
+CRASHES_SECONDS = 10.0
+OUTAGE_SEED = 501
+OUTAGE_SECONDS = 18.0
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -31,3 +35,20 @@
     report = run_soak(BREAKS_SEED, BREAKS_SECONDS, "upstream breaks its answers off")
     assert not report.broken, report
     assert report.requests > 0 and report.faults
+
+
+# Prompts that crashed one engine after the other, sent by all hosts.
+def test_soak_part_that_crashes_engines_is_stopped():
+    report = run_soak(
+        CRASHES_SEED, CRASHES_SECONDS, "part of prompts crashes upstreams"
+    )
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
+
+
+# An engine that broke off all answers while no other was usable, for which hosts
+# stopped all prompts.
+def test_soak_prompts_are_served_after_an_outage_of_all_engines():
+    report = run_soak(OUTAGE_SEED, OUTAGE_SECONDS)
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
