--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -210,9 +210,12 @@
     violations = []
     for part, times_s in runs_by_part.items():
         known_s = sorted(times_s)[:CRASHES_BEFORE_BAN][-1] + STABLE_S
-        late = [at_s for at_s in times_s if at_s > known_s]
-        excused = any(is_host_disturbed(at_s, history) for at_s in late)
-        if len(late) > MAX_LATE_CRASHES and not excused:
+        late = [
+            at_s
+            for at_s in times_s
+            if at_s > known_s and not is_host_disturbed(at_s, history)
+        ]
+        if len(late) > MAX_LATE_CRASHES:
             violations.append(f"{part} crashed {len(late)} upstreams more")
     return violations
 
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -8,6 +8,7 @@
     STREAM,
     BrokenOff,
     CallResult,
+    CrashedRun,
     Disruption,
     Execution,
     History,
@@ -16,9 +17,15 @@
 from rosemaryyoke.soak.invariants import body_text
 
 
-def make_history(calls=(), executions=(), orders=(), disruptions=(), broken_off=()):
+def make_history(
+    calls=(), executions=(), orders=(), disruptions=(), broken_off=(), crashed_runs=()
+):
     """Return a history with the given entries."""
-    history = History(disruptions=list(disruptions), broken_off=list(broken_off))
+    history = History(
+        disruptions=list(disruptions),
+        broken_off=list(broken_off),
+        crashed_runs=list(crashed_runs),
+    )
     for item in calls:
         history.record_call(item)
     for item in executions:
@@ -84,3 +91,8 @@
 def make_broken_off(upstream="p1", at_s=1.1):
     """Return the entry of an upstream that ended its executions."""
     return BrokenOff(upstream, at_s)
+
+
+def make_crashed_runs(times_s, part="bad"):
+    """Return runs that crashed upstreams at some times because of one part."""
+    return [CrashedRun(part, f"e{n}", at_s) for n, at_s in enumerate(times_s)]
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -12,6 +12,7 @@
 from rosemaryyoke.soak.tests.builders import (
     make_broken_off,
     make_call,
+    make_crashed_runs,
     make_cut_call,
     make_disruption,
     make_execution,
@@ -28,9 +29,14 @@
 REJECTED = "a valid request is not rejected"
 RESUMED = "the first execution of a stream starts at its first event"
 ORDERS = "an engine has one order holder at a time and versions never decrease"
+CRASHING = "a part that crashed five upstreams reaches few more"
 LOST = "an accepted request is not lost"
 
 
+FIVE_S = [1.0, 1.1, 1.2, 1.3, 2.0]
+LATE_S = [5.1, 8.1, 8.2, 8.3]
+
+
 def make_stream_call(*numbers):
     body = b"".join(event_text("stream-1", number) for number in numbers)
     return make_call("stream-1", STREAM, body=body)
@@ -90,6 +96,14 @@
             broken_off=[make_broken_off("p2"), make_broken_off(at_s=0.9)],
         ),
     ),
+    (CRASHING, make_history(crashed_runs=make_crashed_runs(FIVE_S + LATE_S))),
+    (
+        CRASHING,
+        make_history(
+            crashed_runs=make_crashed_runs(FIVE_S + LATE_S),
+            disruptions=[make_disruption(0.0, 2.0)],
+        ),
+    ),
 ]
 
 VALID_HISTORY = make_history(
@@ -111,6 +125,8 @@
         make_order(holder="b", fencing=2, at_s=2.5),
         make_order(holder="c", fencing=2, at_s=2.6, possibly_delayed=True),
     ],
+    crashed_runs=make_crashed_runs(FIVE_S + [4.9] * 9 + LATE_S[1:])
+    + make_crashed_runs([9.0] * 4, "other"),
 )
 
 
@@ -161,3 +177,11 @@
         broken_off=[make_broken_off()],
     )
     assert not invariants.get(LOST)(history)
+
+
+def test_crash_near_a_killed_host_is_excused():
+    history = make_history(
+        crashed_runs=make_crashed_runs(FIVE_S + LATE_S),
+        disruptions=[make_disruption(4.0, 5.5)],
+    )
+    assert not invariants.get(CRASHING)(history)
