Read and log the limit that an upstream names

The adapter now decodes the header once (decimal numbers, also with an exponent; empty, negative, repeated and other values are no limit), and the first answer that names a limit, or another one, is logged, as are malformed ones. Nothing acts on it yet. With it, and the lines placed, an engine's sends after the naming can be counted by host.

--- a/rosemaryyoke/fleet/notices.py
+++ b/rosemaryyoke/fleet/notices.py
@@ -51,8 +51,14 @@
 
 def has_notice(metadata: ResponseMetadata) -> bool:
     """Return whether the head of an answer announces anything."""
-    return metadata.leaving or (
-        metadata.retry_after_s is not None or metadata.malformed_retry_after is not None
+    return metadata.leaving or any(
+        value is not None
+        for value in (
+            metadata.retry_after_s,
+            metadata.malformed_retry_after,
+            metadata.limit_per_s,
+            metadata.malformed_limit,
+        )
     )
 
 
@@ -61,12 +67,14 @@
     """What an incarnation of an upstream has announced.
 
     ``paused_until_s`` is the end of the time in which it wants no requests from this
-    host, ``listed_s`` when its registration was last known.
+    host, ``listed_s`` when its registration was last known. ``limit_per_s`` is the rate
+    of requests that it takes from all hosts together.
     """
 
     leaving: bool = False
     paused_until_s: float = 0.0
     listed_s: float = 0.0
+    limit_per_s: float | None = None
 
     def paused(self, now_s: float) -> bool:
         """Return whether the upstream wants no requests from this host."""
@@ -106,6 +114,19 @@
                 upstream=upstream.name,
                 value=metadata.malformed_retry_after[:MAX_LOGGED_BYTES],
             )
+        if metadata.limit_per_s not in (None, self.limit_per_s):
+            self.limit_per_s = metadata.limit_per_s
+            log_event(
+                "upstream limited",
+                upstream=upstream.name,
+                limit_per_s=metadata.limit_per_s,
+            )
+        if metadata.malformed_limit is not None:
+            log_event(
+                "malformed limit ignored",
+                upstream=upstream.name,
+                value=metadata.malformed_limit[:MAX_LOGGED_BYTES],
+            )
 
 
 @define(eq=False)
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -22,6 +22,7 @@
 HTTP_UNAVAILABLE = 503
 IS_LEAVING = b"1"
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+RATE = re.compile(rb"([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
 
 
 @frozen
@@ -71,6 +72,8 @@
         retry_after = values.get(names.RETRY_AFTER.lower()) if refused else None
         leaving = values.get(names.LEAVING.lower(), b"")
         retry_after_s = parse_seconds(retry_after)
+        limit = find_single(headers, names.RATE_LIMIT)
+        limit_per_s = parse_rate(limit)
         return ResponseMetadata(
             request_id=values.get(names.REQUEST_ID.lower()),
             sealed=names.RESPONSE_SEAL.lower() in values,
@@ -79,6 +82,8 @@
             leaving=leaving.strip() == IS_LEAVING,
             retry_after_s=retry_after_s,
             malformed_retry_after=retry_after if retry_after_s is None else None,
+            limit_per_s=limit_per_s,
+            malformed_limit=limit if limit_per_s is None else None,
         )
 
 
@@ -121,6 +126,20 @@
     return seconds if math.isfinite(seconds) else None
 
 
+def find_single(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of a header; several are joined, as a list of values."""
+    values = [value for key, value in headers if key.lower() == name.lower()]
+    return b", ".join(values) if values else None
+
+
+def parse_rate(value: bytes | None) -> float | None:
+    """Parse a rate per second, such as ``2.5``; return ``None`` for any other value."""
+    if value is None or not RATE.fullmatch(value.strip()):
+        return None
+    rate = float(value)
+    return rate if math.isfinite(rate) else None
+
+
 def parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     """Parse prompt parts such as ``5c1e07a2:800,91bd3f06:410`` (name and tokens)."""
     if not value:
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -31,6 +31,7 @@
 SERVED_WEIGHTS = b"Weight-Versions"
 LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
+RATE_LIMIT = b"Server-Limit"  # requests a second from all hosts together
 
 # Header of the store's responses; it rises whenever the store is restored from a copy.
 STORE_ERA = b"Store-Era"
@@ -71,6 +72,7 @@
     "Kv-Save",
     "Weight-Versions",
     "Server-Leaving",
+    "Server-Limit",
     "Instance-Id",
     "pathPrefix",
     "storeRevision",
--- a/rosemaryyoke/platform/tests/test_headers.py
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -115,6 +115,27 @@
         assert read.retry_after_s is read.malformed_retry_after is None
 
 
+@pytest.mark.parametrize("status", [200, 421, 429, 500, 503, 504])
+@pytest.mark.parametrize(
+    "value, rate",
+    [(b"0", 0.0), (b"0.25", 0.25), (b" 2.5 ", 2.5), (b".5", 0.5), (b"1e9", 1e9)],
+)
+def test_limit_of_all_answers(status, value, rate):
+    read = DIALECT.parse_response_headers(status, [(b"server-limit", value)])
+    assert (read.limit_per_s, read.malformed_limit) == (rate, None)
+
+
+@pytest.mark.parametrize(
+    "values",
+    [[b""], [b"nan"], [b"-1"], [b"inf"], [b"1e999"], [b"2/s"], [b"0x2"], [b"1_0"]]
+    + [[b"2", b"3"], [b"2", b"2"]],
+)
+def test_malformed_limit(values):
+    headers = [(b"Server-Limit", value) for value in values]
+    read = DIALECT.parse_response_headers(200, headers)
+    assert (read.limit_per_s, read.malformed_limit) == (None, b", ".join(values))
+
+
 def test_facts_of_refusals():
     assert DIALECT.parse_response_headers(503, [(b"Not-Executed", b"1")]).not_run
     assert DIALECT.parse_response_headers(421, []).not_run
