Failing tests of limits that upstreams name

Three hosts, 25 requests a second, engines that name 0, 0.25, 2 and 2.5 a second beside a free one, two that name 2.5, and three that name 2 and break off all answers: more requests reach them in 4 s than one and a half times the limit and five, and nothing is rejected.

--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -78,9 +78,9 @@
     ``not_run`` promises that the upstream has not run the request and never will.
     ``leaving`` announces that the upstream will stop. ``retry_after_s`` is how long an
     upstream that refused the request wants no more requests from this host;
-    ``malformed_retry_after`` is the value if it cannot be parsed. ``limit_per_s`` is the
-    rate of requests that the upstream takes from all hosts together, ``malformed_limit``
-    the value if it cannot be parsed.
+    ``malformed_retry_after`` is the value if it cannot be parsed. ``limit_per_s`` is
+    the rate of requests that the upstream takes from all hosts together;
+    ``malformed_limit`` is the value if it cannot be parsed.
     """
 
     request_id: bytes | None
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -81,7 +81,8 @@
 
     A script entry is a status, or a function of the engine, the message and the
     connection. Responses with 421 and 503 carry the header for requests that were not
-    executed. If ``leaving`` is set, all responses announce that the engine leaves.
+    executed. If ``leaving`` is set, all responses announce that the engine leaves, and
+    if ``limit`` is, the rate of requests that it takes.
     """
 
     name: str
@@ -91,6 +92,7 @@
     events: int = 5
     version: int = 1
     leaving: bool = False
+    limit: bytes | None = None
     address: Address = field(init=False)
     server: ConnectionServer = field(init=False)
 
@@ -151,8 +153,11 @@
         ]
 
     def notice_headers(self):
-        """Return the header that announces the engine's leaving, if it leaves."""
-        return [(b"Server-Leaving", b"1")] if self.leaving else []
+        """Return the headers that announce leaving and a limit, if there are any."""
+        headers = [(b"Server-Leaving", b"1")] if self.leaving else []
+        if self.limit is not None:
+            headers.append((b"Server-Limit", self.limit))
+        return headers
 
 
 def refuse_and_pause(pause_s, headers=((b"Not-Executed", b"1"),)):
