Keep the limits that upstreams name, divided among the hosts

Cause: nothing acted on the header. Class: a new signal of the other side that no reader knows, and a bound on all hosts together that no host can see by itself.

Change: the limit is divided among a few hosts (3 + 2 for each request a second, by rendezvous hashing of the hosts heard in the last 30 s), each with a token bucket of its share of 80 %. What a host may send follows from its own share; no host needs to hear of the others' sends. All sends count: first ones, repeats, hand-overs, probes. An engine without allowance is left out of placement and is no last resort. Once all are at their limits, requests are rejected at once, with the time until the next one is allowed. An answer without the header to a request sent after the limit was last named ends it; beacons and digests tell limits and ends to hosts without a share. A limit of 0 is asked once in ten seconds, or its end would never be seen.

Before: six of twelve cases of test_named_limits failed (one of them, repeats, for an error of the test itself; mended, and shown to fail with the counting switched off).

--- a/rosemaryyoke/core/metrics.py
+++ b/rosemaryyoke/core/metrics.py
@@ -19,6 +19,7 @@
     "requests_ended_total": "Requests that ended, by cause.",
     "requests_under_way": "Requests that this host is answering.",
     "store_answers": "Whether the store answers this host, 1 or 0.",
+    "upstreams_limited": "Upstreams that name a limit of requests.",
     "upstreams_usable": "Upstreams that may get new work.",
 }
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -231,7 +231,9 @@
             )
 
         attempt.on_first_event = first_event
-        attempt.on_head = partial(self.fleet.record_notices, state)
+        attempt.on_head = partial(
+            self.fleet.record_notices, state, sent_s=attempt.started_s
+        )
         attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
         attempt.on_stall = lambda: self.selector.reserve_alternative(exchange)
         attempt.on_sustained = partial(self.reporter.record_success, exchange, sent)
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -271,6 +271,7 @@
             self.fleet.departures(),
             self.catalog.eras.current,
             self.fleet.quarantine.reported_bans(),
+            self.fleet.limit_reports(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
@@ -296,10 +297,11 @@
         return ranked.index(own) if own in ranked else None
 
     def update_host_count(self) -> None:
-        """Divide the retry budget among the live hosts."""
+        """Divide the retry budget and the upstreams' limits among the hosts."""
         self.budget.hosts = 1 + self.table.log_changes(time.monotonic())
         self.fleet.hosts = self.budget.hosts
         self.fleet.quarantine.hosts = self.budget.hosts
+        self.fleet.update_hosts(self.settings.name, self.table.known_hosts())
 
     def poll_watcher(self) -> bool:
         """Poll another host for changes; watch briefly if others rely on this one."""
@@ -329,6 +331,7 @@
             "store_answers": int(self.catalog.is_fresh()),
             "upstreams_usable": usable,
             "connections_opened_total": self.connections.opened,
+            "upstreams_limited": len(self.fleet.limited_upstreams()),
             "parts_quarantined": len(self.fleet.quarantine.bans),
             "crash_reports_total": self.fleet.quarantine.own_reports,
             "crash_reports_received_total": self.fleet.quarantine.received_reports,
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -75,14 +75,20 @@
     def choose(
         self, exchange: Exchange, request: PlacementRequest, now_s: float
     ) -> Result[Placement, NoUpstream]:
-        """Return the best upstream that was not tried, or why there is none."""
+        """Return the best upstream that was not tried, or why there is none.
+
+        The request counts against the upstream's limit.
+        """
         with self.fleet.lock:
             candidates = self.with_usable_weights(
                 exchange, self.candidates(exchange), now_s
             )
-            return self.chooser.choose(
+            chosen = self.chooser.choose(
                 request, candidates, exchange.excluded_upstreams, now_s
             )
+            if not isinstance(chosen, Err):
+                chosen.ok_value.state.notices.limit.consume(now_s)
+            return chosen
 
     def reserve_alternative(self, exchange: Exchange) -> bool:
         """Reserve another upstream for a request whose upstream makes no progress.
@@ -153,5 +159,9 @@
 
 
 def is_healthy(state: UpstreamState, now_s: float) -> bool:
-    """Return whether an upstream is known to take requests."""
-    return state.accepts_requests(now_s) and not state.considered_silent(now_s)
+    """Return whether an upstream works, and has not asked for a pause."""
+    return (
+        state.usable(now_s)
+        and not state.notices.paused(now_s)
+        and not state.considered_silent(now_s)
+    )
--- a/rosemaryyoke/fleet/__init__.py
+++ b/rosemaryyoke/fleet/__init__.py
@@ -10,6 +10,7 @@
     Placement,
     PlacementRequest,
 )
+from rosemaryyoke.fleet.rate_limits import LimitReport
 from rosemaryyoke.fleet.state import ActiveRequest, UpstreamState
 from rosemaryyoke.fleet.stores import CacheStores, StoreEstimate
 
@@ -20,6 +21,7 @@
     "ComparedQueue",
     "Fleet",
     "HashedPart",
+    "LimitReport",
     "NoUpstream",
     "Placement",
     "PlacementRequest",
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -2,14 +2,17 @@
 
 import functools
 import hashlib
+import math
+import random
 import threading
 import time
 from collections import deque
-from typing import Callable, Collection, Sequence
+from typing import Callable, Collection, Iterable, Sequence
 
 from attrs import define, field, frozen
 
 from rosemaryyoke.catalog import Catalog, Upstream
+from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.messages import ResponseMetadata
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.notices import (
@@ -20,6 +23,7 @@
     is_same_incarnation,
     sample_departures,
 )
+from rosemaryyoke.fleet.rate_limits import REPORT_TOLERANCE_S, LimitReport
 from rosemaryyoke.fleet.state import (
     PROBE_SHARE,
     REMOTE_LOAD_TTL_S,
@@ -37,6 +41,7 @@
 MIN_REPORTED_RUNNING = 0.02  # mean number of running requests
 PREFILLS_PER_BEACON = 12
 MAX_UNSENT_PREFILLS = 64
+MAX_REPORTED_LIMITS = 32  # per datagram
 MAX_PROBING_HOSTS = 10  # with more hosts, the probe share per host is reduced
 REGISTRATION_LAG_S = 2.0  # registrations report new weights only at the next heartbeat
 
@@ -72,7 +77,11 @@
 
 @define(eq=False)
 class Fleet:
-    """States of all upstreams by name; the lock guards every change."""
+    """States of all upstreams by name; the lock guards every change.
+
+    ``host`` is this host's name; ``sharing_hosts`` are the hosts among which limits are
+    divided.
+    """
 
     catalog: Catalog
     stores: CacheStores = field(factory=CacheStores)
@@ -84,6 +93,8 @@
     states: dict[str, UpstreamState] = field(factory=dict)
     names_by_key: dict[int, str] = field(factory=dict)
     hosts: int = 1
+    host: str = ""
+    sharing_hosts: tuple[str, ...] = ("",)
     upstreams_by_host: dict[str, set[str]] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
     now_s: Callable[[], float] = time.monotonic
@@ -256,12 +267,18 @@
                 else:
                     state.silence_reported_s.pop(host, None)
 
-    def record_notices(self, state: UpstreamState, metadata: ResponseMetadata) -> None:
+    def record_notices(
+        self,
+        state: UpstreamState,
+        metadata: ResponseMetadata,
+        sent_s: float = -math.inf,
+    ) -> None:
         """Record what an upstream announces in the head of an answer.
 
-        Its registration may have lapsed and returned since the request was sent.
+        ``sent_s`` is when the request was sent. Its registration may have lapsed and
+        returned since then.
         """
-        if not has_notice(metadata):
+        if not has_notice(metadata) and state.notices.limit.limit_per_s is None:
             return
         now_s = self.now_s()
         with self.lock:
@@ -269,8 +286,95 @@
             if is_same_incarnation(current.upstream, state.upstream):
                 state = current
             state.notices.record(state.upstream, metadata, now_s)
+            self.record_limit(state, metadata, sent_s, now_s)
             self.notices.keep(state.upstream, state.notices, now_s)
 
+    def record_limit(
+        self,
+        state: UpstreamState,
+        metadata: ResponseMetadata,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Record the limit that an answer names, or its end if it names none.
+
+        Answers may overtake each other, so that only a request that was sent after the
+        limit was last named can end it.
+        """
+        limit = state.notices.limit
+        if metadata.malformed_limit is not None:
+            return
+        if metadata.limit_per_s is None and not sent_s > limit.observed_s:
+            return
+        self.update_limit(state, metadata.limit_per_s, now_s)
+
+    def update_limit(
+        self,
+        state: UpstreamState,
+        limit_per_s: float | None,
+        observed_s: float,
+        reported_by: str | None = None,
+    ) -> None:
+        """Set an upstream's limit, and this host's share of it."""
+        limit, name = state.notices.limit, state.upstream.name
+        changed = limit.observe(limit_per_s, observed_s)
+        limit.divide(name, self.host, self.sharing_hosts, self.now_s())
+        if changed and limit_per_s is not None:
+            log_event(
+                "upstream limited",
+                upstream=name,
+                limit_per_s=limit_per_s,
+                share_per_s=round(limit.share_per_s, 3),
+                hosts=len(self.sharing_hosts),
+                reported_by=reported_by,
+            )
+        elif changed:
+            log_event("upstream limit ended", upstream=name, reported_by=reported_by)
+
+    def update_hosts(self, host: str, others: Iterable[str]) -> None:
+        """Divide the limits among this host and the others that may be alive."""
+        with self.lock:
+            self.host, self.sharing_hosts = host, tuple(sorted({host, *others}))
+            for name, state in self.states.items():
+                state.notices.limit.divide(name, host, self.sharing_hosts, self.now_s())
+
+    def limited_upstreams(self) -> list[str]:
+        """Return the upstreams that name a limit."""
+        with self.lock:
+            return [
+                name
+                for name, state in self.states.items()
+                if state.notices.limit.limit_per_s is not None
+            ]
+
+    def limit_reports(self) -> tuple[LimitReport, ...]:
+        """Return the limits to tell the other hosts, a random sample of many."""
+        now_s = self.now_s()
+        with self.lock:
+            limits = [
+                (name, state.notices.limit) for name, state in self.states.items()
+            ]
+            reports = [
+                LimitReport(name, limit.limit_per_s, limit.observed_s)
+                for name, limit in limits
+                if limit.is_reported(now_s)
+            ]
+        return tuple(random.sample(reports, min(MAX_REPORTED_LIMITS, len(reports))))
+
+    def record_limits(self, host: str, reports: Iterable[LimitReport]) -> None:
+        """Record what another host knows of limits, if that is newer."""
+        with self.lock:
+            for report in reports:
+                state = self.states.get(report.upstream)
+                if state is None:
+                    continue
+                known_s = state.notices.limit.observed_s
+                if report.observed_s > known_s + REPORT_TOLERANCE_S:
+                    self.update_limit(
+                        state, report.limit_per_s, report.observed_s, host
+                    )
+                    self.notices.keep(state.upstream, state.notices, self.now_s())
+
     def departures(self) -> tuple[int, ...]:
         """Return the keys of the incarnations that announced their leaving.
 
--- a/rosemaryyoke/fleet/notices.py
+++ b/rosemaryyoke/fleet/notices.py
@@ -10,6 +10,7 @@
 from rosemaryyoke.catalog import Upstream
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.messages import ResponseMetadata
+from rosemaryyoke.fleet.rate_limits import RateLimit
 from rosemaryyoke.http1 import Address
 
 KEY_BYTES = 8
@@ -67,19 +68,23 @@
     """What an incarnation of an upstream has announced.
 
     ``paused_until_s`` is the end of the time in which it wants no requests from this
-    host, ``listed_s`` when its registration was last known. ``limit_per_s`` is the rate
-    of requests that it takes from all hosts together.
+    host, ``listed_s`` when its registration was last known, ``limit`` the rate of
+    requests that it takes from all hosts together.
     """
 
     leaving: bool = False
     paused_until_s: float = 0.0
     listed_s: float = 0.0
-    limit_per_s: float | None = None
+    limit: RateLimit = field(factory=RateLimit)
 
     def paused(self, now_s: float) -> bool:
         """Return whether the upstream wants no requests from this host."""
         return now_s < self.paused_until_s
 
+    def wait_s(self, now_s: float) -> float:
+        """Return the time until the upstream may get a request of this host."""
+        return max(0.0, self.paused_until_s - now_s, self.limit.wait_s(now_s))
+
     def mark_leaving(self, upstream: Upstream, reported_by: str | None = None) -> None:
         """Record, once, that the upstream leaves; no later answer undoes it."""
         if self.leaving:
@@ -114,13 +119,6 @@
                 upstream=upstream.name,
                 value=metadata.malformed_retry_after[:MAX_LOGGED_BYTES],
             )
-        if metadata.limit_per_s not in (None, self.limit_per_s):
-            self.limit_per_s = metadata.limit_per_s
-            log_event(
-                "upstream limited",
-                upstream=upstream.name,
-                limit_per_s=metadata.limit_per_s,
-            )
         if metadata.malformed_limit is not None:
             log_event(
                 "malformed limit ignored",
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -190,7 +190,7 @@
             state
             for state in states
             if not state.draining
-            and not state.notices.paused(now_s)
+            and not state.notices.wait_s(now_s)
             and state.upstream.name not in excluded
         ]
         return sorted(suspects, key=lambda state: state.suspect_until_s)[:1]
@@ -277,20 +277,20 @@
 def nothing_usable(states: Sequence[UpstreamState], now_s: float) -> NoUpstream:
     """Return why no upstream is left, and when to retry.
 
-    If all of them asked for a pause, also those that this request was sent to, retries
-    before the end of the first pause would be rejected again.
+    If all of them asked for a pause or are at their limits, also those that this
+    request was sent to, retries before the first takes work would be rejected again.
     """
-    pauses_s = [
-        state.notices.paused_until_s - now_s for state in states if not state.draining
-    ]
-    first_s = min(pauses_s, default=0.0)
+    waits_s = [state.notices.wait_s(now_s) for state in states if not state.draining]
+    first_s = min(waits_s, default=0.0)
     if first_s <= 0.0:
         return NoUpstream("no upstream takes work", NO_UPSTREAM_RETRY_S)
-    return NoUpstream(
-        "every upstream asked for a pause",
-        PAUSE_RETRY_SPREAD_S,
-        min_retry_after_s=first_s,
-    )
+    if any(state.notices.limit.wait_s(now_s) for state in states):
+        # Without a share of any limit, another host may have one.
+        first_s = first_s if math.isfinite(first_s) else NO_UPSTREAM_RETRY_S
+        message = "every upstream is at its limit"
+    else:
+        message = "every upstream asked for a pause"
+    return NoUpstream(message, PAUSE_RETRY_SPREAD_S, min_retry_after_s=first_s)
 
 
 def compared_queue(placement: Placement, now_s: float) -> ComparedQueue:
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -115,7 +115,7 @@
 
     def accepts_requests(self, now_s: float) -> bool:
         """Return whether new requests of callers may be sent to the upstream."""
-        return self.usable(now_s) and not self.notices.paused(now_s)
+        return self.usable(now_s) and not self.notices.wait_s(now_s)
 
     def usable(self, now_s: float) -> bool:
         """Return whether the upstream works and does not leave.
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -23,10 +23,11 @@
   departures @15 :Data;
   era @16 :UInt64;
   bans @17 :Data;
+  limits @18 :Data;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
-# datagram with tellsLoads has all of loads, loading, silent, departures and bans; the others
+# datagram with tellsLoads has all of loads, loading, silent, departures, bans and limits; the others
 # omit them.
 struct Digest {
   dataCentre @0 :Text;
@@ -38,6 +39,7 @@
   silent @6 :Data;
   departures @7 :Data;
   bans @8 :Data;
+  limits @9 :Data;
 }
 
 # What a host tells all others as soon as it learns of it: how attempts on prompts that
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -290,6 +290,7 @@
             self.pending_reads.extend(beacon.reads)
         self.fleet.record_departures(beacon.host, beacon.departures)
         self.fleet.quarantine.receive(beacon.host, (), beacon.bans)
+        self.fleet.record_limits(beacon.host, beacon.limits)
         for read in beacon.reads:
             self.fleet.record_remote_prefill(read)
         load_digest_received_s = self.load_digest_received_s.get(
@@ -309,6 +310,7 @@
             return
         self.fleet.record_departures(digest.data_centre, digest.departures)
         self.fleet.quarantine.receive(digest.data_centre, (), digest.bans)
+        self.fleet.record_limits(digest.data_centre, digest.limits)
         for read in digest.reads:
             self.fleet.record_remote_prefill(read)
         if digest.has_loads:
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -8,16 +8,18 @@
 import capnp
 from attrs import frozen
 
-from rosemaryyoke.fleet import PromptPrefill, UpstreamLoad
+from rosemaryyoke.fleet import LimitReport, PromptPrefill, UpstreamLoad
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.packed_rows import (
     decode_hosts,
     decode_incarnations,
+    decode_limits,
     decode_loads,
     decode_reads,
     decode_upstream_names,
     encode_hosts,
     encode_incarnations,
+    encode_limits,
     encode_loads,
     encode_reads,
     encode_upstream_names,
@@ -65,6 +67,7 @@
     departures: tuple[int, ...] = ()
     era: int = 0
     bans: tuple[Ban, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 @frozen
@@ -80,6 +83,7 @@
     silent: tuple[str, ...] = ()
     departures: tuple[int, ...] = ()
     bans: tuple[Ban, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 @frozen
@@ -112,6 +116,7 @@
         departures=encode_incarnations(beacon.departures),
         era=beacon.era,
         bans=encode_bans(beacon.bans, time.monotonic()),
+        limits=encode_limits(beacon.limits, time.monotonic()),
     )
     return message.to_bytes_packed()
 
@@ -142,6 +147,7 @@
             decode_incarnations(message.departures),
             message.era,
             decode_bans(message.bans, time.monotonic()),
+            decode_limits(message.limits, names_by_key, time.monotonic()),
         )
     except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
@@ -159,6 +165,7 @@
         silent=encode_upstream_names(digest.silent),
         departures=encode_incarnations(digest.departures),
         bans=encode_bans(digest.bans, time.monotonic()),
+        limits=encode_limits(digest.limits, time.monotonic()),
     ).to_bytes_packed()
 
 
@@ -177,6 +184,7 @@
             decode_upstream_names(message.silent, names_by_key),
             decode_incarnations(message.departures),
             decode_bans(message.bans, time.monotonic()),
+            decode_limits(message.limits, names_by_key, time.monotonic()),
         )
     except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -37,6 +37,7 @@
         silent=tuple(fleet.silent_upstreams(names)),
         departures=fleet.departures(),
         bans=fleet.quarantine.reported_bans(),
+        limits=fleet.limit_reports(),
     )
     if with_hosts:
         hosts = [own, *(peer.beacon for peer in local_peers)]
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -8,13 +8,24 @@
 from itertools import chain
 from typing import Iterable, Mapping
 
-from rosemaryyoke.fleet import HashedPart, PromptPrefill, UpstreamLoad, upstream_key
+from rosemaryyoke.fleet import (
+    HashedPart,
+    LimitReport,
+    PromptPrefill,
+    UpstreamLoad,
+    upstream_key,
+)
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.http1 import Address
 
+MS_PER_S = 1_000
+MAX_AGE_MS = 2**32 - 1
+NO_LIMIT = -1.0
 UPSTREAM_KEY_ROW = struct.Struct("<I")  # upstream key
 INCARNATION_KEY_ROW = struct.Struct("<Q")  # key of an upstream's incarnation
 LOAD_ROW = struct.Struct("<IfII")  # upstream key, requests, prefill tokens, tokens
+# Upstream key, requests a second (negative if there is no limit any more), age in ms.
+LIMIT_ROW = struct.Struct("<IdI")
 READ_HEADER = struct.Struct("<I?B")  # upstream key, saved flag, part count
 PART_ROW = struct.Struct("<QI")  # part key, token count
 ADDRESS_ROW = struct.Struct("!4sH")  # IPv4 address, port
@@ -22,6 +33,11 @@
 HOST_HEADER = struct.Struct("<QQQ???B")
 
 
+def age_ms(at_s: float, now_s: float) -> int:
+    """Return how long ago something was, as encoded."""
+    return min(MAX_AGE_MS, max(0, round((now_s - at_s) * MS_PER_S)))
+
+
 def encode_upstream_names(names: Iterable[str]) -> bytes:
     """Encode upstream names as a table of their keys."""
     return b"".join(UPSTREAM_KEY_ROW.pack(upstream_key(name)) for name in names)
@@ -66,6 +82,33 @@
     )
 
 
+def encode_limits(reports: Iterable[LimitReport], now_s: float) -> bytes:
+    """Encode a table of the limits that upstreams name."""
+    return b"".join(
+        LIMIT_ROW.pack(
+            upstream_key(report.upstream),
+            NO_LIMIT if report.limit_per_s is None else report.limit_per_s,
+            age_ms(report.observed_s, now_s),
+        )
+        for report in reports
+    )
+
+
+def decode_limits(
+    data: bytes, names_by_key: Mapping[int, str], now_s: float
+) -> tuple[LimitReport, ...]:
+    """Decode a table of limits, ignoring unknown upstreams."""
+    return tuple(
+        LimitReport(
+            names_by_key[key],
+            limit_per_s if limit_per_s >= 0.0 else None,
+            now_s - age / MS_PER_S,
+        )
+        for key, limit_per_s, age in LIMIT_ROW.iter_unpack(data)
+        if key in names_by_key
+    )
+
+
 def encode_reads(reads: Iterable[PromptPrefill]) -> bytes:
     """Encode a table of prompt reads: a header and one row per part for each."""
     rows = []
--- a/rosemaryyoke/hosts/quarantine_rows.py
+++ b/rosemaryyoke/hosts/quarantine_rows.py
@@ -3,10 +3,9 @@
 import struct
 from typing import Iterable, Sequence
 
+from rosemaryyoke.hosts.packed_rows import MS_PER_S, age_ms
 from rosemaryyoke.quarantine import Ban, PromptOutcome
 
-MS_PER_S = 1_000
-MAX_AGE_MS = 2**32 - 1
 KEY_ROW = struct.Struct("<Q")
 # Request key, upstream key, ages of the send and of the end, whether the engine
 # crashed, count of part keys.
@@ -28,11 +27,6 @@
     return keys, end
 
 
-def age_ms(at_s: float, now_s: float) -> int:
-    """Return how long ago something was, as encoded."""
-    return min(MAX_AGE_MS, max(0, round((now_s - at_s) * MS_PER_S)))
-
-
 def encode_outcomes(outcomes: Iterable[PromptOutcome], now_s: float) -> bytes:
     """Encode outcomes of attempts."""
     return b"".join(
--- a/rosemaryyoke/hosts/table.py
+++ b/rosemaryyoke/hosts/table.py
@@ -92,6 +92,11 @@
             if now_s - peer.last_heard_s < peer.liveness_timeout_s
         ]
 
+    def known_hosts(self) -> list[str]:
+        """Return the names of the other hosts that were heard lately, live or not."""
+        with self.lock:
+            return list(self.peers)
+
     def log_changes(self, now_s: float) -> int:
         """Log hosts that became live or timed out; return the number of live peers."""
         live = {peer.beacon.host: peer.beacon for peer in self.live_peers(now_s)}
--- a/rosemaryyoke/hosts/tests/test_digests.py
+++ b/rosemaryyoke/hosts/tests/test_digests.py
@@ -1,5 +1,6 @@
 """Digests between data centres, in a fleet too large for a full mesh of beacons."""
 
+import time
 from collections import Counter
 
 import pytest
@@ -7,7 +8,7 @@
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.messages import ResponseMetadata
-from rosemaryyoke.fleet import Fleet, PromptPrefill, upstream_key
+from rosemaryyoke.fleet import Fleet, LimitReport, PromptPrefill, upstream_key
 from rosemaryyoke.fleet.cache_estimate import HashedPart
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.hosts import BeaconService, HostTable
@@ -15,7 +16,9 @@
 from rosemaryyoke.hosts.codec import (
     Digest,
     MalformedBeacon,
+    decode_beacon,
     decode_digest,
+    encode_beacon,
     encode_digest,
 )
 from rosemaryyoke.hosts.tests.test_table import make_beacon
@@ -256,3 +259,22 @@
         if host.identity.data_centre == "z0":
             received_s = host.beacons.load_digest_received_s["z2"]
             assert network.clock_s - received_s < 2 * PERIOD_S
+
+
+def test_limits_of_upstreams_reach_other_data_centres():
+    now_s = time.monotonic()
+    reports = (
+        LimitReport("e1", 1.9, now_s - 1.0),
+        LimitReport("e2", None, now_s - 2.0),
+        LimitReport("unknown", 1.0, now_s),
+    )
+    names = {upstream_key(name): name for name in ("e1", "e2")}
+    beacon = decode_beacon(encode_beacon(make_beacon(2, limits=reports)), names)
+    digest = decode_digest(encode_digest(Digest("z2", limits=reports)), names)
+    for message in (beacon, digest):
+        assert [(i.upstream, i.limit_per_s) for i in message.limits] == [
+            ("e1", 1.9),
+            ("e2", None),
+        ]
+        for sent, received in zip(reports, message.limits):
+            assert abs(sent.observed_s - received.observed_s) < 0.05
--- a/rosemaryyoke/hosts/tests/test_quarantine_notices.py
+++ b/rosemaryyoke/hosts/tests/test_quarantine_notices.py
@@ -23,7 +23,7 @@
     encode_digest,
     encode_notice,
 )
-from rosemaryyoke.hosts.quarantine_rows import MAX_AGE_MS, age_ms
+from rosemaryyoke.hosts.packed_rows import MAX_AGE_MS, age_ms
 from rosemaryyoke.hosts.tests.test_table import OWN, make_beacon
 from rosemaryyoke.quarantine import Ban, PromptOutcome
 from rosemaryyoke.quarantine.outcomes import MAX_KEYS
--- a/rosemaryyoke/platform/tests/test_named_limits.py
+++ b/rosemaryyoke/platform/tests/test_named_limits.py
@@ -38,6 +38,7 @@
     hosts: list = field(factory=list)
     arrivals: dict = field(factory=dict)
     numbers: itertools.count = field(factory=itertools.count)
+    failing: threading.Event = field(factory=threading.Event)
 
     def start(self):
         """Start the engines and the hosts, and wait until they know each other."""
@@ -68,8 +69,10 @@
             part.stop()
 
     def record(self, engine, message, caller):
-        """Record the time of a request and run it."""
+        """Record the time of a request and run it, or break the answer off."""
         self.arrivals[engine.name].append(time.monotonic())
+        if self.failing.is_set():
+            raise OSError("broken off")
         engine.run(message, caller)
 
     def send(self, number, host=None):
@@ -182,18 +185,8 @@
 # Guards against limits that a second engine or repeats of a request get round.
 def test_repeats_of_requests_count_against_the_limit(start):
     fleet = start(b"2", b"2", b"2")
-    failing = threading.Event()
-    original = fleet.record
-
-    def record_or_fail(engine, message, caller):
-        if failing.is_set():
-            fleet.arrivals[engine.name].append(time.monotonic())
-            raise OSError("broken off")
-        original(engine, message, caller)
-
-    fleet.record = record_or_fail
     fleet.send_steadily(TOLD_S)
-    failing.set()
+    fleet.failing.set()
     since_s = time.monotonic()
     fleet.send_steadily(SECONDS - TOLD_S)
     for engine in fleet.engines:
