Soak: upstreams that name limits

A fault lets an upstream name 0, 0.25, 2 or 5.5 requests a second for 5 to 9 s; invariant: from 3 s on no 4 s with more than one and a half times that and five, unless a host was killed or frozen.

--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -22,6 +22,8 @@
 CRASHING_S = (6.0, 9.0)  # longer than five crashes and the time to stop the part
 CRASHING = "crashing"  # prefix of the requests that crash upstreams
 DEADLINE_S = 3.0
+LIMITS = (b"0", b"0.25", b"2", b"5.5")
+LIMITED_S = (5.0, 9.0)  # longer than the time that hosts have to keep to a limit
 LOST_WRITES = 3
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
@@ -192,6 +194,21 @@
         client.close()
 
 
+@faults.register("upstream names a limit")
+def limit_upstream(context: FaultContext) -> None:
+    """Let an upstream name the requests a second that it takes."""
+    with reserve_upstream(context) as node:
+        if node is None:
+            return
+        limit = context.rng.choice(LIMITS)
+        entry = context.testbed.history.begin_limit(node.upstream.name, float(limit))
+        node.upstream.limit = limit
+        context.wait(LIMITED_S)
+        entry.ended_s = now_s()
+        node.upstream.limit = None
+        context.wait(SHORT_S)
+
+
 @faults.register("upstream replaced at its address")
 def replace_upstream(context: FaultContext) -> None:
     """Reuse an upstream's address for another before the first is deregistered."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -96,6 +96,16 @@
     at_s: float
 
 
+@define
+class NamedLimit:
+    """The requests a second that an upstream names for a time."""
+
+    upstream: str
+    limit_per_s: float
+    started_s: float
+    ended_s: float = math.inf
+
+
 @define(eq=False)
 class History:
     """Written by callers, upstreams and the injector; read by the invariant checks."""
@@ -106,6 +116,7 @@
     disruptions: list[Disruption] = field(factory=list)
     broken_off: list[BrokenOff] = field(factory=list)
     crashed_runs: list[CrashedRun] = field(factory=list)
+    limits: list[NamedLimit] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -139,6 +150,12 @@
         with self.lock:
             self.crashed_runs.append(CrashedRun(part, upstream, now_s()))
 
+    def begin_limit(self, upstream: str, limit_per_s: float) -> NamedLimit:
+        """Record that an upstream names a limit, and return its entry."""
+        with self.lock:
+            self.limits.append(NamedLimit(upstream, limit_per_s, now_s()))
+            return self.limits[-1]
+
     def copy(self) -> "History":
         """Return a snapshot of the history."""
         with self.lock:
@@ -152,6 +169,7 @@
                 [evolve(item) for item in self.disruptions],
                 list(self.broken_off),
                 list(self.crashed_runs),
+                [evolve(item) for item in self.limits],
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -25,6 +25,8 @@
 LOSS_SLACK_S = 0.2  # a request not passed on may cross the host's close for this long
 CRASHES_BEFORE_BAN = 5
 MAX_LATE_CRASHES = 3
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK = 5  # requests
 HOST_DISRUPTIONS = frozenset({"host killed", "host frozen"})
 LIMIT_MARGIN_S = 0.1  # hosts end a request this long before its deadline
 
@@ -227,3 +229,33 @@
         and item.started_s <= at_s <= item.ended_s + STABLE_S
         for item in history.disruptions
     )
+
+
+@invariants.register("an upstream gets no more than the limit that it names")
+def check_limits(history: History) -> list[str]:
+    """Find windows in which an upstream with a limit ran too many requests.
+
+    Windows begin when all hosts have had time to learn of the limit.
+    """
+    runs_by_upstream: dict[str, list[float]] = {}
+    for runs in history.executions.values():
+        for run in runs:
+            runs_by_upstream.setdefault(run.upstream, []).append(run.at_s)
+    violations = []
+    for limit in history.limits:
+        allowed = 1.5 * LIMIT_WINDOW_S * limit.limit_per_s + LIMIT_SLACK
+        times_s = [
+            at_s
+            for at_s in runs_by_upstream.get(limit.upstream, ())
+            if limit.started_s + STABLE_S <= at_s <= limit.ended_s
+            and not is_host_disturbed(at_s, history)
+        ]
+        most = max((count_in_window(times_s, at_s) for at_s in times_s), default=0)
+        if most > allowed:
+            violations.append(f"{limit} got {most} requests in {LIMIT_WINDOW_S} s")
+    return violations
+
+
+def count_in_window(times_s: list[float], start_s: float) -> int:
+    """Return how many moments are within a window."""
+    return sum(start_s <= at_s < start_s + LIMIT_WINDOW_S for at_s in times_s)
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -18,13 +18,20 @@
 
 
 def make_history(
-    calls=(), executions=(), orders=(), disruptions=(), broken_off=(), crashed_runs=()
+    calls=(),
+    executions=(),
+    orders=(),
+    disruptions=(),
+    broken_off=(),
+    crashed_runs=(),
+    limits=(),
 ):
     """Return a history with the given entries."""
     history = History(
         disruptions=list(disruptions),
         broken_off=list(broken_off),
         crashed_runs=list(crashed_runs),
+        limits=list(limits),
     )
     for item in calls:
         history.record_call(item)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -7,7 +7,7 @@
     NOT_CONNECTED,
     RESET,
 )
-from rosemaryyoke.soak.history import STREAM, UNSAFE
+from rosemaryyoke.soak.history import STREAM, UNSAFE, NamedLimit
 from rosemaryyoke.soak.invariants import EVENTS, event_text, invariants
 from rosemaryyoke.soak.tests.builders import (
     make_broken_off,
@@ -30,9 +30,14 @@
 RESUMED = "the first execution of a stream starts at its first event"
 ORDERS = "an engine has one order holder at a time and versions never decrease"
 CRASHING = "a part that crashed five upstreams reaches few more"
+LIMIT = "an upstream gets no more than the limit that it names"
 LOST = "an accepted request is not lost"
 
 
+def make_executions(times_s):
+    return [make_execution(f"safe-{at_s}", at_s=at_s) for at_s in times_s]
+
+
 FIVE_S = [1.0, 1.1, 1.2, 1.3, 2.0]
 LATE_S = [5.1, 8.1, 8.2, 8.3]
 
@@ -97,6 +102,21 @@
         ),
     ),
     (CRASHING, make_history(crashed_runs=make_crashed_runs(FIVE_S + LATE_S))),
+    (
+        LIMIT,
+        make_history(
+            executions=make_executions([4.0 + 0.5 * n for n in range(9)]),
+            limits=[NamedLimit("p1", 0.25, 0.5)],
+        ),
+    ),
+    (
+        LIMIT,
+        make_history(
+            executions=make_executions([9.0] * 9),
+            limits=[NamedLimit("p1", 0.5, 0.5, 9.5)],
+            disruptions=[make_disruption(1.0, 5.0)],
+        ),
+    ),
     (
         CRASHING,
         make_history(
@@ -127,6 +147,7 @@
     ],
     crashed_runs=make_crashed_runs(FIVE_S + [4.9] * 9 + LATE_S[1:])
     + make_crashed_runs([9.0] * 4, "other"),
+    limits=[NamedLimit("p1", 0.0, 0.5), NamedLimit("p2", 2.0, 0.0)],
 )
 
 
@@ -185,3 +206,17 @@
         disruptions=[make_disruption(4.0, 5.5)],
     )
     assert not invariants.get(CRASHING)(history)
+
+
+def test_limit_that_has_ended_or_a_killed_host_excuses():
+    executions = make_executions([9.0 + 0.01 * n for n in range(20)])
+    ended = NamedLimit("p1", 1.0, 0.5, 8.9)
+    assert not invariants.get(LIMIT)(
+        make_history(executions=executions, limits=[ended])
+    )
+    history = make_history(
+        executions=executions,
+        limits=[NamedLimit("p1", 1.0, 0.5)],
+        disruptions=[make_disruption(5.0, 6.5)],
+    )
+    assert not invariants.get(LIMIT)(history)
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -12,6 +12,8 @@
 BREAKS_SECONDS = 5.0
 CRASHES_SEED = 401
 CRASHES_SECONDS = 10.0
+LIMITS_SEED = 601
+LIMITS_SECONDS = 10.0
 OUTAGE_SEED = 501
 OUTAGE_SECONDS = 18.0
 
@@ -52,3 +54,10 @@
     report = run_soak(OUTAGE_SEED, OUTAGE_SECONDS)
     assert not report.broken, report
     assert report.requests > 0 and report.faults
+
+
+# Upstreams that named a limit and got the requests of all hosts as before.
+def test_soak_limits_that_upstreams_name_are_kept():
+    report = run_soak(LIMITS_SEED, LIMITS_SECONDS, "upstream names a limit")
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
