Two engines that crash are enough to ban a part

A part whose requests go to the same engines, since their prefix belongs there and a suspected part isn't repeated elsewhere, crashed the same two again and again and was never banned: a test on /v1 with five engines that are back at once counted 120 sends of 15 requests after the fifth crash.

--- a/rosemaryyoke/quarantine/suspicion.py
+++ b/rosemaryyoke/quarantine/suspicion.py
@@ -8,7 +8,7 @@
 from rosemaryyoke.quarantine.evidence import Crash, CrashEvidence, Keys
 
 MIN_CRASHES = 4
-MIN_UPSTREAMS = 3  # a single faulty engine may break off all answers
+MIN_UPSTREAMS = 2  # a single faulty engine may break off all answers
 # One prompt sent twice shows nothing about the parts that it shares with others.
 MIN_PROMPTS = 3
 # Answers that the part's other requests receive meanwhile refute the suspicion.
