Quarantine prefixes of /v1 prompts that crash engines

Cause as on the platform's route: an engine's failure was laid to the engine alone. Prefixes of the text stand for parts, since /v1 prompts have none; hosts flood what they see over their links. A broken-off response is a crash if the engine can't resume its stream. Suspected prefixes aren't repeated. Banned ones are answered 503 quarantined, not run, with no time to retry, as the client library would wait for it. Tried before: prefixes that double in length; none ended between the text and the end of the prompt in the test. A Retry-After of 30 s and more: the client library waited for it at each try. Rows of outcomes and bans moved from hosts to quarantine, ages of events to core.

--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -23,6 +23,7 @@
 from rosemaryyoke.objects.adapters import platform_adapters
 from rosemaryyoke.peers import Peers
 from rosemaryyoke.placement.service import PlacementService
+from rosemaryyoke.quarantine.service import QuarantineService
 from rosemaryyoke.settings import Settings
 from rosemaryyoke.spread import RevisionExchange, Revisions
 from rosemaryyoke.streams import Relay
@@ -103,6 +104,7 @@
     kernel.add("revisions", Revisions(kernel, api))
     kernel.add("exchange", RevisionExchange(kernel))
     kernel.add("members", Members(kernel, settings, api))
+    kernel.add("quarantine", QuarantineService(kernel))
     kernel.add("directory", UpstreamDirectory(kernel))
     kernel.add("orders", RolloutController(kernel, api))
     kernel.add("placement", PlacementService(kernel))
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -24,14 +24,14 @@
     encode_reads,
     encode_upstream_names,
 )
-from rosemaryyoke.hosts.quarantine_rows import (
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.quarantine import Ban, PromptOutcome
+from rosemaryyoke.quarantine.rows import (
     decode_bans,
     decode_outcomes,
     encode_bans,
     encode_outcomes,
 )
-from rosemaryyoke.http1 import Address
-from rosemaryyoke.quarantine import Ban, PromptOutcome
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("beacon.capnp")))
 
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -8,6 +8,7 @@
 from itertools import chain
 from typing import Iterable, Mapping
 
+from rosemaryyoke.core.ages import age_ms, time_of_age
 from rosemaryyoke.fleet import (
     HashedPart,
     LimitReport,
@@ -18,8 +19,6 @@
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.http1 import Address
 
-MS_PER_S = 1_000
-MAX_AGE_MS = 2**32 - 1
 NO_LIMIT = -1.0
 UPSTREAM_KEY_ROW = struct.Struct("<I")  # upstream key
 INCARNATION_KEY_ROW = struct.Struct("<Q")  # key of an upstream's incarnation
@@ -33,11 +32,6 @@
 HOST_HEADER = struct.Struct("<QQQ???B")
 
 
-def age_ms(at_s: float, now_s: float) -> int:
-    """Return how long ago something was, as encoded."""
-    return min(MAX_AGE_MS, max(0, round((now_s - at_s) * MS_PER_S)))
-
-
 def encode_upstream_names(names: Iterable[str]) -> bytes:
     """Encode upstream names as a table of their keys."""
     return b"".join(UPSTREAM_KEY_ROW.pack(upstream_key(name)) for name in names)
@@ -102,7 +96,7 @@
         LimitReport(
             names_by_key[key],
             limit_per_s if limit_per_s >= 0.0 else None,
-            now_s - age / MS_PER_S,
+            time_of_age(age, now_s),
         )
         for key, limit_per_s, age in LIMIT_ROW.iter_unpack(data)
         if key in names_by_key
--- a/rosemaryyoke/hosts/tests/test_quarantine_notices.py
+++ b/rosemaryyoke/hosts/tests/test_quarantine_notices.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.core.ages import MAX_AGE_MS, age_ms
 from rosemaryyoke.fleet import Fleet
 from rosemaryyoke.hosts import BeaconService, HostTable
 from rosemaryyoke.hosts.beacons import (
@@ -23,7 +24,6 @@
     encode_digest,
     encode_notice,
 )
-from rosemaryyoke.hosts.packed_rows import MAX_AGE_MS, age_ms
 from rosemaryyoke.hosts.tests.test_table import OWN, make_beacon
 from rosemaryyoke.quarantine import Ban, PromptOutcome
 from rosemaryyoke.quarantine.outcomes import MAX_KEYS
--- a/rosemaryyoke/membership/links.py
+++ b/rosemaryyoke/membership/links.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from typing import Callable
 
 from absl import logging
 from attrs import define, field
@@ -94,6 +95,7 @@
         self.lock = threading.Lock()
         self.outgoing: dict[str, Link] = {}
         self.links: dict[Channel, Link] = {}
+        self.handlers: dict[str, Callable[[Channel, object], None]] = {}
         self.seen_notices: dict[str, UpstreamNotice] = {}
         self.open_failures: dict[str, int] = {}
         self.suspected_at_s: dict[str, float] = {}
@@ -113,6 +115,21 @@
         self.timer.every(REJOIN_PERIOD_S, self.contact_unreachable_hosts)
         self.timer.every(HEARTBEAT_S, self.send_heartbeats)
 
+    def register(self, kind: str, handler: Callable[[Channel, object], None]) -> None:
+        """Register the handler of a kind of message, whichever side opened the link."""
+        self.handlers[kind] = handler
+        self.kernel.get("peers").server.handlers.register(kind)(handler)
+
+    def broadcast(self, message) -> None:
+        """Send a message over all links."""
+        with self.lock:
+            channels = list(self.links)
+        for channel in channels:
+            try:
+                channel.send(message, SEND_TIMEOUT_S)
+            except PeerError:
+                self._close_link(channel)
+
     def stop(self) -> None:
         """Close all links."""
         self.stopping = True
@@ -215,6 +232,8 @@
                     self.handle_members(link.channel, message)
                 elif kind == "notices":
                     self.handle_notices(link.channel, message)
+                elif kind in self.handlers:
+                    self.handlers[kind](link.channel, message)
         except PeerError as error:
             logging.debug("link to %s closed: %s", name, error)
         except Exception:
--- a/rosemaryyoke/peers/peer.capnp
+++ b/rosemaryyoke/peers/peer.capnp
@@ -47,6 +47,11 @@
   }
 }
 
+struct QuarantineNotice {
+  outcomes @0 :Data;
+  bans @1 :Data;
+}
+
 struct UseQuery {
   account @0 :Text;
   host @1 :Text;
@@ -69,5 +74,6 @@
     missing @11 :Void;
     getUse @12 :UseQuery;
     use @13 :Float64;
+    quarantine @14 :QuarantineNotice;
   }
 }
--- a/rosemaryyoke/quarantine/__init__.py
+++ b/rosemaryyoke/quarantine/__init__.py
@@ -7,6 +7,7 @@
     prompt_keys,
     request_key,
 )
+from rosemaryyoke.quarantine.prefixes import prefix_keys
 from rosemaryyoke.quarantine.quarantine import Quarantine, format_keys
 
 __all__ = [
@@ -15,6 +16,7 @@
     "Quarantine",
     "format_keys",
     "part_key",
+    "prefix_keys",
     "prompt_keys",
     "request_key",
 ]
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -38,11 +38,13 @@
     ``suspects`` are the parts that occur in several crashes and never succeeded.
     ``announced`` is when the last success that all hosts know of was sent, by part;
     ``pending`` holds successes to announce, and when. ``on_news`` is called when there
-    is something to tell the other hosts at once.
+    is something to tell the other hosts at once. A host that ``relays`` passes on what
+    is new to it, where not all hosts hear each other.
     """
 
     now_s: Callable[[], float] = time.monotonic
     hosts: int = 1
+    relays: bool = False
     evidence: CrashEvidence = field(factory=CrashEvidence)
     bans: dict[frozenset[int], Ban] = field(factory=dict)
     ended: OrderedDict[frozenset[int], float] = field(factory=OrderedDict)
@@ -107,9 +109,13 @@
         with self.lock:
             for outcome in outcomes:
                 if not outcome.crashed:
+                    if self.relays and self._is_news(outcome.keys):
+                        self.outbox.add_outcome(outcome, self.now_s())
                     self._mark_announced(outcome)
                     self._add_success(outcome)
                 elif self._add_crash(outcome):
+                    if self.relays:
+                        self.outbox.add_outcome(outcome, self.now_s())
                     self.received_reports += 1
                     log_event(
                         "crash report received",
@@ -218,6 +224,8 @@
         known = self.bans.get(ban.keys)
         if known is None or ban.level > known.level:
             self._insert(ban, host)
+            if self.relays:
+                self.outbox.add_ban(ban, self.now_s())
 
     def _add_crash(self, outcome: PromptOutcome) -> bool:
         if not self.evidence.add_crash(outcome):
--- a/rosemaryyoke/quarantine/rows.py
+++ b/rosemaryyoke/quarantine/rows.py
@@ -3,8 +3,9 @@
 import struct
 from typing import Iterable, Sequence
 
-from rosemaryyoke.hosts.packed_rows import MS_PER_S, age_ms
-from rosemaryyoke.quarantine import Ban, PromptOutcome
+from rosemaryyoke.core.ages import age_ms, time_of_age
+from rosemaryyoke.quarantine.bans import Ban
+from rosemaryyoke.quarantine.outcomes import PromptOutcome
 
 KEY_ROW = struct.Struct("<Q")
 # Request key, upstream key, ages of the send and of the end, whether the engine
@@ -13,6 +14,14 @@
 BAN_HEADER = struct.Struct("<IBB")  # age, level, count of part keys
 
 
+def unpack_row(row: struct.Struct, data: bytes, offset: int) -> tuple:
+    """Return the fields of a row; raise ``ValueError`` if it is incomplete."""
+    try:
+        return row.unpack_from(data, offset)
+    except struct.error as error:
+        raise ValueError(str(error)) from error
+
+
 def encode_keys(keys: Iterable[int]) -> bytes:
     """Encode the keys of parts."""
     return b"".join(KEY_ROW.pack(key) for key in keys)
@@ -44,14 +53,14 @@
 
 
 def decode_outcomes(data: bytes, now_s: float) -> tuple[PromptOutcome, ...]:
-    """Decode outcomes of attempts; raise ``ValueError`` or ``struct.error``."""
+    """Decode outcomes of attempts; raise ``ValueError`` if a row is invalid."""
     outcomes, offset = [], 0
     while offset < len(data):
-        request, upstream, sent, ended, crashed, count = OUTCOME_HEADER.unpack_from(
-            data, offset
+        request, upstream, sent, ended, crashed, count = unpack_row(
+            OUTCOME_HEADER, data, offset
         )
         keys, offset = decode_keys(data, offset + OUTCOME_HEADER.size, count)
-        sent_s, ended_s = now_s - sent / MS_PER_S, now_s - ended / MS_PER_S
+        sent_s, ended_s = time_of_age(sent, now_s), time_of_age(ended, now_s)
         outcomes.append(
             PromptOutcome(request, upstream, keys, sent_s, ended_s, crashed)
         )
@@ -68,12 +77,12 @@
 
 
 def decode_bans(data: bytes, now_s: float) -> tuple[Ban, ...]:
-    """Decode bans; raise ``ValueError`` or ``struct.error``."""
+    """Decode bans; raise ``ValueError`` if a row is invalid."""
     bans, offset = [], 0
     while offset < len(data):
-        age, level, count = BAN_HEADER.unpack_from(data, offset)
+        age, level, count = unpack_row(BAN_HEADER, data, offset)
         keys, offset = decode_keys(data, offset + BAN_HEADER.size, count)
         if not keys:
             raise ValueError("a ban names no part")
-        bans.append(Ban(frozenset(keys), now_s - age / MS_PER_S, level))
+        bans.append(Ban(frozenset(keys), time_of_age(age, now_s), level))
     return tuple(bans)
--- a/rosemaryyoke/standins/engine.py
+++ b/rosemaryyoke/standins/engine.py
@@ -101,6 +101,9 @@
             self.refused += 1
             return refusal
         self.admitted_at.append(time.time())
+        if self.fault.crash_text and self.fault.crash_text in body["prompt"]:
+            exchange.begin_response(SSE_HEADERS)
+            raise ConnectionError("crashed by the prompt")
         sequence = self._admit(body)
         self._stream(exchange, sequence, sequence.first_index)
         return None
--- a/rosemaryyoke/standins/sequences.py
+++ b/rosemaryyoke/standins/sequences.py
@@ -21,6 +21,7 @@
     event_gap: float = 0.0
     event_lag_s: float = 0.0
     load_lag_s: float = 0.0
+    crash_text: str = ""  # in prompts
 
 
 @frozen
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -2,14 +2,17 @@
 
 import secrets
 import time
+from typing import Sequence
 
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.calls.retry import RetryBudget
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.placement.blocks import BLOCK_TOKENS
 from rosemaryyoke.placement.service import NoEngineAvailable, PlacementDecision
+from rosemaryyoke.quarantine import PromptOutcome, prefix_keys
 from rosemaryyoke.rules.model import Route, RuleSet
 from rosemaryyoke.streams.identifiers import (
     StreamIdentifier,
@@ -30,6 +33,9 @@
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 2
+SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
+QUARANTINED_CODE = "quarantined"
+KEY_BITS = 64
 
 
 @frozen
@@ -52,7 +58,7 @@
 
     ``token_texts`` holds the known tokens, starting with the first one. After a resume
     on another host it may hold fewer than ``next_index``, the index of the token that
-    the caller needs next.
+    the caller needs next. ``key`` identifies the completion towards other hosts.
     """
 
     token_texts: list[str] = field(factory=list)
@@ -62,6 +68,7 @@
     sent: bool = False
     finished: bool = False
     resumes: int = 0
+    key: int = field(factory=lambda: secrets.randbits(KEY_BITS))
     started_s: float = field(factory=time.monotonic)
     first_token_s: float = 0.0
 
@@ -93,6 +100,7 @@
         self.placement = self.kernel.get("placement")
         self.recorder = self.kernel.get("recorder")
         self.metrics = self.kernel.get("metrics")
+        self.quarantine = self.kernel.get("quarantine").quarantine
 
     def stop(self) -> None:
         """Do nothing; active relays end with their connections."""
@@ -146,7 +154,12 @@
         progress: Progress,
     ) -> None:
         excluded: set[str] = set()
+        keys = prefix_keys(completion.prompt)
         for attempt_number in range(MAX_ATTEMPTS):
+            if attempt_number and self.quarantine.is_suspect(keys):
+                break
+            if self._reject_banned(keys, sink, progress):
+                return
             if attempt_number and not self.retry_budget.try_withdraw():
                 break
             if not (progress.prefix_known or completion.repeatable):
@@ -197,6 +210,7 @@
         )
         attempt = _Attempt(self, completion, sink, progress, identifier, decision)
         adapter, address = self.directory.engine_adapter, decision.upstream.address
+        keys, sent_s = prefix_keys(completion.prompt), time.monotonic()
         self.recorder.record(
             "attempt.sent",
             request.request,
@@ -209,6 +223,7 @@
             outcome = attempt.receive(
                 lambda on_event: adapter.complete(address, request, on_event, sink.wait)
             )
+            broke_off = attempt.broke_off_early(outcome)
             while isinstance(outcome, Err) and self._may_resume(outcome, progress):
                 progress.resumes += 1
                 outcome = attempt.receive(
@@ -224,6 +239,10 @@
             self.placement.record_completion(decision)
         if isinstance(outcome, Err):
             self._record_upstream_failure(decision, outcome.err_value)
+        # An engine that resumes the stream has not crashed.
+        if isinstance(outcome, Ok) or broke_off:
+            crashed = isinstance(outcome, Err)
+            self._record_evidence(decision, keys, progress, sent_s, crashed)
         return outcome
 
     def _may_resume(self, outcome: Err[UpstreamError], progress: Progress) -> bool:
@@ -273,6 +292,39 @@
             self.directory.record_failure(decision.upstream.name)
         self.metrics.count("attempts_failed_total", engine=decision.upstream.name)
 
+    def _reject_banned(
+        self, keys: Sequence[int], sink: Sink, progress: Progress
+    ) -> bool:
+        """Reject a prompt that crashes engines; return whether it was rejected.
+
+        Callers aren't told to retry: that would be of no use within their time.
+        """
+        ban = self.quarantine.find_ban(keys)
+        if ban is None:
+            return False
+        message = "a part of the prompt has crashed several engines"
+        self.metrics.count("refusals_total", code=QUARANTINED_CODE)
+        sink.fail(Failure(503, QUARANTINED_CODE, message, not progress.sent))
+        return True
+
+    def _record_evidence(
+        self,
+        decision: PlacementDecision,
+        keys: Sequence[int],
+        progress: Progress,
+        sent_s: float,
+        crashed: bool,
+    ) -> None:
+        """Tell the quarantine that an engine crashed, or answered, on a prompt."""
+        name, now_s = decision.upstream.name, time.monotonic()
+        outcome = PromptOutcome(
+            progress.key, upstream_key(name), tuple(keys), sent_s, now_s, crashed
+        )
+        if crashed:
+            self.quarantine.record_crash(outcome, upstream=name)
+        else:
+            self.quarantine.record_success(outcome)
+
     def _reject(
         self, sink: Sink, progress: Progress, reason: NoEngineAvailable
     ) -> None:
@@ -306,6 +358,7 @@
         self.identifier = identifier
         self.decision = decision
         self.ended = False
+        self.started_s = 0.0
 
     def receive(self, call) -> Result[None, UpstreamError]:
         """Run a call to the engine until its stream ends."""
@@ -321,10 +374,18 @@
             return outcome
         if not self.ended:
             return Err(
-                UpstreamError("stream ended without a finished event", sent=True)
+                UpstreamError(
+                    "stream ended without a finished event", sent=True, broken_off=True
+                )
             )
         return outcome
 
+    def broke_off_early(self, outcome: Result[None, UpstreamError]) -> bool:
+        """Return whether the engine ended its response as it began to answer."""
+        if isinstance(outcome, Ok) or not outcome.err_value.broken_off:
+            return False
+        return not self.started_s or time.monotonic() - self.started_s < SUSTAINED_S
+
     def on_event(self, event: EngineEvent) -> None:
         """Handle one event; drop events that belong to another request."""
         if event.request != self.identifier.request:
@@ -342,6 +403,7 @@
                 "engine was restarted; its incarnation differs from the stream's"
             )
         self.progress.sent = True
+        self.started_s = self.started_s or time.monotonic()
         self.progress.weights = event.weights
         self.identifier = StreamIdentifier(
             self.identifier.engine,
--- a/rosemaryyoke/streams/tests/builders.py
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -6,6 +6,7 @@
 from rosemaryyoke.core import EventRecorder, Kernel, Metrics
 from rosemaryyoke.placement import Choice
 from rosemaryyoke.placement.service import NoEngineAvailable, PlacementDecision
+from rosemaryyoke.quarantine import Quarantine
 from rosemaryyoke.rules import Route, RuleSet, Upstream
 from rosemaryyoke.standins import expected_text
 from rosemaryyoke.streams import CompletionRequest, Relay
@@ -45,6 +46,8 @@
         for step in script:
             if step == "cut":
                 return Err(UpstreamError("cut", sent=True))
+            if step == "crash":
+                return Err(UpstreamError("reset", sent=True, broken_off=True))
             if step == "silent":
                 return Ok(None)
             if step == "crossed":
@@ -102,6 +105,19 @@
         """Do nothing."""
 
 
+@define
+class StubQuarantineService:
+    """Service with a quarantine that no other host hears of."""
+
+    quarantine: Quarantine = field(factory=Quarantine)
+
+    def start(self):
+        """Do nothing."""
+
+    def stop(self):
+        """Do nothing."""
+
+
 @define
 class RecordingSink:
     """Sink that stores the caller's tokens and checks their order."""
@@ -139,6 +155,7 @@
     kernel.add("placement", StubPlacement(list(engines)))
     kernel.add("recorder", EventRecorder("test"))
     kernel.add("metrics", Metrics())
+    kernel.add("quarantine", StubQuarantineService())
     relay = Relay(kernel, "0123456789abcdef")
     relay.start()
     return relay
--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -301,7 +301,7 @@
 
 def to_upstream_error(error: TransportError) -> UpstreamError:
     """Convert an error of the HTTP layer to an ``UpstreamError``."""
-    return UpstreamError(error.message, sent=error.sent)
+    return UpstreamError(error.message, sent=error.sent, broken_off=error.broken_off)
 
 
 class MalformedEvent(ReadAborted):
--- a/rosemaryyoke/wire/errors.py
+++ b/rosemaryyoke/wire/errors.py
@@ -7,11 +7,13 @@
 class TransportError:
     """A request that got no complete response.
 
-    ``sent`` says whether any byte of the request may have reached the server.
+    ``sent`` says whether any byte of the request may have reached the server,
+    ``broken_off`` whether the server closed the connection before the response's end.
     """
 
     message: str
     sent: bool
+    broken_off: bool = False
 
 
 class ReadAborted(Exception):
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -14,6 +14,7 @@
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 10.0
 MAX_BODY_BYTES = DEFAULT_RESPONSE_LIMITS.body_bytes
+BROKEN_OFF_CODES = (pycurl.E_PARTIAL_FILE, pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR)
 MS_PER_S = 1000
 HTTP_OK = 200
 
@@ -181,4 +182,4 @@
 def transport_error(curl: pycurl.Curl, error: pycurl.error) -> TransportError:
     """Convert a curl error to a ``TransportError``."""
     sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-    return TransportError(error.args[1], sent)
+    return TransportError(error.args[1], sent, error.args[0] in BROKEN_OFF_CODES)
