Engines that break off single answers have not crashed

Cause: the end of one connection was taken for the end of the engine. An engine that crashes ends all requests that it works on. A request that was sent before the alleged crash and goes on 0.3 s after it, at any host, now disproves it; the host tells the others, unless another was faster. Restarted engines disprove nothing, as they can't go on with requests. Ruled out: asking the engine for its report (a priced probe for each lost request), open idle connections (a lost FIN looks the same), bytes of newer requests (engines that are back at once).

--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -1,11 +1,12 @@
 """Crashes of engines, and the prompts that each of them was working on."""
 
 from collections import OrderedDict, deque
-from typing import AbstractSet, Iterable
+from typing import AbstractSet
 
 from attrs import define, field
 
 from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.survivals import Survivals, outlives
 
 CRASH_TTL_S = 600.0
 MAX_CRASHES = 256
@@ -60,10 +61,13 @@
     crashes: list[Crash] = field(factory=list)
     crashes_by_key: dict[int, list[Crash]] = field(factory=dict)
     successes: OrderedDict[int, float] = field(factory=OrderedDict)
+    survivals: Survivals = field(factory=Survivals)
     recent: deque[tuple[float, Keys]] = field(factory=lambda: deque(maxlen=MAX_RECENT))
 
     def add_crash(self, outcome: PromptOutcome) -> bool:
         """Add a prompt that a crash ended; return whether it was not known yet."""
+        if self.survivals.find(outcome.upstream, outcome.ended_s) is not None:
+            return False
         crash = self._find(outcome)
         if crash is None:
             crash = Crash(outcome.upstream, outcome.ended_s, outcome.sent_s)
@@ -95,15 +99,24 @@
             (crash for crash in self.crashes if crash.may_have_ended(outcome)), None
         )
 
-    def add_success(self, keys: Iterable[int], sent_s: float) -> None:
-        """Record that an attempt on a prompt with some parts succeeded."""
-        keys = frozenset(keys)
+    def add_success(self, outcome: PromptOutcome) -> None:
+        """Record that an attempt on a prompt succeeded."""
+        keys, sent_s = frozenset(outcome.keys), outcome.sent_s
+        self.survivals.add(outcome)
+        if self.outlived_crashes(outcome):
+            self._replace(
+                [item for item in self.crashes if not is_outlived(item, outcome)]
+            )
         self.recent.append((sent_s, keys))
         for key in keys:
             self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
         while len(self.successes) > MAX_SUCCESSES:
             self.successes.popitem(last=False)
 
+    def outlived_crashes(self, success: PromptOutcome) -> list[Crash]:
+        """Return the alleged crashes that a success shows to be none."""
+        return [crash for crash in self.crashes if is_outlived(crash, success)]
+
     def has_succeeded(self, key: int) -> bool:
         """Return whether a success of a part is remembered."""
         return key in self.successes
@@ -124,3 +137,9 @@
             self._replace(
                 [item for item in self.crashes if now_s - item.at_s <= CRASH_TTL_S]
             )
+
+
+def is_outlived(crash: Crash, success: PromptOutcome) -> bool:
+    """Return whether an attempt at the same engine outlived an alleged crash."""
+    span = success.sent_s, success.ended_s
+    return crash.upstream == success.upstream and outlives(span, crash.at_s)
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -14,6 +14,7 @@
 from rosemaryyoke.quarantine.evidence import CrashEvidence
 from rosemaryyoke.quarantine.outbox import Outbox
 from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.survivals import ENDED_AFTER_S
 from rosemaryyoke.quarantine.suspicion import (
     Explanation,
     collect_involvements,
@@ -29,6 +30,7 @@
 SPREAD_S_PER_HOST = 0.004
 MAX_SPREAD_S = 0.5
 MAX_PENDING = 64
+MAX_DISPROVED = 1_024  # upstreams
 
 
 @define(eq=False)
@@ -37,9 +39,11 @@
 
     ``suspects`` are the parts that occur in several crashes and never succeeded.
     ``announced`` is when the last success that all hosts know of was sent, by part;
-    ``pending`` holds successes to announce, and when. ``on_news`` is called when there
-    is something to tell the other hosts at once. A host that ``relays`` passes on what
-    is new to it, where not all hosts hear each other.
+    ``disproved_s`` is the time until which all hosts know that an engine has not
+    crashed. ``pending`` and ``pending_survivals`` hold what to announce, and when.
+    ``on_news`` is called when there is something to tell the other hosts at once. A
+    host that ``relays`` passes on what is new to it, where not all hosts hear each
+    other.
     """
 
     now_s: Callable[[], float] = time.monotonic
@@ -50,6 +54,8 @@
     ended: OrderedDict[frozenset[int], float] = field(factory=OrderedDict)
     suspects: set[int] = field(factory=set)
     announced: OrderedDict[int, float] = field(factory=OrderedDict)
+    disproved_s: OrderedDict[int, float] = field(factory=OrderedDict)
+    pending_survivals: dict[int, tuple[float, float]] = field(factory=dict)
     pending: dict[tuple[int, ...], tuple[float, PromptOutcome]] = field(factory=dict)
     outbox: Outbox = field(factory=Outbox)
     own_reports: int = 0
@@ -94,10 +100,10 @@
 
     def record_success(self, outcome: PromptOutcome) -> None:
         """Record that a prompt was answered, or that its answer went on for a while."""
-        if not outcome.keys:
-            return
         with self.lock:
             is_news = self._is_news(outcome.keys)
+            for crash in self.evidence.outlived_crashes(outcome):
+                self._schedule_survival(crash.upstream, crash.at_s)
             self._add_success(outcome)
             if is_news:
                 self._schedule(outcome)
@@ -109,9 +115,11 @@
         with self.lock:
             for outcome in outcomes:
                 if not outcome.crashed:
-                    if self.relays and self._is_news(outcome.keys):
+                    disproves = bool(self.evidence.outlived_crashes(outcome))
+                    if self.relays and (disproves or self._is_news(outcome.keys)):
                         self.outbox.add_outcome(outcome, self.now_s())
                     self._mark_announced(outcome)
+                    self._mark_disproved(outcome)
                     self._add_success(outcome)
                 elif self._add_crash(outcome):
                     if self.relays:
@@ -131,6 +139,7 @@
         now_s = self.now_s()
         with self.lock:
             self._end_forgotten(now_s)
+            self._announce_survivals(now_s)
             if not self.evidence.crashes:
                 return
             self.evidence.expire(now_s)
@@ -164,10 +173,13 @@
             if now_s - ban.until_s > FORGET_S:
                 self._end(ban, "expired")
 
+    def _spread_s(self) -> float:
+        """Return the time over which hosts that know the same spread their news."""
+        return min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
+
     def _schedule(self, success: PromptOutcome) -> None:
         if len(self.pending) < MAX_PENDING:
-            spread_s = min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
-            due_s = self.now_s() + random.uniform(0.0, spread_s)
+            due_s = self.now_s() + random.uniform(0.0, self._spread_s())
             self.pending.setdefault(success.keys, (due_s, success))
 
     def _schedule_earlier_success(self, key: int) -> None:
@@ -227,8 +239,36 @@
             if self.relays:
                 self.outbox.add_ban(ban, self.now_s())
 
+    def _schedule_survival(self, upstream: int, crashed_s: float) -> None:
+        """Tell the other hosts later that an alleged crash was none."""
+        if crashed_s > self.disproved_s.get(upstream, -math.inf):
+            due_s = self.now_s() + random.uniform(0.0, self._spread_s() / 2)
+            self.pending_survivals.setdefault(upstream, (due_s, crashed_s))
+
+    def _announce_survivals(self, now_s: float) -> None:
+        """Announce what disproves crashes, unless another host was faster."""
+        for upstream, (due_s, crashed_s) in list(self.pending_survivals.items()):
+            if due_s > now_s:
+                continue
+            del self.pending_survivals[upstream]
+            span = self.evidence.survivals.find(upstream, crashed_s)
+            if span and crashed_s > self.disproved_s.get(upstream, -math.inf):
+                success = PromptOutcome(0, upstream, (), *span, False)
+                self._mark_disproved(success)
+                self.outbox.add_outcome(success, now_s)
+
+    def _mark_disproved(self, success: PromptOutcome) -> None:
+        """Record the time until which all hosts know that an engine has not crashed."""
+        until_s = success.ended_s - ENDED_AFTER_S
+        known_s = self.disproved_s.pop(success.upstream, until_s)
+        self.disproved_s[success.upstream] = max(known_s, until_s)
+        if len(self.disproved_s) > MAX_DISPROVED:
+            self.disproved_s.popitem(last=False)
+
     def _add_crash(self, outcome: PromptOutcome) -> bool:
         if not self.evidence.add_crash(outcome):
+            if self.evidence.survivals.find(outcome.upstream, outcome.ended_s):
+                self._schedule_survival(outcome.upstream, outcome.ended_s)
             return False
         held = frozenset(outcome.keys)
         for ban in list(self.bans.values()):
@@ -245,7 +285,7 @@
         self.outbox.add_ban(renewed, self.now_s())
 
     def _add_success(self, outcome: PromptOutcome) -> None:
-        self.evidence.add_success(outcome.keys, outcome.sent_s)
+        self.evidence.add_success(outcome)
         held = frozenset(outcome.keys)
         for ban in list(self.bans.values()):
             if ban.keys <= held and outcome.sent_s > ban.began_s:
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -82,6 +82,45 @@
     assert group.banning(COMMON, BAD) == 3
 
 
+# Guards against sound parts that are banned because engines lose single answers.
+@pytest.mark.parametrize("count", [3, 30, 195])
+def test_engines_that_break_off_single_answers_have_not_crashed(count):
+    group = HostGroup(count)
+    for number in range(6 * CRASHES):
+        upstream = number % CRASHES
+        group.crash(number % count, (COMMON, OTHER), upstream)
+        group.clock.at_s += 0.4
+        for host in range(min(count, 9)):
+            outlived = make_outcome(
+                (BAD,), upstream, group.clock.at_s, crashed=False, lasted_s=1.0
+            )
+            group.hosts[(number + host) % count].record_success(outlived)
+        group.pass_time(0.3)
+    group.pass_time(STABLE_S)
+    assert not group.banning(COMMON, OTHER)
+
+
+def test_answer_that_began_after_a_crash_does_not_disprove_it(group):
+    for upstream in range(CRASHES):
+        group.crash(upstream % 3, (COMMON, BAD), upstream)
+        group.pass_time(1.0)
+        later = make_outcome(
+            (COMMON,), upstream, group.clock.at_s, crashed=False, lasted_s=0.9
+        )
+        group.hosts[0].record_success(later)
+    group.pass_time(STABLE_S)
+    assert group.banning(BAD) == 3 and not group.banning(COMMON)
+
+
+def test_report_of_a_crash_that_was_disproved_before_is_ignored(group):
+    host, now_s = group.hosts[0], group.clock.at_s
+    outlived = make_outcome((COMMON,), 1, now_s + 1.0, crashed=False, lasted_s=2.0)
+    host.record_success(outlived)
+    host.receive("h1", [make_outcome((BAD,), 1, now_s)], ())
+    host.receive("h1", [make_outcome((BAD,), 2, now_s)], ())
+    assert [crash.upstream for crash in host.evidence.crashes] == [2]
+
+
 def test_repeats_of_one_request_are_no_evidence_for_its_shared_parts(group):
     for upstream in range(CRASHES):
         outcome = make_outcome((BAD,), upstream, group.clock.at_s, request=7)
