Successes told without all of their parts are none of other prompts

What disproves a crash, and an earlier success of one part, are told without the other parts of the prompt, and counted as successes of prompts without a suspected part that they may hold. In an outage that could have let a part be banned that was answered before. The test of the case failed before.

--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST, PromptOutcome
 from rosemaryyoke.quarantine.survivals import Survivals, outlives
 
 CRASH_TTL_S = 600.0
@@ -107,7 +107,8 @@
             self._replace(
                 [item for item in self.crashes if not is_outlived(item, outcome)]
             )
-        self.recent.append((sent_s, keys))
+        if outcome.request != UNKNOWN_REQUEST:
+            self.recent.append((sent_s, keys))
         for key in keys:
             self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
         while len(self.successes) > MAX_SUCCESSES:
--- a/rosemaryyoke/quarantine/outcomes.py
+++ b/rosemaryyoke/quarantine/outcomes.py
@@ -9,6 +9,7 @@
 KEY_BYTES = 8
 KEY_CACHE_SIZE = 4_096
 MAX_KEYS = 16  # parts of one prompt
+UNKNOWN_REQUEST = 0  # of outcomes that name only some of the parts of their prompt
 
 
 @frozen
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -13,7 +13,7 @@
 from rosemaryyoke.quarantine.bans import RENEWAL_AGE_S, Ban
 from rosemaryyoke.quarantine.evidence import CrashEvidence
 from rosemaryyoke.quarantine.outbox import Outbox
-from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST, PromptOutcome
 from rosemaryyoke.quarantine.survivals import ENDED_AFTER_S
 from rosemaryyoke.quarantine.suspicion import (
     Explanation,
@@ -188,7 +188,9 @@
         if sent_s is None or key in self.announced:
             return
         if self.evidence.crashes_since(key, -math.inf) >= SUSPECT_CRASHES:
-            self._schedule(PromptOutcome(0, 0, (key,), sent_s, sent_s, False))
+            self._schedule(
+                PromptOutcome(UNKNOWN_REQUEST, 0, (key,), sent_s, sent_s, False)
+            )
 
     def _announce_pending(self, now_s: float) -> None:
         """Announce the successes that are due, unless another host was faster."""
@@ -253,7 +255,7 @@
             del self.pending_survivals[upstream]
             span = self.evidence.survivals.find(upstream, crashed_s)
             if span and crashed_s > self.disproved_s.get(upstream, -math.inf):
-                success = PromptOutcome(0, upstream, (), *span, False)
+                success = PromptOutcome(UNKNOWN_REQUEST, upstream, (), *span, False)
                 self._mark_disproved(success)
                 self.outbox.add_outcome(success, now_s)
 
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -10,6 +10,7 @@
     MAX_PROMPTS_PER_CRASH,
     MAX_SUCCESSES,
 )
+from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST
 from rosemaryyoke.quarantine.quarantine import FORGET_S, MAX_BANS
 from rosemaryyoke.quarantine.suspicion import MIN_CRASHES, SETTLE_S
 from rosemaryyoke.quarantine.tests.builders import HostGroup, make_outcome
@@ -112,6 +113,17 @@
     assert group.banning(BAD) == 3 and not group.banning(COMMON)
 
 
+# Guards against a success told without all of its parts that counts as another prompt.
+def test_outcome_of_some_parts_is_no_success_of_other_prompts(group):
+    group.answer(0, (COMMON,))
+    group.pass_time(1.0)
+    crash_series(group, COMMON, gap_s=0.2, sound=())
+    partial = make_outcome((OTHER,), 99, group.clock.at_s, False, UNKNOWN_REQUEST)
+    group.hosts[0].receive("h1", [partial], ())
+    group.pass_time(STABLE_S)
+    assert not group.banning(COMMON)
+
+
 def test_report_of_a_crash_that_was_disproved_before_is_ignored(group):
     host, now_s = group.hosts[0], group.clock.at_s
     outlived = make_outcome((COMMON,), 1, now_s + 1.0, crashed=False, lasted_s=2.0)
