Explain old crashes rarely

Crashes are kept for ten minutes, and all of them were compared ten times a second for as long: with the most that is kept, 256 of 32 prompts, that is tens of thousands of steps each time. Now only while a crash is less than 2 s old, else every 2 s. The test failed with the old loop.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -22,6 +22,8 @@
 )
 
 SUSPECT_CRASHES = 2
+RECENT_CRASH_S = 2.0  # longer than the time for answers to refute a suspicion
+EXPLAIN_PERIOD_S = 2.0
 MAX_BANS = 64
 FORGET_S = 3_600.0  # after the time from which a request may try the parts
 MAX_ENDED_BANS = 256
@@ -58,6 +60,8 @@
     pending_survivals: dict[int, tuple[float, float]] = field(factory=dict)
     pending: dict[tuple[int, ...], tuple[float, PromptOutcome]] = field(factory=dict)
     outbox: Outbox = field(factory=Outbox)
+    last_crash_s: float = -math.inf
+    explain_due_s: float = -math.inf
     own_reports: int = 0
     received_reports: int = 0
     on_news: Callable[[], None] = lambda: None
@@ -142,14 +146,21 @@
             self._announce_survivals(now_s)
             if not self.evidence.crashes:
                 return
-            self.evidence.expire(now_s)
             self._announce_pending(now_s)
-            while True:
-                found = find_explanation(self.evidence, self.bans.keys(), now_s)
-                if found is None:
-                    break
-                self._ban(found, now_s)
-            self._update_suspects()
+            if now_s >= self.explain_due_s:
+                self._explain(now_s)
+
+    def _explain(self, now_s: float) -> None:
+        """Ban what explains the crashes, often only while a crash is recent."""
+        is_recent = now_s - self.last_crash_s <= RECENT_CRASH_S
+        self.explain_due_s = now_s if is_recent else now_s + EXPLAIN_PERIOD_S
+        self.evidence.expire(now_s)
+        while True:
+            found = find_explanation(self.evidence, self.bans.keys(), now_s)
+            if found is None:
+                break
+            self._ban(found, now_s)
+        self._update_suspects()
 
     def take_due(self) -> tuple[list[PromptOutcome], list[Ban]]:
         """Return the outcomes and the bans to send to the other hosts now."""
@@ -276,6 +287,7 @@
         for ban in list(self.bans.values()):
             if ban.keys <= held and outcome.ended_s - ban.began_s > RENEWAL_AGE_S:
                 self._renew(ban)
+        self.last_crash_s = self.explain_due_s = self.now_s()
         for key in outcome.keys:
             self._schedule_earlier_success(key)
         self._update_suspects()
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rosemaryyoke.quarantine import quarantine as quarantines
 from rosemaryyoke.quarantine.bans import BAN_GROWTH, BAN_S, END_JITTER
 from rosemaryyoke.quarantine.evidence import (
     MAX_CRASHES,
@@ -11,7 +12,7 @@
     MAX_SUCCESSES,
 )
 from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST
-from rosemaryyoke.quarantine.quarantine import FORGET_S, MAX_BANS
+from rosemaryyoke.quarantine.quarantine import EXPLAIN_PERIOD_S, FORGET_S, MAX_BANS
 from rosemaryyoke.quarantine.suspicion import MIN_CRASHES, SETTLE_S
 from rosemaryyoke.quarantine.tests.builders import HostGroup, make_outcome
 
@@ -333,6 +334,16 @@
     assert len(host.evidence.crashes[-1].prompts) <= MAX_PROMPTS_PER_CRASH
 
 
+# Guards against processor time for old crashes, ten times a second.
+def test_old_crashes_are_explained_rarely(group, monkeypatch):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    explained = []
+    monkeypatch.setattr(quarantines, "find_explanation", lambda *_: explained.append(1))
+    group.pass_time(20.0)
+    assert 0 < len(explained) <= 3 * (20.0 / EXPLAIN_PERIOD_S + 1)
+
+
 def test_number_of_bans_is_bounded(group):
     for number in range(2 * MAX_BANS):
         crash_series(group, 1_000 + number, crashes=MIN_CRASHES, gap_s=0.1, sound=())
