--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -107,7 +107,7 @@
             self._replace(
                 [item for item in self.crashes if not is_outlived(item, outcome)]
             )
-        if outcome.request != UNKNOWN_REQUEST:
+        if keys and outcome.request != UNKNOWN_REQUEST:
             self.recent.append((sent_s, keys))
         for key in keys:
             self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
