A crash that a ban explains counts against no other prompt

Now the whole crash is explained. test_crash_that_a_ban_explains_counts_against_no_other_part failed before.

--- a/rosemaryyoke/quarantine/suspicion.py
+++ b/rosemaryyoke/quarantine/suspicion.py
@@ -40,29 +40,40 @@
     crashes: int
 
 
-def is_explained(prompt: Keys, key: int, banned: Collection[Keys]) -> bool:
-    """Return whether a ban without some part, or of it alone, covers a prompt.
+def explaining_bans(crash: Crash, banned: Collection[Keys]) -> list[Keys]:
+    """Return the bans that cover a prompt which a crash ended."""
+    return [
+        keys
+        for keys in banned
+        if any(keys <= prompt for prompt in crash.prompts.values())
+    ]
+
+
+def is_explained(key: int, bans: Collection[Keys]) -> bool:
+    """Return whether bans other than one of the part among others explain a crash.
 
     A ban of several parts leaves open which of them is the cause.
     """
-    return any(
-        keys <= prompt and (key not in keys or len(keys) == 1) for keys in banned
-    )
+    return any(key not in keys or len(keys) == 1 for keys in bans)
 
 
 def collect_involvements(
     evidence: CrashEvidence, banned: Collection[Keys]
 ) -> dict[int, Involvement]:
-    """Return what speaks against each part, except what bans explain."""
+    """Return what speaks against each part, except crashes that bans explain.
+
+    Other prompts that such a crash ended were only at the same engine.
+    """
     found: dict[int, Involvement] = defaultdict(Involvement)
     requests: dict[int, set[int]] = defaultdict(set)
     for crash in evidence.crashes:
+        bans = explaining_bans(crash, banned)
         for request, prompt in crash.prompts.items():
             for key in prompt:
                 refuted_s = evidence.successes.get(key)
                 if refuted_s is not None and crash.at_s <= refuted_s:
                     continue
-                if not is_explained(prompt, key, banned):
+                if not is_explained(key, bans):
                     found[key].crashes.add(crash)
                     requests[key].add(request)
     for key, involvement in found.items():
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -170,6 +170,31 @@
     assert not group.banning(COMMON, OTHER)
 
 
+def test_answers_of_plain_services_are_no_success_of_other_prompts(group):
+    group.answer(0, (COMMON, OTHER))
+    group.pass_time(1.0)
+    for upstream in range(2 * CRASHES):
+        group.crash(upstream % 3, (COMMON, OTHER), upstream)
+        for host in range(3):
+            group.answer(host, ())
+        group.pass_time(0.2)
+    group.pass_time(STABLE_S)
+    assert not group.banning(COMMON, OTHER)
+
+
+# Guards against bans by crashes that the ban of another part explains already.
+def test_crash_that_a_ban_explains_counts_against_no_other_part(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    for upstream in range(200, 200 + CRASHES):
+        group.crash(0, (COMMON, BAD), upstream)
+        group.crash(1, (WORSE, OTHER), upstream)
+        group.pass_time(0.2)
+        group.answer(2, (COMMON,))
+    group.pass_time(STABLE_S)
+    assert group.banning(BAD) == 3 and not group.banning(WORSE, OTHER)
+
+
 def test_answers_elsewhere_protect_a_part_at_a_host_that_sees_only_crashes():
     group = HostGroup(30)
     for number in range(4 * CRASHES):
