A host judges crashes only some time after its start

Hosts that start now leave it to the others for 2.5 s, in which they see answers of their own. The test of the case failed before.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -22,6 +22,8 @@
 )
 
 SUSPECT_CRASHES = 2
+# A host that has just started hears of crashes, but not of answers before its start.
+START_WAIT_S = 2.5
 RECENT_CRASH_S = 2.0  # longer than the time for answers to refute a suspicion
 EXPLAIN_PERIOD_S = 2.0
 MAX_BANS = 64
@@ -60,6 +62,7 @@
     pending_survivals: dict[int, tuple[float, float]] = field(factory=dict)
     pending: dict[tuple[int, ...], tuple[float, PromptOutcome]] = field(factory=dict)
     outbox: Outbox = field(factory=Outbox)
+    started_s: float = field(init=False)
     last_crash_s: float = -math.inf
     explain_due_s: float = -math.inf
     own_reports: int = 0
@@ -67,6 +70,9 @@
     on_news: Callable[[], None] = lambda: None
     lock: threading.RLock = field(factory=threading.RLock)
 
+    def __attrs_post_init__(self) -> None:
+        self.started_s = self.now_s()
+
     def find_ban(self, keys: Sequence[int]) -> Ban | None:
         """Return the ban that keeps a prompt from engines, if there is one.
 
@@ -147,7 +153,7 @@
             if not self.evidence.crashes:
                 return
             self._announce_pending(now_s)
-            if now_s >= self.explain_due_s:
+            if now_s >= max(self.explain_due_s, self.started_s + START_WAIT_S):
                 self._explain(now_s)
 
     def _explain(self, now_s: float) -> None:
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -282,6 +282,24 @@
     assert new.find_ban((BAD,)) is not None
 
 
+# Guards against a host that judges by reports that are repeated as it starts.
+def test_new_host_hears_answers_before_it_judges_crashes(group):
+    crashes = [
+        make_outcome((COMMON, OTHER), upstream, group.clock.at_s)
+        for upstream in range(CRASHES)
+    ]
+    group.pass_time(2 * SETTLE_S)
+    new = group.make_host()
+    new.receive("h1", crashes, ())
+    new.review()
+    group.clock.at_s += SETTLE_S
+    new.record_success(make_outcome((COMMON,), 9, group.clock.at_s, crashed=False))
+    new.record_success(make_outcome((OTHER,), 9, group.clock.at_s, crashed=False))
+    group.clock.at_s += STABLE_S
+    new.review()
+    assert not new.bans
+
+
 def end_of_ban(level=0):
     return BAN_S * BAN_GROWTH**level * END_JITTER[1] + 1.0
 
