Known red: an answer may end a ban at one host only

Cause: the success is scheduled to be announced, and dropped when due, since the ban has ended at this host and an earlier success of the part had been announced.

--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -392,3 +392,15 @@
         crash_series(group, 1_000 + number, crashes=MIN_CRASHES, gap_s=0.1, sound=())
     group.pass_time(STABLE_S)
     assert 0 < len(group.hosts[0].bans) <= MAX_BANS
+
+
+# Guards against an answer that ends a ban only at the host that saw it.
+def test_answer_ends_a_ban_everywhere_although_an_earlier_one_was_announced(group):
+    crash_series(group, COMMON, BAD)
+    group.pass_time(STABLE_S)
+    for host in group.hosts:
+        host.announced[BAD] = host.announced[COMMON] = group.clock.at_s
+    group.clock.at_s += 1.0
+    group.answer(0, (COMMON, BAD))
+    group.pass_time(STABLE_S)
+    assert not any(host.bans for host in group.hosts)
