An answer that ends a ban is told although an earlier one was

A prompt whose part had been banned was answered at one host and still refused by the others until each of them tried the part itself, 30 to 45 s later. The host that saw the answer scheduled its announcement, ended its own ban, and then judged by its own bans whether the answer was news; an earlier announced success, or evidence that had expired (a ban read from the store has none), made it none.

The scheduled announcement now keeps that it ends a ban, and is dropped only if another host has announced a success of the same parts since. Announcements are also sent while no crash is known.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from typing import Callable, Iterable, Sequence
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.quarantine.bans import RENEWAL_AGE_S, Ban
@@ -37,6 +37,20 @@
 MAX_DISPROVED = 1_024  # upstreams
 
 
+@frozen
+class PendingSuccess:
+    """A success to announce at a time, unless another host is faster.
+
+    ``ends_ban`` says that hosts which have not heard of it may keep a ban.
+    ``announced`` is the state of ``Quarantine.announced`` for its keys before.
+    """
+
+    due_s: float
+    outcome: PromptOutcome
+    ends_ban: bool = False
+    announced: tuple[float, ...] = ()
+
+
 @define(eq=False)
 class Quarantine:
     """Bans the parts of prompts that crash engines.
@@ -60,7 +74,7 @@
     announced: OrderedDict[int, float] = field(factory=OrderedDict)
     disproved_s: OrderedDict[int, float] = field(factory=OrderedDict)
     pending_survivals: dict[int, tuple[float, float]] = field(factory=dict)
-    pending: dict[tuple[int, ...], tuple[float, PromptOutcome]] = field(factory=dict)
+    pending: dict[tuple[int, ...], PendingSuccess] = field(factory=dict)
     outbox: Outbox = field(factory=Outbox)
     started_s: float = field(init=False)
     last_crash_s: float = -math.inf
@@ -93,9 +107,7 @@
             return False
         held = frozenset(keys)
         with self.lock:
-            return not self.suspects.isdisjoint(held) or any(
-                banned <= held for banned in self.bans
-            )
+            return not self.suspects.isdisjoint(held) or self._is_banned(held)
 
     def record_crash(self, outcome: PromptOutcome, **details) -> None:
         """Record a crash that this host saw, and tell the other hosts."""
@@ -112,11 +124,12 @@
         """Record that a prompt was answered, or that its answer went on for a while."""
         with self.lock:
             is_news = self._is_news(outcome.keys)
+            ends_ban = self._is_banned(outcome.keys)
             for crash in self.evidence.outlived_crashes(outcome):
                 self._schedule_survival(crash.upstream, crash.at_s)
             self._add_success(outcome)
             if is_news:
-                self._schedule(outcome)
+                self._schedule(outcome, ends_ban)
 
     def receive(
         self, host: str, outcomes: Iterable[PromptOutcome], bans: Iterable[Ban]
@@ -150,9 +163,9 @@
         with self.lock:
             self._end_forgotten(now_s)
             self._announce_survivals(now_s)
+            self._announce_pending(now_s)
             if not self.evidence.crashes:
                 return
-            self._announce_pending(now_s)
             if now_s >= max(self.explain_due_s, self.started_s + START_WAIT_S):
                 self._explain(now_s)
 
@@ -194,10 +207,18 @@
         """Return the time over which hosts that know the same spread their news."""
         return min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
 
-    def _schedule(self, success: PromptOutcome) -> None:
-        if len(self.pending) < MAX_PENDING:
+    def _schedule(self, success: PromptOutcome, ends_ban: bool = False) -> None:
+        known = self.pending.get(success.keys)
+        if known is not None and (known.ends_ban or not ends_ban):
+            return
+        if known is not None or len(self.pending) < MAX_PENDING:
             due_s = self.now_s() + random.uniform(0.0, self._spread_s())
-            self.pending.setdefault(success.keys, (due_s, success))
+            self.pending[success.keys] = PendingSuccess(
+                due_s, success, ends_ban, self._announced_times(success.keys)
+            )
+
+    def _announced_times(self, keys: Sequence[int]) -> tuple[float, ...]:
+        return tuple(self.announced.get(key, -math.inf) for key in keys)
 
     def _schedule_earlier_success(self, key: int) -> None:
         """Tell hosts that never saw a suspected part succeed that it did before."""
@@ -211,12 +232,18 @@
 
     def _announce_pending(self, now_s: float) -> None:
         """Announce the successes that are due, unless another host was faster."""
-        due = [keys for keys, (due_s, _) in self.pending.items() if due_s <= now_s]
+        due = [keys for keys, item in self.pending.items() if item.due_s <= now_s]
         for keys in due:
-            _, outcome = self.pending.pop(keys)
-            if self._is_news(keys):
-                self._mark_announced(outcome)
-                self.outbox.add_outcome(outcome, now_s)
+            pending = self.pending.pop(keys)
+            if self._is_still_news(keys, pending):
+                self._mark_announced(pending.outcome)
+                self.outbox.add_outcome(pending.outcome, now_s)
+
+    def _is_still_news(self, keys: Sequence[int], pending: PendingSuccess) -> bool:
+        """Return whether no other host has announced a success meanwhile."""
+        if pending.ends_ban and self._announced_times(keys) == pending.announced:
+            return True
+        return self._is_news(keys)
 
     def _ban(self, found: Explanation, now_s: float) -> None:
         ban = Ban(found.keys, now_s)
@@ -322,11 +349,13 @@
             and not self.evidence.has_succeeded(key)
         }
 
+    def _is_banned(self, keys: Iterable[int]) -> bool:
+        held = frozenset(keys)
+        return any(banned <= held for banned in self.bans)
+
     def _is_news(self, keys: Sequence[int]) -> bool:
         """Return whether other hosts may suspect a part of a prompt."""
-        if not self.evidence.crashes:
-            return False
-        if any(banned <= frozenset(keys) for banned in self.bans):
+        if self._is_banned(keys):
             return True
         return any(
             self.evidence.crashes_since(key, self.announced.get(key, -math.inf))
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rosemaryyoke.quarantine import quarantine as quarantines
-from rosemaryyoke.quarantine.bans import BAN_GROWTH, BAN_S, END_JITTER
+from rosemaryyoke.quarantine.bans import BAN_GROWTH, BAN_S, END_JITTER, Ban
 from rosemaryyoke.quarantine.evidence import (
     MAX_CRASHES,
     MAX_PROMPTS_PER_CRASH,
@@ -404,3 +404,13 @@
     group.answer(0, (COMMON, BAD))
     group.pass_time(STABLE_S)
     assert not any(host.bans for host in group.hosts)
+
+
+# Guards against a ban that goes on elsewhere since its crashes are known to no host.
+def test_answer_ends_a_ban_everywhere_although_no_crash_is_known(group):
+    for host in group.hosts:
+        host.receive("store", (), [Ban(frozenset((BAD,)), group.clock.at_s)])
+    group.pass_time(STABLE_S)
+    group.answer(0, (COMMON, BAD))
+    group.pass_time(STABLE_S)
+    assert not any(host.bans for host in group.hosts)
