One list of the periodic jobs of a host, used by tests too

start_host started the services of a host but two of its eight periodic jobs only, so that a host in a test counted itself as the whole fleet and learned no ban from the store. RoutingHost.start now starts the services and all jobs, in run and in tests. The test of named limits, which added the host count by hand, waits for it in place of a pause of 0.6 s.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -196,20 +196,31 @@
     def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
         signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        self.kernel.start()
-        self.timer.every(TICK_INTERVAL_S, self.rollout.tick)
-        self.timer.every(TRANSFER_PERIOD_S, self.transfer.fetch)
-        self.timer.every(TRANSFER_PERIOD_S, self.registration.tick)
-        self.timer.every(TRANSFER_PERIOD_S, self.ban_register.tick)
-        self.timer.every(POOL_SWEEP_PERIOD_S, self.connections.close_expired)
-        self.timer.every(POOL_SWEEP_PERIOD_S, self.update_host_count)
-        self.timer.every(GAUGES_PERIOD_S, self.update_gauges)
-        self.timer.every(TRANSFER_PERIOD_S, self.follower.remove_expired)
-        log_event("host started", host=self.settings.name, boot=self.boot)
+        self.start()
         while set(signals.wait()) <= {signal.SIGHUP}:
             self.reload_settings()
         self.shut_down()
 
+    def start(self) -> None:
+        """Start the services and the periodic jobs."""
+        self.kernel.start()
+        for period_s, job in self.periodic_jobs():
+            self.timer.every(period_s, job)
+        log_event("host started", host=self.settings.name, boot=self.boot)
+
+    def periodic_jobs(self) -> tuple[tuple[float, Callable[[], None]], ...]:
+        """Return the jobs of the timer, each with its period in seconds."""
+        return (
+            (TICK_INTERVAL_S, self.rollout.tick),
+            (TRANSFER_PERIOD_S, self.transfer.fetch),
+            (TRANSFER_PERIOD_S, self.registration.tick),
+            (TRANSFER_PERIOD_S, self.ban_register.tick),
+            (POOL_SWEEP_PERIOD_S, self.connections.close_expired),
+            (POOL_SWEEP_PERIOD_S, self.update_host_count),
+            (GAUGES_PERIOD_S, self.update_gauges),
+            (TRANSFER_PERIOD_S, self.follower.remove_expired),
+        )
+
     def reload_settings(self) -> None:
         """Reload the settings; only the addresses of other hosts may change."""
         if self.load_settings is None:
--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -65,9 +65,7 @@
     document["nodeName"] = f"front-{document['listen']['front']}"
     settings = evolve(read_settings(document), metrics_port=0)
     host = RoutingHost(settings, make_adapter(settings))
-    host.kernel.start()
-    host.timer.every(0.1, host.transfer.fetch)
-    host.timer.every(0.1, host.follower.remove_expired)
+    host.start()
     return host
 
 
--- a/rosemaryyoke/platform/tests/test_named_limits.py
+++ b/rosemaryyoke/platform/tests/test_named_limits.py
@@ -56,10 +56,9 @@
             self.hosts.append(start_host(self.store, seeds))
             seeds = [self.hosts[0].settings.peers]
         for host in self.hosts:
-            host.timer.every(0.5, host.update_host_count)
             wait_for(host.is_ready)
             wait_for(lambda: len(host.table.live_peers(time.monotonic())) == HOSTS - 1)
-        time.sleep(0.6)
+            wait_for(lambda: host.fleet.hosts == HOSTS)
 
     def stop(self):
         """Stop all parts."""
