Log what repetitions of a request have in common

When engines crash one after the other under a plain request, no log line tells whether it is the same request: identifiers differ from try to try, paths and bodies are not logged, and a request without parts leaves no report of a crash. Lines on attempts that an upstream broke off, or whose connection it had closed, and on reports of crashes now name the request's fingerprint. The hash is computed on those lines only.

test_fingerprint_of_a_request_is_in_the_logs failed before, for lack of the field.

--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -13,7 +13,7 @@
 )
 from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange
 from rosemaryyoke.fleet import ComparedQueue, Placement
-from rosemaryyoke.quarantine import format_keys
+from rosemaryyoke.quarantine import format_key, format_keys
 
 MS_PER_S = 1_000
 MAX_LOGGED_PARTS = 8
@@ -57,6 +57,8 @@
         fields["reason"] = outcome.reason
         fields["may_have_run"] = outcome.may_have_run
         fields |= log_received(exchange)
+        if outcome.broken_off or outcome.stale_connection:
+            fields["fingerprint"] = format_key(exchange.fingerprint)
         if outcome.timed_out:
             message = "attempt suspended"
     log_event(
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -12,7 +12,8 @@
 from rosemaryyoke.exchanges.messages import RequestMetadata
 from rosemaryyoke.fleet import ActiveRequest, ComparedQueue, Placement
 from rosemaryyoke.http1 import RequestMessage
-from rosemaryyoke.quarantine import prompt_keys
+from rosemaryyoke.http1.messages import find_header
+from rosemaryyoke.quarantine import fingerprint, prompt_keys
 
 MS_PER_S = 1_000
 RETRY_AFTER_JITTER = (0.6, 1.4)
@@ -88,6 +89,7 @@
     reserved: Placement | None = None
     suspended: SentAttempt | None = None
     received: ResponseSummary | None = None
+    known_fingerprint: int | None = None
 
     @property
     def request_id(self) -> str:
@@ -107,6 +109,13 @@
         """Return the keys of the parts that other prompts may share."""
         return prompt_keys(part.name for part in self.metadata.shared_parts)
 
+    @property
+    def fingerprint(self) -> int:
+        """Return the hash that repetitions of this request have in common."""
+        if self.known_fingerprint is None:
+            self.known_fingerprint = fingerprint(identity_fields(self))
+        return self.known_fingerprint
+
     @property
     def service(self) -> str:
         """Return the service whose retry budget the exchange uses."""
@@ -151,6 +160,27 @@
             self.suspended = None
 
 
+def identity_fields(exchange: Exchange) -> tuple[bytes, ...]:
+    """Return what repetitions of a request have in common.
+
+    The parts describe the prompt, which belongs to what an engine runs; other headers
+    may differ from one repetition to the next.
+    """
+    message, metadata = exchange.message, exchange.metadata
+    account = exchange.account.name if exchange.account else metadata.key or ""
+    host = find_header(message.headers, b"host") or b""
+    parts = ",".join(part.name for part in metadata.parts)
+    return (
+        message.method,
+        host.lower().partition(b":")[0],
+        message.target,
+        account.encode(),
+        metadata.model.encode(),
+        parts.encode(),
+        exchange.body,
+    )
+
+
 def jittered_retry_after_s(mean_s: float) -> float:
     """Return a retry delay with jitter, which spreads the retries of callers."""
     return max(MIN_RETRY_AFTER_S, mean_s * random.uniform(*RETRY_AFTER_JITTER))
--- a/rosemaryyoke/exchanges/outcome_reporter.py
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -15,7 +15,12 @@
 from rosemaryyoke.exchanges.exchange import Exchange, SentAttempt
 from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.http1 import Framing
-from rosemaryyoke.quarantine import PromptOutcome, Quarantine, request_key
+from rosemaryyoke.quarantine import (
+    PromptOutcome,
+    Quarantine,
+    format_key,
+    request_key,
+)
 
 HTTP_OK = 200
 # A reused connection that is lost sooner was closed before the request arrived.
@@ -44,6 +49,7 @@
             request=exchange.request_id,
             upstream=sent.placement.state.upstream.name,
             parts=log_parts(exchange),
+            fingerprint=format_key(exchange.fingerprint),
         )
 
     def record_success(self, exchange: Exchange, sent: SentAttempt) -> None:
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -60,6 +60,25 @@
     assert ages_ms[0] is None and ages_ms[1] < 1_000
 
 
+# Guards against crashes of engines that the logs can't lay to one repeated request.
+def test_fingerprint_of_a_request_is_in_the_logs(deployment, logged):
+    script_all(deployment.records, *[run_and_drop_answer] * 6)
+    for request, body in (("c8", b"x"), ("c9", b"x"), ("c10", b"y")):
+        send_client_request(
+            deployment.callers, "/issue/1", body=body, **{"Request-Id": request}
+        )
+    first, second, other = (
+        [item.fields["fingerprint"] for item in logged(request) if is_failure(item)]
+        for request in ("c8", "c9", "c10")
+    )
+    assert first and first == second and other != first
+
+
+def is_failure(event):
+    """Return whether an event is an attempt without a response."""
+    return event.message == "attempt failed"
+
+
 # Guards against an ended stream whose log line does not tell what its engine sent.
 def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
     events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
--- a/rosemaryyoke/quarantine/__init__.py
+++ b/rosemaryyoke/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Quarantine of prompt parts that crash the engines that answer on them."""
 
 from rosemaryyoke.quarantine.bans import Ban
+from rosemaryyoke.quarantine.fingerprints import fingerprint
 from rosemaryyoke.quarantine.outcomes import (
     PromptOutcome,
     part_key,
@@ -8,12 +9,14 @@
     request_key,
 )
 from rosemaryyoke.quarantine.prefixes import prefix_keys
-from rosemaryyoke.quarantine.quarantine import Quarantine, format_keys
+from rosemaryyoke.quarantine.quarantine import Quarantine, format_key, format_keys
 
 __all__ = [
     "Ban",
     "PromptOutcome",
     "Quarantine",
+    "fingerprint",
+    "format_key",
     "format_keys",
     "part_key",
     "prefix_keys",
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -372,6 +372,11 @@
             self.announced.popitem(last=False)
 
 
+def format_key(key: int) -> str:
+    """Return a key as text for the log."""
+    return f"{key:016x}"
+
+
 def format_keys(keys: Iterable[int]) -> list[str]:
     """Return the keys of parts as text for the log."""
-    return [f"{key:016x}" for key in sorted(keys)]
+    return [format_key(key) for key in sorted(keys)]
