Quarantine requests that crash each upstream that runs them

Cause: the evidence of the quarantine has only the parts that prompts share as keys. Besides, an end within 0.1 s on a kept connection passed for a stale connection (the runs lasted 22 to 107 ms): it counted neither as a crash nor as a run, and the attempt was repeated at the same upstream.

A request now has a key of its own, a hash of method, host, target, account, model, parts and body, with its own sufficiency (repetitions.py): three crashes of two upstreams, sent again after one of them, not refuted by an answer anywhere. It is held back for the 1.2 s in which answers may refute it; with two crashes it is neither repeated nor handed over, and sent one at a time. Requests that were answered before need four crashes that no other suspect explains. Bans, notices, beacons and the store's copy are those of parts. At most three tries while the request comes, then the ban is refreshed. Crashes of repetitions count once for parts (MIN_PROMPTS by fingerprint), so that one request bans none of its parts, and a ban of a request does not clear them. A connection is stale only within two round trips and 15 ms. Answers of plain services below 500 refute.

Ruled out: crashes of the upstreams' own (one after the other, each some 90 ms after that route and account; engines of the model service went on), retries alone (each series began with a new request).

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -30,6 +30,9 @@
 SUCCESS_START = b"HTTP/1.1 200"
 STALL_CHECK_INTERVAL_S = 0.25
 SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
+# A reused connection that is lost later was open when the request arrived.
+STALE_ROUND_TRIPS = 2
+STALE_MARGIN_S = 0.015
 RESET_ERRORS = frozenset({errno.ECONNRESET, errno.EPIPE})
 # Two upstreams may work on one request for at most 0.4 s.
 HANDOVER_S = 0.3
@@ -194,9 +197,13 @@
 
     @property
     def is_sustained(self) -> bool:
-        """Return whether the response has gone on for some time after its head."""
+        """Return whether the response has gone on for some time after its head.
+
+        Events of a stream must have been delivered, as its head may come early.
+        """
         age_s = time.monotonic() - (self.head_s or math.inf)
-        return age_s >= SUSTAINED_S and self._has_delivered_events()
+        goes_on = self.relay is None or self._has_delivered_events()
+        return age_s >= SUSTAINED_S and goes_on
 
     def summarize_response(self) -> ResponseSummary:
         """Return what was received so far of the response to this request."""
@@ -241,8 +248,10 @@
         return outcome
 
     def _is_stale_connection(self) -> bool:
-        """Return whether a reused connection was lost before any response."""
-        return self.connection.reused and not self.last_byte_s
+        """Return whether a reused connection was closed before the request arrived."""
+        age_s = time.monotonic() - self.started_s
+        stale_s = STALE_ROUND_TRIPS * self.connection.round_trip_s + STALE_MARGIN_S
+        return self.connection.reused and not self.last_byte_s and age_s < stale_s
 
     def _sent_whole(self) -> bool:
         return not self.unsent
--- a/rosemaryyoke/exchanges/connections.py
+++ b/rosemaryyoke/exchanges/connections.py
@@ -23,10 +23,14 @@
 
 @define(eq=False)
 class UpstreamConnection:
-    """A connection to one incarnation of an upstream."""
+    """A connection to one incarnation of an upstream.
+
+    ``round_trip_s`` is the shortest time that it took to connect to the upstream.
+    """
 
     socket: socket.socket
     upstream: str
+    round_trip_s: float = 0.0
     reused: bool = False
     reusable_until_s: float = 0.0
     idle_since_s: float = 0.0
@@ -37,6 +41,7 @@
     """Idle connections by upstream, reused in last-in, first-out order."""
 
     idle: dict[str, deque[UpstreamConnection]] = field(factory=dict)
+    round_trips_s: dict[str, float] = field(factory=dict)
     lock: threading.Lock = field(factory=threading.Lock)
     opened: int = 0
 
@@ -51,8 +56,17 @@
         if connection is not None:
             return connection
         self.opened += 1
+        started_s = time.monotonic()
         opened = connect(upstream.address, timeout_s, TCP_USER_TIMEOUT_S)
-        return UpstreamConnection(opened, upstream.name)
+        round_trip_s = self._add_round_trip(upstream.name, started_s)
+        return UpstreamConnection(opened, upstream.name, round_trip_s)
+
+    def _add_round_trip(self, name: str, started_s: float) -> float:
+        elapsed_s = time.monotonic() - started_s
+        with self.lock:
+            shortest_s = min(elapsed_s, self.round_trips_s.get(name, elapsed_s))
+            self.round_trips_s[name] = shortest_s
+        return shortest_s
 
     def _acquire_idle(self, name: str, max_idle_s: float) -> UpstreamConnection | None:
         while True:
@@ -65,6 +79,7 @@
             if time.monotonic() < connection.reusable_until_s:
                 if is_reusable(connection.socket):
                     connection.reused = True
+                    connection.round_trip_s = self.round_trips_s.get(name, 0.0)
                     return connection
             close(connection.socket)
 
@@ -90,6 +105,8 @@
         """Close the idle connections of the named upstreams."""
         with self.lock:
             gone = [self.idle.pop(name) for name in names if name in self.idle]
+            for name in names:
+                self.round_trips_s.pop(name, None)
         for connections in gone:
             for connection in connections:
                 close(connection.socket)
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -7,7 +7,7 @@
     jittered_retry_after_s,
 )
 from rosemaryyoke.fleet import NoUpstream
-from rosemaryyoke.quarantine import Ban
+from rosemaryyoke.quarantine import Refusal
 
 HTTP_SERVER_ERROR = 500
 NOT_RUN_RETRY_AFTER_S = 0.2
@@ -50,13 +50,15 @@
     )
 
 
-def quarantine_error(exchange: Exchange, ban: Ban, left_s: float) -> ErrorResponse:
-    """Return the error response for a prompt that crashes engines."""
+def quarantine_error(exchange: Exchange, refusal: Refusal) -> ErrorResponse:
+    """Return the error response for a request that crashes engines."""
     text = "a part of the prompt has crashed several engines"
-    keys = tuple(ban.keys)
+    keys = tuple(refusal.keys)
+    if exchange.fingerprint in keys:
+        text = "the request has crashed several engines"
     if exchange.is_admitted:
         return ErrorResponse(502, "upstream_failed", text, quarantined=keys)
-    return ErrorResponse(503, QUARANTINED_CODE, text, left_s, quarantined=keys)
+    return ErrorResponse(503, QUARANTINED_CODE, text, refusal.left_s, quarantined=keys)
 
 
 def no_upstream_error(exchange: Exchange, reason: NoUpstream) -> ErrorResponse:
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -116,6 +116,11 @@
             self.known_fingerprint = fingerprint(identity_fields(self))
         return self.known_fingerprint
 
+    @property
+    def quarantine_keys(self) -> tuple[int, ...]:
+        """Return the keys by which the request may be kept from engines."""
+        return (*self.shared_keys, self.fingerprint)
+
     @property
     def service(self) -> str:
         """Return the service whose retry budget the exchange uses."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -370,7 +370,7 @@
             exchange.prepare_resume()
             if not outcome.may_have_run:
                 return True
-            if self.fleet.quarantine.is_suspect(exchange.shared_keys):
+            if self.fleet.quarantine.is_suspect(exchange.quarantine_keys):
                 return False
         if exchange.run_count >= route.max_attempts:
             return False
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -352,7 +352,8 @@
 
     def close_removed_upstreams(self) -> None:
         """Close idle connections to removed upstreams."""
-        gone = self.connections.idle.keys() - self.catalog.upstreams.keys()
+        known = self.connections.idle.keys() | self.connections.round_trips_s.keys()
+        gone = known - self.catalog.upstreams.keys()
         if gone:
             self.connections.forget(set(gone))
 
--- a/rosemaryyoke/exchanges/outcome_reporter.py
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -1,4 +1,4 @@
-"""Report to the quarantine how attempts on prompts ended."""
+"""Report to the quarantine how attempts ended."""
 
 import time
 
@@ -12,6 +12,7 @@
     StreamCompleted,
 )
 from rosemaryyoke.exchanges.decision_log import log_parts
+from rosemaryyoke.exchanges.error_responses import HTTP_SERVER_ERROR
 from rosemaryyoke.exchanges.exchange import Exchange, SentAttempt
 from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.http1 import Framing
@@ -23,8 +24,6 @@
 )
 
 HTTP_OK = 200
-# A reused connection that is lost sooner was closed before the request arrived.
-STALE_CONNECTION_S = 0.1
 # A stream without framing looks complete if the engine crashes between two events.
 MIN_UNFRAMED_EVENTS = 5
 
@@ -39,8 +38,9 @@
         """Report the end of an attempt."""
         if is_crash(sent.attempt, outcome):
             self.record_crash(exchange, sent)
-        elif is_success(sent.attempt, outcome):
+        elif is_success(exchange, sent.attempt, outcome):
             self.record_success(exchange, sent)
+        self.quarantine.end_trial(exchange.fingerprint)
 
     def record_crash(self, exchange: Exchange, sent: SentAttempt) -> None:
         """Report that an engine crashed as it began to answer."""
@@ -68,6 +68,7 @@
         sent.attempt.started_s,
         time.monotonic(),
         crashed,
+        exchange.fingerprint,
     )
 
 
@@ -78,16 +79,18 @@
     """
     if not (isinstance(outcome, AttemptFailed) and outcome.broken_off):
         return False
-    if attempt.is_sustained:
-        return False
-    age_s = time.monotonic() - attempt.started_s
-    return not outcome.stale_connection or age_s >= STALE_CONNECTION_S
+    return not (outcome.stale_connection or attempt.is_sustained)
+
 
+def is_success(exchange: Exchange, attempt: Attempt, outcome: Outcome) -> bool:
+    """Return whether the whole answer shows that the request crashes no engine.
 
-def is_success(attempt: Attempt, outcome: Outcome) -> bool:
-    """Return whether the whole answer shows that the prompt crashes no engine."""
+    An error may be answered before the prompt or the request is looked at.
+    """
     if isinstance(outcome, ResponseReceived):
-        if outcome.message.status != HTTP_OK:
+        status = outcome.message.status
+        is_prompt = exchange.relay is not None or bool(exchange.metadata.parts)
+        if status >= HTTP_SERVER_ERROR or (is_prompt and status != HTTP_OK):
             return False
     elif not isinstance(outcome, StreamCompleted):
         return False
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -51,7 +51,7 @@
         now_s = time.monotonic()
         if now_s >= exchange.response_deadline_s:
             raise RequestRejected(timeout_error(exchange))
-        self.check_quarantine(exchange, now_s)
+        self.check_quarantine(exchange)
         # The bound on queues is for admission: a request that may have run cannot be
         # rejected as not run any more, so that a long queue is better than none.
         max_wait_s = max_queue_wait_s(exchange.route)
@@ -65,12 +65,13 @@
             raise RequestRejected(no_upstream_error(exchange, chosen.err_value))
         return chosen.ok_value
 
-    def check_quarantine(self, exchange: Exchange, now_s: float) -> None:
-        """Raise ``RequestRejected`` if the prompt may not be sent to engines."""
-        ban = self.fleet.quarantine.find_ban(exchange.shared_keys)
-        if ban is not None:
-            error = quarantine_error(exchange, ban, ban.left_s(now_s))
-            raise RequestRejected(error)
+    def check_quarantine(self, exchange: Exchange) -> None:
+        """Raise ``RequestRejected`` if the request may not be sent to engines."""
+        refusal = self.fleet.quarantine.refuse(
+            exchange.shared_keys, lambda: exchange.fingerprint
+        )
+        if refusal is not None:
+            raise RequestRejected(quarantine_error(exchange, refusal))
 
     def choose(
         self, exchange: Exchange, request: PlacementRequest, now_s: float
@@ -102,7 +103,7 @@
             return False
         if not self.may_send_again(exchange, now_s):
             return False
-        if self.fleet.quarantine.is_suspect(exchange.shared_keys):
+        if self.fleet.quarantine.is_suspect(exchange.quarantine_keys):
             return False
         max_wait_s = min(max_queue_wait_s(exchange.route), HANDOVER_S)
         request = self.placement_request(exchange, now_s, max_wait_s, probe_share=0.0)
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -48,4 +48,5 @@
   host @0 :Text;
   outcomes @1 :Data;
   bans @2 :Data;
+  fingerprints @3 :Data;  # of the requests of outcomes
 }
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -30,6 +30,7 @@
     decode_bans,
     decode_outcomes,
     encode_bans,
+    encode_fingerprints,
     encode_outcomes,
 )
 
@@ -197,6 +198,7 @@
         host=notice.host,
         outcomes=encode_outcomes(notice.outcomes, now_s),
         bans=encode_bans(notice.bans, now_s),
+        fingerprints=encode_fingerprints(notice.outcomes),
     ).to_bytes_packed()
 
 
@@ -207,7 +209,7 @@
         message = SCHEMA.QuarantineNotice.from_bytes_packed(data)
         return QuarantineNotice(
             message.host,
-            decode_outcomes(message.outcomes, now_s),
+            decode_outcomes(message.outcomes, now_s, message.fingerprints),
             decode_bans(message.bans, now_s),
         )
     except DECODING_ERRORS as error:
--- a/rosemaryyoke/peers/peer.capnp
+++ b/rosemaryyoke/peers/peer.capnp
@@ -50,6 +50,7 @@
 struct QuarantineNotice {
   outcomes @0 :Data;
   bans @1 :Data;
+  fingerprints @2 :Data;  # of the requests of outcomes
 }
 
 struct UseQuery {
--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -3,9 +3,13 @@
 from collections import OrderedDict, deque
 from typing import AbstractSet
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST, PromptOutcome
+from rosemaryyoke.quarantine.outcomes import (
+    NO_FINGERPRINT,
+    UNKNOWN_REQUEST,
+    PromptOutcome,
+)
 from rosemaryyoke.quarantine.survivals import Survivals, outlives
 
 CRASH_TTL_S = 600.0
@@ -14,25 +18,50 @@
 # Hosts notice one crash at different times; an engine needs longer to start again.
 SAME_CRASH_S = 1.0
 # Reports of other hosts seem younger than they are, by the time on their way.
-MIN_OVERLAP_S = 0.02
+REPORT_SKEW_S = 0.02
 MAX_SUCCESSES = 2_048  # parts
+MAX_REQUEST_SUCCESSES = 2_048  # fingerprints
 MAX_RECENT = 64  # prompts
 
 Keys = AbstractSet[int]
 
 
+@frozen
+class EndedPrompt:
+    """A prompt that a crash ended: its keys, its fingerprint among them.
+
+    It was sent at ``sent_s`` or up to ``skew_s`` before.
+    """
+
+    keys: Keys
+    fingerprint: int
+    sent_s: float
+    skew_s: float = 0.0
+
+    def was_sent_after(self, at_s: float) -> bool:
+        """Return whether it was certainly sent after a time."""
+        return self.sent_s - self.skew_s > at_s
+
+
 @define(eq=False)
 class Crash:
-    """One crash of an engine, with the keys of the prompts that it ended.
+    """One crash of an engine, with the prompts that it ended, by request.
 
-    ``last_sent_s`` is when the last of these prompts was sent; ``prompts`` maps
-    requests to the keys of their prompts.
+    ``last_sent_s`` is when the last of these prompts was sent, ``keys`` holds all of
+    their keys.
     """
 
     upstream: int
     at_s: float
     last_sent_s: float
-    prompts: dict[int, Keys] = field(factory=dict)
+    prompts: dict[int, EndedPrompt] = field(factory=dict)
+    keys: set[int] = field(factory=set)
+
+    def add(self, request: int, prompt: EndedPrompt) -> None:
+        """Add a prompt that the crash ended."""
+        self.prompts[request] = prompt
+        self.keys |= prompt.keys
+        self.last_sent_s = max(self.last_sent_s, prompt.sent_s)
 
     def may_have_ended(self, outcome: PromptOutcome) -> bool:
         """Return whether an attempt may have been ended by this crash.
@@ -45,7 +74,7 @@
         return (
             self.upstream == outcome.upstream
             and abs(self.at_s - outcome.ended_s) <= SAME_CRASH_S
-            and last_sent_s <= first_s - MIN_OVERLAP_S
+            and last_sent_s <= first_s - REPORT_SKEW_S
         )
 
 
@@ -54,18 +83,23 @@
     """Known crashes, oldest first, and when each part last succeeded.
 
     A success refutes the part's involvement in all crashes before the attempt that
-    succeeded was sent. ``recent`` holds the prompts that succeeded last, and when each
-    was sent.
+    succeeded was sent. ``request_successes`` are those of whole requests, by
+    fingerprint: many of them must not displace parts. ``recent`` holds the prompts that
+    succeeded last, and when each was sent.
     """
 
     crashes: list[Crash] = field(factory=list)
     crashes_by_key: dict[int, list[Crash]] = field(factory=dict)
     successes: OrderedDict[int, float] = field(factory=OrderedDict)
+    request_successes: OrderedDict[int, float] = field(factory=OrderedDict)
     survivals: Survivals = field(factory=Survivals)
     recent: deque[tuple[float, Keys]] = field(factory=lambda: deque(maxlen=MAX_RECENT))
 
-    def add_crash(self, outcome: PromptOutcome) -> bool:
-        """Add a prompt that a crash ended; return whether it was not known yet."""
+    def add_crash(self, outcome: PromptOutcome, skew_s: float = 0.0) -> bool:
+        """Add a prompt that a crash ended; return whether it was not known yet.
+
+        ``skew_s`` is by how much a report seems younger than it is.
+        """
         if self.survivals.find(outcome.upstream, outcome.ended_s) is not None:
             return False
         crash = self._find(outcome)
@@ -75,9 +109,11 @@
         known = outcome.request in crash.prompts
         if known or len(crash.prompts) >= MAX_PROMPTS_PER_CRASH:
             return False
-        crash.prompts[outcome.request] = frozenset(outcome.keys)
-        crash.last_sent_s = max(crash.last_sent_s, outcome.sent_s)
-        for key in outcome.keys:
+        prompt = EndedPrompt(
+            frozenset(outcome.all_keys), outcome.fingerprint, outcome.sent_s, skew_s
+        )
+        crash.add(outcome.request, prompt)
+        for key in outcome.all_keys:
             involving = self.crashes_by_key.setdefault(key, [])
             if crash not in involving:
                 involving.append(crash)
@@ -87,7 +123,7 @@
         self.crashes = sorted(crashes, key=lambda item: item.at_s)
         self.crashes_by_key = {}
         for crash in self.crashes:
-            for key in set().union(*crash.prompts.values()):
+            for key in crash.keys:
                 self.crashes_by_key.setdefault(key, []).append(crash)
 
     def _find(self, outcome: PromptOutcome) -> Crash | None:
@@ -110,17 +146,26 @@
         if keys and outcome.request != UNKNOWN_REQUEST:
             self.recent.append((sent_s, keys))
         for key in keys:
-            self.successes[key] = max(sent_s, self.successes.pop(key, sent_s))
-        while len(self.successes) > MAX_SUCCESSES:
-            self.successes.popitem(last=False)
+            keep_latest(self.successes, key, sent_s, MAX_SUCCESSES)
+        if outcome.fingerprint != NO_FINGERPRINT:
+            keep_latest(
+                self.request_successes,
+                outcome.fingerprint,
+                sent_s,
+                MAX_REQUEST_SUCCESSES,
+            )
 
     def outlived_crashes(self, success: PromptOutcome) -> list[Crash]:
         """Return the alleged crashes that a success shows to be none."""
         return [crash for crash in self.crashes if is_outlived(crash, success)]
 
+    def succeeded_s(self, key: int) -> float | None:
+        """Return when a part or a request was last sent that succeeded, if known."""
+        return self.successes.get(key, self.request_successes.get(key))
+
     def has_succeeded(self, key: int) -> bool:
-        """Return whether a success of a part is remembered."""
-        return key in self.successes
+        """Return whether a success of a part or of a request is remembered."""
+        return self.succeeded_s(key) is not None
 
     def others_succeed(self, key: int, since_s: float) -> bool:
         """Return whether prompts without a part were sent since and succeeded."""
@@ -140,6 +185,15 @@
             )
 
 
+def keep_latest(
+    times_s: OrderedDict[int, float], key: int, at_s: float, capacity: int
+) -> None:
+    """Keep the latest time of a key; the keys updated least recently are dropped."""
+    times_s[key] = max(at_s, times_s.pop(key, at_s))
+    while len(times_s) > capacity:
+        times_s.popitem(last=False)
+
+
 def is_outlived(crash: Crash, success: PromptOutcome) -> bool:
     """Return whether an attempt at the same engine outlived an alleged crash."""
     span = success.sent_s, success.ended_s
--- a/rosemaryyoke/quarantine/outcomes.py
+++ b/rosemaryyoke/quarantine/outcomes.py
@@ -10,6 +10,7 @@
 KEY_CACHE_SIZE = 4_096
 MAX_KEYS = 16  # parts of one prompt
 UNKNOWN_REQUEST = 0  # of outcomes that name only some of the parts of their prompt
+NO_FINGERPRINT = 0
 
 
 @frozen
@@ -18,7 +19,8 @@
 
     ``request`` and ``upstream`` are the keys of the request and of the engine, ``keys``
     those of the parts that other prompts may share. Times are by the clock of this
-    host; ``ended_s`` is when the engine crashed, if it did.
+    host; ``ended_s`` is when the engine crashed, if it did. ``fingerprint`` is what
+    repetitions of the request have in common.
     """
 
     request: int
@@ -27,6 +29,14 @@
     sent_s: float
     ended_s: float
     crashed: bool
+    fingerprint: int = NO_FINGERPRINT
+
+    @property
+    def all_keys(self) -> tuple[int, ...]:
+        """Return the keys of the parts and the fingerprint, if it is known."""
+        if self.fingerprint == NO_FINGERPRINT:
+            return self.keys
+        return (*self.keys, self.fingerprint)
 
 
 @functools.lru_cache(KEY_CACHE_SIZE)
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -11,9 +11,19 @@
 
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.quarantine.bans import RENEWAL_AGE_S, Ban
-from rosemaryyoke.quarantine.evidence import CrashEvidence
+from rosemaryyoke.quarantine.evidence import REPORT_SKEW_S, CrashEvidence
 from rosemaryyoke.quarantine.outbox import Outbox
-from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST, PromptOutcome
+from rosemaryyoke.quarantine.outcomes import (
+    NO_FINGERPRINT,
+    UNKNOWN_REQUEST,
+    PromptOutcome,
+)
+from rosemaryyoke.quarantine.repetitions import (
+    collect_repetitions,
+    find_crashing_requests,
+    find_held,
+    find_suspects,
+)
 from rosemaryyoke.quarantine.survivals import ENDED_AFTER_S
 from rosemaryyoke.quarantine.suspicion import (
     Explanation,
@@ -24,6 +34,7 @@
 SUSPECT_CRASHES = 2
 # A host that has just started hears of crashes, but not of answers before its start.
 START_WAIT_S = 2.5
+TRIAL_TIMEOUT_S = 1.0
 RECENT_CRASH_S = 2.0  # longer than the time for answers to refute a suspicion
 EXPLAIN_PERIOD_S = 2.0
 MAX_BANS = 64
@@ -37,6 +48,14 @@
 MAX_DISPROVED = 1_024  # upstreams
 
 
+@frozen
+class Refusal:
+    """Why a request is kept from engines, and for how long."""
+
+    keys: frozenset[int]
+    left_s: float
+
+
 @frozen
 class PendingSuccess:
     """A success to announce at a time, unless another host is faster.
@@ -53,9 +72,12 @@
 
 @define(eq=False)
 class Quarantine:
-    """Bans the parts of prompts that crash engines.
+    """Bans the parts of prompts that crash engines, and whole requests that do.
 
-    ``suspects`` are the parts that occur in several crashes and never succeeded.
+    ``suspects`` are the parts and requests that occur in several crashes and never
+    succeeded; ``held`` are the requests that are kept from engines until the time by
+    which an answer would have refuted the suspicion. Of repetitions of a suspect this
+    host sends one at a time: ``trials`` is until when at most it waits for the outcome.
     ``announced`` is when the last success that all hosts know of was sent, by part;
     ``disproved_s`` is the time until which all hosts know that an engine has not
     crashed. ``pending`` and ``pending_survivals`` hold what to announce, and when.
@@ -71,6 +93,8 @@
     bans: dict[frozenset[int], Ban] = field(factory=dict)
     ended: OrderedDict[frozenset[int], float] = field(factory=OrderedDict)
     suspects: set[int] = field(factory=set)
+    held: dict[int, float] = field(factory=dict)
+    trials: dict[int, float] = field(factory=dict)
     announced: OrderedDict[int, float] = field(factory=OrderedDict)
     disproved_s: OrderedDict[int, float] = field(factory=OrderedDict)
     pending_survivals: dict[int, tuple[float, float]] = field(factory=dict)
@@ -87,6 +111,29 @@
     def __attrs_post_init__(self) -> None:
         self.started_s = self.now_s()
 
+    def refuse(
+        self, keys: Sequence[int], fingerprint: Callable[[], int]
+    ) -> Refusal | None:
+        """Return why a request may not be sent to engines, or ``None``.
+
+        ``fingerprint`` is called only if anything is banned or suspected.
+        """
+        if not self.bans and not self.suspects:
+            return None
+        key = fingerprint()
+        with self.lock:
+            now_s = self.now_s()
+            until_s = max(self.held.get(key, 0.0), self.trials.get(key, 0.0))
+            if now_s < until_s:
+                return Refusal(frozenset((key,)), until_s - now_s)
+            self._refresh(frozenset((key,)))
+            ban = self.find_ban((*keys, key))
+            if ban is not None:
+                return Refusal(ban.keys, ban.left_s(now_s))
+            if key in self.suspects:
+                self.trials[key] = now_s + TRIAL_TIMEOUT_S
+        return None
+
     def find_ban(self, keys: Sequence[int]) -> Ban | None:
         """Return the ban that keeps a prompt from engines, if there is one.
 
@@ -96,9 +143,12 @@
             return None
         now_s, held = self.now_s(), frozenset(keys)
         with self.lock:
-            for ban in self.bans.values():
-                if ban.keys <= held and not ban.admits_probe(now_s):
+            bans = [ban for ban in self.bans.values() if ban.keys <= held]
+            for ban in bans:
+                if not ban.may_probe(now_s):
                     return ban
+            for ban in bans:
+                ban.begin_probe(now_s)
         return None
 
     def is_suspect(self, keys: Iterable[int]) -> bool:
@@ -109,9 +159,14 @@
         with self.lock:
             return not self.suspects.isdisjoint(held) or self._is_banned(held)
 
+    def end_trial(self, fingerprint: int) -> None:
+        """Let the next repetition of a suspect be sent."""
+        with self.lock:
+            self.trials.pop(fingerprint, None)
+
     def record_crash(self, outcome: PromptOutcome, **details) -> None:
         """Record a crash that this host saw, and tell the other hosts."""
-        if not outcome.keys:
+        if not outcome.all_keys:
             return
         with self.lock:
             self.own_reports += 1
@@ -123,8 +178,8 @@
     def record_success(self, outcome: PromptOutcome) -> None:
         """Record that a prompt was answered, or that its answer went on for a while."""
         with self.lock:
-            is_news = self._is_news(outcome.keys)
-            ends_ban = self._is_banned(outcome.keys)
+            is_news = self._is_news(outcome.all_keys)
+            ends_ban = self._is_banned(outcome.all_keys)
             for crash in self.evidence.outlived_crashes(outcome):
                 self._schedule_survival(crash.upstream, crash.at_s)
             self._add_success(outcome)
@@ -139,12 +194,12 @@
             for outcome in outcomes:
                 if not outcome.crashed:
                     disproves = bool(self.evidence.outlived_crashes(outcome))
-                    if self.relays and (disproves or self._is_news(outcome.keys)):
+                    if self.relays and (disproves or self._is_news(outcome.all_keys)):
                         self.outbox.add_outcome(outcome, self.now_s())
                     self._mark_announced(outcome)
                     self._mark_disproved(outcome)
                     self._add_success(outcome)
-                elif self._add_crash(outcome):
+                elif self._add_crash(outcome, REPORT_SKEW_S):
                     if self.relays:
                         self.outbox.add_outcome(outcome, self.now_s())
                     self.received_reports += 1
@@ -153,6 +208,7 @@
                         reported_by=host,
                         age_ms=round((self.now_s() - outcome.ended_s) * 1_000),
                         keys=format_keys(outcome.keys),
+                        fingerprint=format_key(outcome.fingerprint),
                     )
             for ban in bans:
                 self._adopt(ban, host)
@@ -175,12 +231,19 @@
         self.explain_due_s = now_s if is_recent else now_s + EXPLAIN_PERIOD_S
         self.evidence.expire(now_s)
         while True:
-            found = find_explanation(self.evidence, self.bans.keys(), now_s)
-            if found is None:
+            part = find_explanation(self.evidence, self.bans.keys(), now_s)
+            found = [part] if part is not None else self._find_requests(now_s)
+            if not found:
                 break
-            self._ban(found, now_s)
+            for explanation in found:
+                self._ban(explanation, now_s)
         self._update_suspects()
 
+    def _find_requests(self, now_s: float) -> list[Explanation]:
+        return find_crashing_requests(
+            self.evidence, self.bans.keys(), self.suspects, now_s
+        )
+
     def take_due(self) -> tuple[list[PromptOutcome], list[Ban]]:
         """Return the outcomes and the bans to send to the other hosts now."""
         with self.lock:
@@ -208,26 +271,29 @@
         return min(MAX_SPREAD_S, SPREAD_S_PER_HOST * self.hosts)
 
     def _schedule(self, success: PromptOutcome, ends_ban: bool = False) -> None:
-        known = self.pending.get(success.keys)
+        keys = success.all_keys
+        known = self.pending.get(keys)
         if known is not None and (known.ends_ban or not ends_ban):
             return
         if known is not None or len(self.pending) < MAX_PENDING:
             due_s = self.now_s() + random.uniform(0.0, self._spread_s())
-            self.pending[success.keys] = PendingSuccess(
-                due_s, success, ends_ban, self._announced_times(success.keys)
+            self.pending[keys] = PendingSuccess(
+                due_s, success, ends_ban, self._announced_times(keys)
             )
 
     def _announced_times(self, keys: Sequence[int]) -> tuple[float, ...]:
         return tuple(self.announced.get(key, -math.inf) for key in keys)
 
     def _schedule_earlier_success(self, key: int) -> None:
-        """Tell hosts that never saw a suspected part succeed that it did before."""
-        sent_s = self.evidence.successes.get(key)
+        """Tell hosts that never saw a suspected key succeed that it did before."""
+        sent_s = self.evidence.succeeded_s(key)
         if sent_s is None or key in self.announced:
             return
         if self.evidence.crashes_since(key, -math.inf) >= SUSPECT_CRASHES:
+            is_request = key in self.evidence.request_successes
+            parts, known = ((), key) if is_request else ((key,), NO_FINGERPRINT)
             self._schedule(
-                PromptOutcome(UNKNOWN_REQUEST, 0, (key,), sent_s, sent_s, False)
+                PromptOutcome(UNKNOWN_REQUEST, 0, parts, sent_s, sent_s, False, known)
             )
 
     def _announce_pending(self, now_s: float) -> None:
@@ -254,6 +320,7 @@
     def _insert(self, ban: Ban, reported_by: str | None, **details) -> None:
         for keys in [keys for keys in self.bans if keys > ban.keys]:
             self._end(self.bans[keys], "narrowed")
+        ban.spread_end(self.hosts)
         self.bans[ban.keys] = ban
         while len(self.bans) > MAX_BANS:
             self._end(min(self.bans.values(), key=lambda item: item.until_s), "evicted")
@@ -280,7 +347,7 @@
         if any(keys < ban.keys for keys in self.bans):
             return
         known = self.bans.get(ban.keys)
-        if known is None or ban.level > known.level:
+        if known is None or ban.level > known.level or ban.refreshes(known):
             self._insert(ban, host)
             if self.relays:
                 self.outbox.add_ban(ban, self.now_s())
@@ -311,17 +378,17 @@
         if len(self.disproved_s) > MAX_DISPROVED:
             self.disproved_s.popitem(last=False)
 
-    def _add_crash(self, outcome: PromptOutcome) -> bool:
-        if not self.evidence.add_crash(outcome):
+    def _add_crash(self, outcome: PromptOutcome, skew_s: float = 0.0) -> bool:
+        if not self.evidence.add_crash(outcome, skew_s):
             if self.evidence.survivals.find(outcome.upstream, outcome.ended_s):
                 self._schedule_survival(outcome.upstream, outcome.ended_s)
             return False
-        held = frozenset(outcome.keys)
+        held = frozenset(outcome.all_keys)
         for ban in list(self.bans.values()):
             if ban.keys <= held and outcome.ended_s - ban.began_s > RENEWAL_AGE_S:
                 self._renew(ban)
         self.last_crash_s = self.explain_due_s = self.now_s()
-        for key in outcome.keys:
+        for key in outcome.all_keys:
             self._schedule_earlier_success(key)
         self._update_suspects()
         return True
@@ -331,9 +398,17 @@
         self._insert(renewed, None)
         self.outbox.add_ban(renewed, self.now_s())
 
+    def _refresh(self, keys: frozenset[int]) -> None:
+        """Extend the ban of a request that still comes, here and at other hosts."""
+        ban = self.bans.get(keys)
+        if ban is not None and ban.is_due_for_refresh(self.now_s()):
+            refreshed = ban.refreshed(self.now_s())
+            self._insert(refreshed, None)
+            self.outbox.add_ban(refreshed, self.now_s())
+
     def _add_success(self, outcome: PromptOutcome) -> None:
         self.evidence.add_success(outcome)
-        held = frozenset(outcome.keys)
+        held = frozenset(outcome.all_keys)
         for ban in list(self.bans.values()):
             if ban.keys <= held and outcome.sent_s > ban.began_s:
                 self._end(ban, "answered")
@@ -348,6 +423,15 @@
             if len(involvement.crashes) >= SUSPECT_CRASHES
             and not self.evidence.has_succeeded(key)
         }
+        repetitions = collect_repetitions(
+            self.evidence, self.bans.keys(), self.suspects
+        )
+        self.suspects |= find_suspects(self.evidence, repetitions)
+        self.held = find_held(repetitions)
+        self.suspects |= self.held.keys()
+        self.trials = {
+            key: until_s for key, until_s in self.trials.items() if key in self.suspects
+        }
 
     def _is_banned(self, keys: Iterable[int]) -> bool:
         held = frozenset(keys)
@@ -364,7 +448,7 @@
         )
 
     def _mark_announced(self, outcome: PromptOutcome) -> None:
-        for key in outcome.keys:
+        for key in outcome.all_keys:
             self.announced[key] = max(
                 outcome.sent_s, self.announced.pop(key, outcome.sent_s)
             )
--- a/rosemaryyoke/quarantine/rows.py
+++ b/rosemaryyoke/quarantine/rows.py
@@ -1,11 +1,12 @@
 """Packed rows of prompt outcomes and bans; times are ages, in milliseconds."""
 
+import itertools
 import struct
 from typing import Iterable, Sequence
 
 from rosemaryyoke.core.ages import age_ms, time_of_age
 from rosemaryyoke.quarantine.bans import Ban
-from rosemaryyoke.quarantine.outcomes import PromptOutcome
+from rosemaryyoke.quarantine.outcomes import NO_FINGERPRINT, PromptOutcome
 
 KEY_ROW = struct.Struct("<Q")
 # Request key, upstream key, ages of the send and of the end, whether the engine
@@ -52,8 +53,29 @@
     )
 
 
-def decode_outcomes(data: bytes, now_s: float) -> tuple[PromptOutcome, ...]:
-    """Decode outcomes of attempts; raise ``ValueError`` if a row is invalid."""
+def encode_fingerprints(outcomes: Iterable[PromptOutcome]) -> bytes:
+    """Encode the fingerprints of outcomes, in the order of the outcomes."""
+    return encode_keys(outcome.fingerprint for outcome in outcomes)
+
+
+def decode_fingerprints(data: bytes) -> list[int]:
+    """Decode fingerprints; raise ``ValueError`` if one is incomplete."""
+    if len(data) % KEY_ROW.size:
+        raise ValueError("a fingerprint is incomplete")
+    return [row[0] for row in KEY_ROW.iter_unpack(data)]
+
+
+def decode_outcomes(
+    data: bytes, now_s: float, fingerprints: bytes = b""
+) -> tuple[PromptOutcome, ...]:
+    """Decode outcomes of attempts; raise ``ValueError`` if a row is invalid.
+
+    Hosts of earlier versions send no fingerprints.
+    """
+    known = itertools.chain(
+        decode_fingerprints(fingerprints),
+        itertools.repeat(NO_FINGERPRINT),
+    )
     outcomes, offset = [], 0
     while offset < len(data):
         request, upstream, sent, ended, crashed, count = unpack_row(
@@ -62,7 +84,9 @@
         keys, offset = decode_keys(data, offset + OUTCOME_HEADER.size, count)
         sent_s, ended_s = time_of_age(sent, now_s), time_of_age(ended, now_s)
         outcomes.append(
-            PromptOutcome(request, upstream, keys, sent_s, ended_s, crashed)
+            PromptOutcome(
+                request, upstream, keys, sent_s, ended_s, crashed, next(known)
+            )
         )
     return tuple(outcomes)
 
--- a/rosemaryyoke/quarantine/service.py
+++ b/rosemaryyoke/quarantine/service.py
@@ -11,6 +11,7 @@
     decode_bans,
     decode_outcomes,
     encode_bans,
+    encode_fingerprints,
     encode_outcomes,
 )
 
@@ -54,13 +55,14 @@
         notice = message.init("quarantine")
         notice.outcomes = encode_outcomes(outcomes, now_s)
         notice.bans = encode_bans(bans, now_s)
+        notice.fingerprints = encode_fingerprints(outcomes)
         self.links.broadcast(message)
 
     def handle_notice(self, channel, message) -> None:
         """Apply what a peer tells; raise ``PeerError`` if it is malformed."""
         now_s, notice = time.monotonic(), message.quarantine
         try:
-            outcomes = decode_outcomes(notice.outcomes, now_s)
+            outcomes = decode_outcomes(notice.outcomes, now_s, notice.fingerprints)
             bans = decode_bans(notice.bans, now_s)
         except ValueError as error:
             logging.warning("malformed quarantine notice: %s", error)
--- a/rosemaryyoke/quarantine/suspicion.py
+++ b/rosemaryyoke/quarantine/suspicion.py
@@ -1,15 +1,18 @@
-"""Find the parts of prompts that explain crashes of engines."""
+"""Find the parts of prompts that explain crashes of engines.
+
+Repetitions of one request show nothing about the parts that it shares with others, so
+prompts with one fingerprint count once.
+"""
 
 from collections import defaultdict
 from typing import Collection
 
 from attrs import define, field, frozen
 
-from rosemaryyoke.quarantine.evidence import Crash, CrashEvidence, Keys
+from rosemaryyoke.quarantine.evidence import Crash, CrashEvidence, EndedPrompt, Keys
 
 MIN_CRASHES = 4
 MIN_UPSTREAMS = 2  # a single faulty engine may break off all answers
-# One prompt sent twice shows nothing about the parts that it shares with others.
 MIN_PROMPTS = 3
 # Answers that the part's other requests receive meanwhile refute the suspicion.
 SETTLE_S = 1.2
@@ -45,16 +48,21 @@
     return [
         keys
         for keys in banned
-        if any(keys <= prompt for prompt in crash.prompts.values())
+        if keys <= crash.keys
+        and any(keys <= prompt.keys for prompt in crash.prompts.values())
     ]
 
 
-def is_explained(key: int, bans: Collection[Keys]) -> bool:
-    """Return whether bans other than one of the part among others explain a crash.
+def is_explained(key: int, prompt: EndedPrompt, bans: Collection[Keys]) -> bool:
+    """Return whether bans explain a crash for a part of a prompt that it ended.
 
-    A ban of several parts leaves open which of them is the cause.
+    A ban of several parts leaves open which of them is the cause, and one of the
+    request itself whether a part of it is the cause.
     """
-    return any(key not in keys or len(keys) == 1 for keys in bans)
+    return any(
+        prompt.fingerprint not in keys and (key not in keys or len(keys) == 1)
+        for keys in bans
+    )
 
 
 def collect_involvements(
@@ -65,19 +73,19 @@
     Other prompts that such a crash ended were only at the same engine.
     """
     found: dict[int, Involvement] = defaultdict(Involvement)
-    requests: dict[int, set[int]] = defaultdict(set)
+    prompts: dict[int, set[int]] = defaultdict(set)
     for crash in evidence.crashes:
         bans = explaining_bans(crash, banned)
         for request, prompt in crash.prompts.items():
-            for key in prompt:
+            for key in prompt.keys - {prompt.fingerprint}:
                 refuted_s = evidence.successes.get(key)
                 if refuted_s is not None and crash.at_s <= refuted_s:
                     continue
-                if not is_explained(key, bans):
+                if not is_explained(key, prompt, bans):
                     found[key].crashes.add(crash)
-                    requests[key].add(request)
+                    prompts[key].add(prompt.fingerprint or request)
     for key, involvement in found.items():
-        involvement.prompts = len(requests[key])
+        involvement.prompts = len(prompts[key])
     return found
 
 
