Quarantine /v1 completions and service calls that crash their upstreams

The same cause on the other route: a /v1 completion whose prompt has no prefix of its own, and calls under /services, which had no quarantine at all, went on to crash three or four upstreams each time that they came. Both now have fingerprints (account, model, prompt and tokens; account, service, method, path, query and body), report crashes and answers, and are refused as other requests are.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import time
+from functools import cached_property
 
 from attrs import frozen
 from result import Err, Ok, Result
@@ -20,16 +21,27 @@
 from rosemaryyoke.calls.claims import Claims
 from rosemaryyoke.calls.retry import RetryBudget
 from rosemaryyoke.core import Kernel
+from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.objects.leases import now_s
+from rosemaryyoke.quarantine import (
+    PromptOutcome,
+    fingerprint,
+    format_key,
+    request_key,
+)
 from rosemaryyoke.rules.model import SERVICE_KIND, PlainService, RuleSet, Upstream
 from rosemaryyoke.streams.sinks import Failure
 from rosemaryyoke.wire import HttpRequest, HttpResponse, send
+from rosemaryyoke.wire.errors import TransportError
 
 MAX_ATTEMPTS = 3
 SERVICE_TIMEOUT_S = 30.0
 SERVICE_CONNECT_TIMEOUT_S = 0.5
 MAX_SEND_DELAY_S = 5.0
 LOOKUP_TIMEOUT_S = 1.0
+HTTP_SERVER_ERROR = 500
+QUARANTINED_CODE = "quarantined"
+KIND = "call"  # keeps the fingerprints apart from those of other requests
 NO_RESPONSE = StoredResponse(0, "", b"")
 
 
@@ -54,6 +66,13 @@
         digest.update(self.body)
         return ClaimKey(self.account, self.service.name, self.key, digest.hexdigest())
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """Return the hash that repetitions of this call have in common."""
+        name, address = self.service.name, (self.method, self.path, self.query)
+        texts = (KIND, self.account, name, *address)
+        return fingerprint([*(text.encode() for text in texts), self.body])
+
 
 class ServiceCalls:
     """Send calls to plain services, with retries where they are safe."""
@@ -69,6 +88,7 @@
         self.claims: Claims = self.kernel.get("claims")
         self.recorder = self.kernel.get("recorder")
         self.metrics = self.kernel.get("metrics")
+        self.quarantine = self.kernel.get("quarantine").quarantine
 
     def stop(self) -> None:
         """Do nothing: running calls end with their connections."""
@@ -152,6 +172,10 @@
         excluded: set[str] = set()
         sent = False
         for number in range(MAX_ATTEMPTS):
+            if number and self.quarantine.is_suspect((call.fingerprint,)):
+                break
+            if self.quarantine.refuse((), lambda: call.fingerprint) is not None:
+                return Err(self._refuse(sent))
             usable = self.directory.usable(upstreams, excluded)
             if not usable or (number and not self.budget.try_withdraw()):
                 break
@@ -173,7 +197,52 @@
         message = "no instance of the service answers"
         return Err(Failure(503, "no_upstream", message, not sent, 1.0))
 
-    def _send_attempt(self, call: ServiceCall, upstream: Upstream, request: str):
+    def _refuse(self, sent: bool) -> Failure:
+        """Return the failure of a call that crashes the instances that run it."""
+        self.metrics.count("refusals_total", code=QUARANTINED_CODE)
+        message = "the call has crashed several instances of the service"
+        return Failure(503, QUARANTINED_CODE, message, not sent)
+
+    def _send_attempt(
+        self, call: ServiceCall, upstream: Upstream, request: str
+    ) -> Result[HttpResponse, TransportError]:
+        sent_s = time.monotonic()
+        answer = self._send(call, upstream, request)
+        self._record_evidence(call, upstream, request, sent_s, answer)
+        return answer
+
+    def _record_evidence(
+        self,
+        call: ServiceCall,
+        upstream: Upstream,
+        request: str,
+        sent_s: float,
+        answer: Result[HttpResponse, TransportError],
+    ) -> None:
+        """Tell the quarantine that an instance crashed on a call, or answered it."""
+        crashed = isinstance(answer, Err) and answer.err_value.broken_off
+        outcome = PromptOutcome(
+            request_key(request.encode()),
+            upstream_key(upstream.name),
+            (),
+            sent_s,
+            time.monotonic(),
+            crashed,
+            call.fingerprint,
+        )
+        if crashed:
+            self.quarantine.record_crash(
+                outcome,
+                upstream=upstream.name,
+                fingerprint=format_key(call.fingerprint),
+            )
+        elif isinstance(answer, Ok) and answer.ok_value.status < HTTP_SERVER_ERROR:
+            self.quarantine.record_success(outcome)
+        self.quarantine.end_trial(call.fingerprint)
+
+    def _send(
+        self, call: ServiceCall, upstream: Upstream, request: str
+    ) -> Result[HttpResponse, TransportError]:
         self.recorder.record(
             "service.sent",
             call.key or request,
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -2,7 +2,7 @@
 
 import secrets
 import time
-from typing import Sequence
+from functools import cached_property
 
 from attrs import define, field, frozen
 from result import Err, Ok, Result
@@ -12,7 +12,7 @@
 from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.placement.blocks import BLOCK_TOKENS
 from rosemaryyoke.placement.service import NoEngineAvailable, PlacementDecision
-from rosemaryyoke.quarantine import PromptOutcome, prefix_keys
+from rosemaryyoke.quarantine import PromptOutcome, fingerprint, prefix_keys
 from rosemaryyoke.rules.model import Route, RuleSet
 from rosemaryyoke.streams.identifiers import (
     StreamIdentifier,
@@ -36,6 +36,7 @@
 SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
 QUARANTINED_CODE = "quarantined"
 KEY_BITS = 64
+KIND = "completion"  # keeps the fingerprints apart from those of other requests
 
 
 @frozen
@@ -51,6 +52,23 @@
     max_tokens: int
     repeatable: bool = True
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """Return the hash that repetitions of this request have in common."""
+        tokens = b"%d" % self.max_tokens
+        texts = (KIND, self.account, self.route.model, self.prompt)
+        return fingerprint([*(text.encode() for text in texts), tokens])
+
+    @cached_property
+    def prefix_keys(self) -> tuple[int, ...]:
+        """Return the keys of the prefixes that other prompts may share."""
+        return prefix_keys(self.prompt)
+
+    @property
+    def quarantine_keys(self) -> tuple[int, ...]:
+        """Return the keys by which the request may be kept from engines."""
+        return (*self.prefix_keys, self.fingerprint)
+
 
 @define
 class Progress:
@@ -154,11 +172,10 @@
         progress: Progress,
     ) -> None:
         excluded: set[str] = set()
-        keys = prefix_keys(completion.prompt)
         for attempt_number in range(MAX_ATTEMPTS):
-            if attempt_number and self.quarantine.is_suspect(keys):
+            if attempt_number and self._is_suspect(completion):
                 break
-            if self._reject_banned(keys, sink, progress):
+            if self._reject_banned(completion, sink, progress):
                 return
             if attempt_number and not self.retry_budget.try_withdraw():
                 break
@@ -184,6 +201,9 @@
             )
         self._fail(sink, progress, "engines_failed", "no engine could finish")
 
+    def _is_suspect(self, completion: CompletionRequest) -> bool:
+        return self.quarantine.is_suspect(completion.quarantine_keys)
+
     def _place(
         self,
         rules: RuleSet,
@@ -210,7 +230,7 @@
         )
         attempt = _Attempt(self, completion, sink, progress, identifier, decision)
         adapter, address = self.directory.engine_adapter, decision.upstream.address
-        keys, sent_s = prefix_keys(completion.prompt), time.monotonic()
+        sent_s = time.monotonic()
         self.recorder.record(
             "attempt.sent",
             request.request,
@@ -242,7 +262,8 @@
         # An engine that resumes the stream has not crashed.
         if isinstance(outcome, Ok) or broke_off:
             crashed = isinstance(outcome, Err)
-            self._record_evidence(decision, keys, progress, sent_s, crashed)
+            self._record_evidence(decision, completion, progress, sent_s, crashed)
+        self.quarantine.end_trial(completion.fingerprint)
         return outcome
 
     def _may_resume(self, outcome: Err[UpstreamError], progress: Progress) -> bool:
@@ -293,16 +314,18 @@
         self.metrics.count("attempts_failed_total", engine=decision.upstream.name)
 
     def _reject_banned(
-        self, keys: Sequence[int], sink: Sink, progress: Progress
+        self, completion: CompletionRequest, sink: Sink, progress: Progress
     ) -> bool:
-        """Reject a prompt that crashes engines; return whether it was rejected.
+        """Reject a request that crashes engines; return whether it was rejected.
 
         Callers aren't told to retry: that would be of no use within their time.
         """
-        ban = self.quarantine.find_ban(keys)
-        if ban is None:
+        refusal = self.quarantine.refuse(
+            completion.prefix_keys, lambda: completion.fingerprint
+        )
+        if refusal is None:
             return False
-        message = "a part of the prompt has crashed several engines"
+        message = "the request, or a part of its prompt, has crashed several engines"
         self.metrics.count("refusals_total", code=QUARANTINED_CODE)
         sink.fail(Failure(503, QUARANTINED_CODE, message, not progress.sent))
         return True
@@ -310,7 +333,7 @@
     def _record_evidence(
         self,
         decision: PlacementDecision,
-        keys: Sequence[int],
+        completion: CompletionRequest,
         progress: Progress,
         sent_s: float,
         crashed: bool,
@@ -318,7 +341,13 @@
         """Tell the quarantine that an engine crashed, or answered, on a prompt."""
         name, now_s = decision.upstream.name, time.monotonic()
         outcome = PromptOutcome(
-            progress.key, upstream_key(name), tuple(keys), sent_s, now_s, crashed
+            progress.key,
+            upstream_key(name),
+            completion.prefix_keys,
+            sent_s,
+            now_s,
+            crashed,
+            completion.fingerprint,
         )
         if crashed:
             self.quarantine.record_crash(outcome, upstream=name)
--- a/rosemaryyoke/streams/tests/test_crashing_prompts.py
+++ b/rosemaryyoke/streams/tests/test_crashing_prompts.py
@@ -61,6 +61,22 @@
     assert relay.directory.engine_adapter.calls == calls
 
 
+# Guards against a /v1 request that crashes engines though its prompt has no prefix.
+def test_request_that_crashed_engines_reaches_no_more():
+    relay = make_relay([["crash"]] * 1_000)
+    for _ in range(2):
+        run(relay, "short prompt")
+    relay.quarantine.now_s = lambda: time.monotonic() + STABLE_S
+    relay.quarantine.review()
+    calls = relay.directory.engine_adapter.calls
+    for _ in range(REQUESTS):
+        sink = run(relay, "short prompt")
+        assert sink.failure.code == "quarantined" and sink.failure.not_run
+    assert relay.directory.engine_adapter.calls == calls
+    run(relay, "another prompt")
+    assert relay.directory.engine_adapter.calls > calls
+
+
 def test_engine_that_resumes_its_stream_has_not_crashed():
     relay = make_relay([["token", "crash"], []] * REQUESTS)
     for number in range(REQUESTS):
