--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -73,7 +73,8 @@
     pause if that is set. ``form`` is how it answers. No response begins before
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
     are times of the monotonic clock. It crashes as it begins to answer a prompt with
-    one of ``crashing_parts`` that is not the last part.
+    one of ``crashing_parts`` that is not the last part, or any request with one of
+    ``crashing_targets``.
     """
 
     on_run: Callable[[RunRecord], None] = lambda record: None
@@ -87,6 +88,7 @@
     quiet_s: float = 0.0
     form: AnswerForm = AnswerForm.FRAMED
     crashing_parts: set[str] = field(factory=set)
+    crashing_targets: set[str] = field(factory=set)
     on_crash: Callable[[str, str], None] = lambda name, part: None
     first_event_after_s: float = 0.0
     next_event_after_s: float = 0.0
@@ -182,6 +184,11 @@
             (names.RESPONSE_SEAL, name.encode()),
             *self.notice_headers(),
         ]
+        target = message.target.decode()
+        if target in self.crashing_targets:
+            time.sleep(EVENT_INTERVAL_S)
+            self.on_crash(self.name, target)
+            raise OSError("the engine crashed")
         if not streams:
             self.wait_event(first=True)
             body = self.make_body(request, name)
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -194,6 +194,22 @@
         client.close()
 
 
+@faults.register("request crashes upstreams")
+def crash_upstreams_by_request(context: FaultContext) -> None:
+    """Send one request again and again that crashes each upstream that runs it."""
+    testbed, rng = context.testbed, context.rng
+    target = f"/{rng.choice(('read', 'issue'))}/{CRASHING}{rng.getrandbits(32):x}"
+    testbed.crashing_targets.add(target)
+    clients = [Client(host.caller_link.address) for host in testbed.hosts]
+    until_s = now_s() + rng.uniform(*CRASHING_S)
+    while now_s() < until_s and not context.stopping.wait(rng.uniform(*SHORT_S)):
+        request = f"{CRASHING}-{rng.getrandbits(32):x}"
+        data = encode_request(request, target, "POST", "k1", DEADLINE_S, False)
+        rng.choice(clients).exchange(data, DEADLINE_S)
+    for client in clients:
+        client.close()
+
+
 @faults.register("upstream names a limit")
 def limit_upstream(context: FaultContext) -> None:
     """Let an upstream name the requests a second that it takes."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -89,7 +89,7 @@
 
 @frozen
 class CrashedRun:
-    """A run that crashed its engine because of a part of its prompt."""
+    """A run that crashed its engine because of a part of its prompt, or its target."""
 
     part: str
     upstream: str
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -24,6 +24,7 @@
 STABLE_S = 3.0  # time after an unplanned fault in which requests may be lost
 LOSS_SLACK_S = 0.2  # a request not passed on may cross the host's close for this long
 CRASHES_BEFORE_BAN = 5
+REQUEST_CRASHES_BEFORE_BAN = 3
 MAX_LATE_CRASHES = 3
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5  # requests
@@ -203,15 +204,18 @@
     )
 
 
-@invariants.register("a part that crashed five upstreams reaches few more")
+@invariants.register("what crashed several upstreams reaches few more")
 def check_crashing_parts(history: History) -> list[str]:
-    """Find parts that go on to crash upstreams while no host is disturbed."""
+    """Find parts and targets that go on to crash upstreams at undisturbed hosts."""
     runs_by_part: dict[str, list[float]] = {}
     for run in history.crashed_runs:
         runs_by_part.setdefault(run.part, []).append(run.at_s)
     violations = []
     for part, times_s in runs_by_part.items():
-        known_s = sorted(times_s)[:CRASHES_BEFORE_BAN][-1] + STABLE_S
+        before_ban = CRASHES_BEFORE_BAN
+        if part.startswith("/"):
+            before_ban = REQUEST_CRASHES_BEFORE_BAN
+        known_s = sorted(times_s)[:before_ban][-1] + STABLE_S
         late = [
             at_s
             for at_s in times_s
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -132,6 +132,7 @@
     published: dict = field(factory=dict)
     weights: int = 1
     crashing_parts: set[str] = field(factory=set)
+    crashing_targets: set[str] = field(factory=set)
     resumed_s: float = 0.0
 
     def __enter__(self) -> "Testbed":
@@ -185,6 +186,7 @@
         link.start()
         node = UpstreamNode(upstream, link, service)
         upstream.crashing_parts = self.crashing_parts
+        upstream.crashing_targets = self.crashing_targets
         upstream.on_crash = lambda name, part: self.crash_node(node, part)
         upstream.on_loaded = lambda: self.register_weights(node)
         self.nodes.append(node)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -29,7 +29,7 @@
 REJECTED = "a valid request is not rejected"
 RESUMED = "the first execution of a stream starts at its first event"
 ORDERS = "an engine has one order holder at a time and versions never decrease"
-CRASHING = "a part that crashed five upstreams reaches few more"
+CRASHING = "what crashed several upstreams reaches few more"
 LIMIT = "an upstream gets no more than the limit that it names"
 LOST = "an accepted request is not lost"
 
@@ -102,6 +102,10 @@
         ),
     ),
     (CRASHING, make_history(crashed_runs=make_crashed_runs(FIVE_S + LATE_S))),
+    (
+        CRASHING,
+        make_history(crashed_runs=make_crashed_runs(FIVE_S[:3] + LATE_S, "/read/1")),
+    ),
     (
         LIMIT,
         make_history(
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -12,6 +12,8 @@
 BREAKS_SECONDS = 5.0
 CRASHES_SEED = 401
 CRASHES_SECONDS = 10.0
+REQUESTS_SEED = 701
+REQUESTS_SECONDS = 10.0
 LIMITS_SEED = 601
 LIMITS_SECONDS = 10.0
 OUTAGE_SEED = 501
@@ -39,6 +41,13 @@
     assert report.requests > 0 and report.faults
 
 
+# One request that came again at all hosts and crashed one upstream after the other.
+def test_soak_request_that_crashes_upstreams_is_stopped():
+    report = run_soak(REQUESTS_SEED, REQUESTS_SECONDS, "request crashes upstreams")
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
+
+
 # Prompts that crashed one engine after the other, sent by all hosts.
 def test_soak_part_that_crashes_engines_is_stopped():
     report = run_soak(
