Log the software version of upstreams and what a caller resumes

Streams went on at an upstream whose software version was not the one that began them, and no line tells versions, or that a request resumes a stream of another request. Unknown fields are ignored from now on.

test_software_versions_of_a_resumed_stream_are_in_the_logs failed before, for lack of the fields.

--- a/rosemaryyoke/catalog/model.py
+++ b/rosemaryyoke/catalog/model.py
@@ -135,7 +135,7 @@
     ``weights`` maps each model to the version that the upstream serves. ``born_ms`` is
     the Unix time of its start in milliseconds, or 0 if it is unknown. ``written_era``
     is the newest era of the store in which the upstream is known to have written its
-    registration.
+    registration. ``software`` is the version of its program, not of the weights.
     """
 
     name: str
@@ -148,6 +148,7 @@
     weights: dict[str, int] = field(factory=dict)
     born_ms: int = 0
     written_era: int = 0
+    software: str = ""
 
 
 @frozen
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -34,12 +34,14 @@
         account=exchange.account.name if exchange.account else None,
         configuration=configuration.version,
         upstream=placement.state.upstream.name,
+        software=placement.state.upstream.software,
         send=exchange.send_count,
         parts=log_parts(exchange),
         hit_tokens=placement.hit_tokens,
         wait_ms=round(placement.wait_s * MS_PER_S),
         cost_ms=round(placement.cost_s * MS_PER_S),
-        resumed_from=exchange.resumed_from,
+        resumed_from=exchange.resumed_from or exchange.metadata.last_event_id,
+        resumes=exchange.metadata.resumes,
         left_ms=exchange.left_ms(),
     )
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -189,6 +189,7 @@
             "attempt resumed",
             request=exchange.request_id,
             upstream=sent.placement.state.upstream.name,
+            software=sent.placement.state.upstream.software,
             age_ms=exchange.age_ms(),
         )
         return self.run_attempt(exchange, sent, sent.attempt.resume)
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -23,8 +23,9 @@
 class RequestMetadata:
     """Request metadata from the caller's headers.
 
-    ``deadline_s`` is the caller's timeout. Only the last of ``parts`` belongs to
-    this request or its session alone.
+    ``deadline_s`` is the caller's timeout. ``resumes`` identifies the request that
+    brought the first event of the stream that the caller resumes. Only the last of
+    ``parts`` belongs to this request or its session alone.
     """
 
     request_id: bytes = b""
@@ -34,6 +35,7 @@
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
     last_event_id: bytes | None = None
+    resumes: bytes | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -6,7 +6,7 @@
 
 import orjson
 from absl import logging
-from attrs import define
+from attrs import define, fields_dict
 from result import Err
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Upstream, WantedWeights
@@ -50,12 +50,14 @@
         "weights": upstream.weights,
         "born_ms": upstream.born_ms,
         "written_era": upstream.written_era,
+        "software": upstream.software,
     }
 
 
 def decode_upstream(value: dict) -> Upstream:
-    """Return the upstream described by a JSON object."""
-    return Upstream(**{**value, "address": Address.parse(value["address"])})
+    """Return the upstream described by a JSON object; unknown fields are ignored."""
+    known = {key: value[key] for key in fields_dict(Upstream) if key in value}
+    return Upstream(**{**known, "address": Address.parse(value["address"])})
 
 
 def answer_state(
--- a/rosemaryyoke/platform/documents.py
+++ b/rosemaryyoke/platform/documents.py
@@ -151,8 +151,9 @@
 
 
 def read_upstream(name: str, value: dict) -> Upstream:
-    """Read an upstream; its ``version`` field, the software version, is not used."""
+    """Read an upstream; its ``version`` field is the version of its software."""
     models = value.get("models") or []
+    software = value.get("version")
     return Upstream(
         name=name,
         service=require_text(value["service"]),
@@ -165,6 +166,7 @@
             require_text(item["name"]): require_int(item["version"]) for item in models
         },
         born_ms=require_int(value.get("born", 0)),
+        software=software if isinstance(software, str) else "",
     )
 
 
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -44,6 +44,7 @@
                     values.get(names.TOKEN_COUNT.lower())
                 ),
                 last_event_id=values.get(names.LAST_EVENT_ID.lower()),
+                resumes=values.get(names.RESUMES.lower()),
             )
         except ValueError as error:
             raise MalformedRequestHeaders(str(error)) from error
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -15,6 +15,7 @@
 TOKEN_COUNT = b"Token-Count"
 PROMPT_PARTS = b"Prompt-Prefix"
 LAST_EVENT_ID = b"Last-Event-Id"
+RESUMES = b"Resumes"  # the id of the request that brought a stream's first event
 AUTHORIZATION = b"Authorization"
 BEARER_PREFIX = b"bearer "
 ACCOUNT = b"Tenant"
@@ -73,6 +74,7 @@
     "Weight-Versions",
     "Server-Leaving",
     "Server-Limit",
+    "Resumes",
     "Instance-Id",
     "pathPrefix",
     "storeRevision",
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -79,6 +79,17 @@
     return event.message == "attempt failed"
 
 
+# Guards against a stream of two software versions that the logs can't show.
+def test_software_versions_of_a_resumed_stream_are_in_the_logs(deployment, logged):
+    script_all(deployment.engines, abort_after(2))
+    headers = {"Request-Id": "c11", "Last-Event-Id": "1", "Resumes": "c0"}
+    deployment.stream(**headers)
+    placed = [item.fields for item in logged("c11") if item.message == "placed"]
+    assert [fields["software"] for fields in placed] == ["v1", "v1"]
+    assert [fields["resumed_from"] for fields in placed] == ["1", "2"]
+    assert {fields["resumes"] for fields in placed} == {"c0"}
+
+
 # Guards against an ended stream whose log line does not tell what its engine sent.
 def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
     events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
