Let streams go on only at the software version that began them

No choice of an upstream knew versions: the adapter dropped the field, and retries, hand-overs, resumed attempts and resumptions by callers went to any upstream of the route.

Within an answer, the version of the upstream whose event was first passed on now restricts all further choices; a head without events, a refusal or a partial event does not. A resumption by a caller names the request with the first event. Each host remembers the streams that it began; while several versions serve or lately served, it tells each one to four hosts chosen by a hash of the request, at once and once more, and when a second version comes, those that began before. A host that does not know asks the others (all, or eight of a large fleet) for 0.3 s at most. If none knows, the stream goes on only where one version serves or, if all have replied, did so until 15 s ago; else 503 unknown_origin at once, or version_gone if no upstream of the version is left. A stream that has begun accepts any queue, since it can go on at few upstreams.

Ruled out as the only cause: a registration that is known late (the engines had been registered for more than a second); an engine that restarts under its name with another version is a case left.

--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -13,6 +13,7 @@
 )
 from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange
 from rosemaryyoke.fleet import ComparedQueue, Placement
+from rosemaryyoke.hosts.origin_exchange import Resolution
 from rosemaryyoke.quarantine import format_key, format_keys
 
 MS_PER_S = 1_000
@@ -46,6 +47,19 @@
     )
 
 
+def log_resumption(exchange: Exchange, found: Resolution) -> None:
+    """Log what is known of a stream that the caller resumes."""
+    log_event(
+        "stream resumed",
+        request=exchange.request_id,
+        resumes=exchange.metadata.resumes,
+        resumed_from=exchange.metadata.last_event_id,
+        origin=None if found.origin is None else format_key(found.origin),
+        source=found.source,
+        age_ms=None if found.age_s is None else round(found.age_s * MS_PER_S),
+    )
+
+
 def log_outcome(
     exchange: Exchange, placement: Placement, outcome: AttemptFailed | NotRun
 ) -> None:
@@ -82,6 +96,8 @@
 def log_received(exchange: Exchange) -> dict:
     """Return what the last attempt received, as fields of a log line."""
     fields = {"events": exchange.relay.events if exchange.relay is not None else None}
+    if exchange.software is not None:
+        fields["software"] = exchange.software
     if exchange.received is not None:
         fields |= asdict(exchange.received)
     return fields
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -13,6 +13,8 @@
 NOT_RUN_RETRY_AFTER_S = 0.2
 TIMEOUT_CODE = "timeout"
 QUARANTINED_CODE = "quarantined"
+UNKNOWN_ORIGIN_CODE = "unknown_origin"
+VERSION_GONE_CODE = "version_gone"
 
 
 def is_server_error(outcome: ResponseReceived) -> bool:
@@ -61,6 +63,21 @@
     return ErrorResponse(503, QUARANTINED_CODE, text, refusal.left_s, quarantined=keys)
 
 
+def unknown_origin_error() -> ErrorResponse:
+    """Return the error response for a stream that no known upstream began."""
+    return ErrorResponse(
+        503, UNKNOWN_ORIGIN_CODE, "no host knows the software version of the stream"
+    )
+
+
+def version_gone_error(exchange: Exchange) -> ErrorResponse:
+    """Return the error response for a stream whose software version serves no more."""
+    message = "no upstream has the software version of the stream"
+    if exchange.is_admitted:
+        return ErrorResponse(502, "upstream_failed", message)
+    return ErrorResponse(503, VERSION_GONE_CODE, message)
+
+
 def no_upstream_error(exchange: Exchange, reason: NoUpstream) -> ErrorResponse:
     """Return the error response when no upstream is available."""
     if exchange.is_admitted:
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -66,7 +66,9 @@
 
     ``reserved`` is where it goes next. ``suspended`` is an attempt without progress, to
     which it returns if the upstream that was reserved does not accept it. ``received``
-    summarizes the response of the last attempt.
+    summarizes the response of the last attempt. ``origin`` is the key of the service
+    and software version that began the stream, whose name is ``software`` if it is
+    known; only such upstreams may go on.
     """
 
     message: RequestMessage
@@ -90,6 +92,8 @@
     suspended: SentAttempt | None = None
     received: ResponseSummary | None = None
     known_fingerprint: int | None = None
+    origin: int | None = None
+    software: str | None = None
 
     @property
     def request_id(self) -> str:
@@ -131,6 +135,12 @@
         """Return whether an upstream may have run the request."""
         return self.may_have_run or self.run_count > 0
 
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller has received a part of the stream before."""
+        has_position = self.metadata.last_event_id is not None
+        return self.relay is not None and self.route.resumable and has_position
+
     @property
     def is_resumable(self) -> bool:
         """Return whether another upstream may continue the response."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -8,7 +8,7 @@
 from attrs import define, evolve, field
 from result import Err
 
-from rosemaryyoke.catalog import Catalog
+from rosemaryyoke.catalog import Catalog, Upstream
 from rosemaryyoke.core import Metrics
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
@@ -26,9 +26,16 @@
     ResponseAborted,
 )
 from rosemaryyoke.exchanges.connections import ConnectionPool
-from rosemaryyoke.exchanges.decision_log import log_outcome, log_placement
+from rosemaryyoke.exchanges.decision_log import (
+    log_outcome,
+    log_placement,
+    log_resumption,
+)
 from rosemaryyoke.exchanges.endings import Endings
-from rosemaryyoke.exchanges.error_responses import is_server_error
+from rosemaryyoke.exchanges.error_responses import (
+    is_server_error,
+    unknown_origin_error,
+)
 from rosemaryyoke.exchanges.exchange import (
     ErrorResponse,
     Exchange,
@@ -49,7 +56,9 @@
     UpstreamState,
 )
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
+from rosemaryyoke.hosts.origin_exchange import OriginExchange
 from rosemaryyoke.http1 import RequestMessage
+from rosemaryyoke.origins import origin_key
 from rosemaryyoke.rollout import EngineClient
 
 HTTP_OK = 200
@@ -74,6 +83,7 @@
     metrics: Metrics
     weights_bound_s: float
     engines: EngineClient
+    origins: OriginExchange
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     memory: ResponseMemory = field(factory=ResponseMemory)
@@ -133,6 +143,8 @@
         self.budget.record_request(exchange.service, exchange.started_s)
         self.running.add(exchange)
         try:
+            if exchange.is_resumption:
+                self.find_origin(exchange)
             self.send_until_complete(exchange)
         finally:
             self.running.discard(exchange)
@@ -142,6 +154,18 @@
         """Log the requests that end with this process."""
         self.endings.record_unfinished(list(self.running))
 
+    def find_origin(self, exchange: Exchange) -> None:
+        """Find the software version at which a stream may go on.
+
+        Raise ``RequestRejected`` if no host knows it.
+        """
+        services = list({target.service: None for target in exchange.route.targets})
+        found = self.origins.resolve(services, exchange.metadata.resumes)
+        log_resumption(exchange, found)
+        if found.origin is None:
+            raise RequestRejected(unknown_origin_error())
+        exchange.origin = found.origin
+
     def send_until_complete(self, exchange: Exchange) -> None:
         """Send the exchange to one upstream after the other."""
         while True:
@@ -225,7 +249,10 @@
             attempt.predecessor = exchange.suspended.attempt
         sent = SentAttempt(placement, attempt)
 
+        upstream = state.upstream
+
         def first_event() -> None:
+            self.record_origin(exchange, upstream)
             self.fleet.prefilled(state, sent.work, read)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.started_s
@@ -240,6 +267,16 @@
         attempt.on_sustained = partial(self.reporter.record_success, exchange, sent)
         return sent
 
+    def record_origin(self, exchange: Exchange, upstream: Upstream) -> None:
+        """Record which upstream began a stream, or took it up."""
+        exchange.software = exchange.software or upstream.software
+        service, software = upstream.service, upstream.software
+        if exchange.origin is None:
+            exchange.origin = origin_key(service, software)
+        if exchange.route.resumable:
+            request = exchange.metadata.request_id
+            self.origins.record_begin(request, service, software)
+
     def run_attempt(
         self, exchange: Exchange, sent: SentAttempt, run: Callable[[], Outcome]
     ) -> Outcome:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -33,6 +33,7 @@
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.hosts import Beacon, BeaconService, HostTable
 from rosemaryyoke.hosts.ban_register import BanRegister
+from rosemaryyoke.hosts.origin_exchange import OriginExchange
 from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.registration import Registration
 from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
@@ -54,6 +55,7 @@
 AUXILIARY_MAX_CONNECTIONS = 64
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_PERIOD_S = 1.0
+ORIGINS_PERIOD_S = 0.2
 GAUGES_PERIOD_S = 2.0
 SHARED_WATCH_TIMEOUT_S = (
     0.8  # lets a disconnected watcher notice before it affects others
@@ -137,6 +139,8 @@
             Pacer(settings.link_mbps),
             eras=adapter.eras,
         )
+        self.origins = OriginExchange(self.table, self.beacons, self.catalog)
+        self.catalog.subscribe(self.origins.update_versions)
         pool = PoolService()
         self.timer = TimerService(pool.executor)
         self.rollout = Rollout(
@@ -219,6 +223,7 @@
             (POOL_SWEEP_PERIOD_S, self.update_host_count),
             (GAUGES_PERIOD_S, self.update_gauges),
             (TRANSFER_PERIOD_S, self.follower.remove_expired),
+            (ORIGINS_PERIOD_S, self.origins.tick),
         )
 
     def reload_settings(self) -> None:
@@ -381,6 +386,7 @@
             self.metrics,
             self.settings.weights_bound_s,
             self.adapter.engines,
+            self.origins,
         )
         return ConnectionServer(
             self.settings.callers,
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -13,6 +13,7 @@
     no_upstream_error,
     quarantine_error,
     timeout_error,
+    version_gone_error,
 )
 from rosemaryyoke.exchanges.exchange import (
     Exchange,
@@ -29,6 +30,7 @@
     RetryBudget,
     UpstreamState,
 )
+from rosemaryyoke.origins import origin_key
 
 MIN_ATTEMPT_S = 0.3  # with less time left, another upstream could not respond
 MAX_SENDS = 4  # attempts per exchange, including refused ones
@@ -52,10 +54,12 @@
         if now_s >= exchange.response_deadline_s:
             raise RequestRejected(timeout_error(exchange))
         self.check_quarantine(exchange)
+        self.check_origin(exchange)
         # The bound on queues is for admission: a request that may have run cannot be
         # rejected as not run any more, so that a long queue is better than none.
+        # A stream that has begun can only go on at few upstreams.
         max_wait_s = max_queue_wait_s(exchange.route)
-        if exchange.is_admitted:
+        if exchange.is_admitted or exchange.origin is not None:
             max_wait_s = math.inf
         request = self.placement_request(
             exchange, now_s, max_wait_s, self.fleet.probe_share()
@@ -73,6 +77,15 @@
         if refusal is not None:
             raise RequestRejected(quarantine_error(exchange, refusal))
 
+    def check_origin(self, exchange: Exchange) -> None:
+        """Raise ``RequestRejected`` if a stream has no upstream to go on at."""
+        if exchange.origin is None:
+            return
+        with self.fleet.lock:
+            states = self.with_origin(exchange)
+        if all(state.upstream.draining for state in states):
+            raise RequestRejected(version_gone_error(exchange))
+
     def choose(
         self, exchange: Exchange, request: PlacementRequest, now_s: float
     ) -> Result[Placement, NoUpstream]:
@@ -137,7 +150,12 @@
         )
 
     def candidates(self, exchange: Exchange) -> list[UpstreamState]:
-        """Return the upstreams of a target, drawn at random by the route's weights."""
+        """Return the upstreams of a target, drawn at random by the route's weights.
+
+        A stream goes on at upstreams of the service and version that began it.
+        """
+        if exchange.origin is not None:
+            return self.with_origin(exchange)
         targets = exchange.route.targets
         weights = [target.weight for target in targets]
         if len(targets) == 1 or sum(weights) <= 0:
@@ -145,6 +163,15 @@
         target = random.choices(targets, weights)[0]
         return self.fleet.states_of_service(target.service)
 
+    def with_origin(self, exchange: Exchange) -> list[UpstreamState]:
+        """Return the upstreams at which a stream may go on."""
+        return [
+            state
+            for target in exchange.route.targets
+            for state in self.fleet.states_of_service(target.service)
+            if upstream_origin(state) == exchange.origin
+        ]
+
     def with_usable_weights(
         self, exchange: Exchange, candidates: list[UpstreamState], now_s: float
     ) -> list[UpstreamState]:
@@ -159,6 +186,11 @@
         ]
 
 
+def upstream_origin(state: UpstreamState) -> int:
+    """Return the origin of streams that begin at an upstream."""
+    return origin_key(state.upstream.service, state.upstream.software)
+
+
 def is_healthy(state: UpstreamState, now_s: float) -> bool:
     """Return whether an upstream works, and has not asked for a pause."""
     return (
--- a/rosemaryyoke/exchanges/tests/test_attempt_limits.py
+++ b/rosemaryyoke/exchanges/tests/test_attempt_limits.py
@@ -67,7 +67,7 @@
     catalog = Catalog()
     engines = SimpleNamespace(report=report)
     forwarder = Forwarder(
-        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines
+        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines, None
     )
     exchange = SimpleNamespace(
         request_id="r1", response_deadline_s=time.monotonic() + 0.1
--- a/rosemaryyoke/exchanges/tests/test_health_checks.py
+++ b/rosemaryyoke/exchanges/tests/test_health_checks.py
@@ -36,7 +36,7 @@
     engines, state = Engines(reply), make_state(**changes)
     catalog = Catalog()
     forwarder = Forwarder(
-        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines
+        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines, None
     )
     exchange = SimpleNamespace(
         request_id="r1",
@@ -46,6 +46,7 @@
         age_ms=lambda: 1_000,
         relay=None,
         received=None,
+        software=None,
     )
     checked = forwarder.check_health(exchange, state, outcome)
     placement = SimpleNamespace(state=state)
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -70,6 +70,7 @@
 
     In a large fleet, beacons stay within a data centre. One host of each data centre
     sends digests of all its hosts to the other data centres, where they are relayed.
+    ``handlers`` are those of other services, by the kind of datagram.
     """
 
     table: HostTable
@@ -89,6 +90,7 @@
     load_digest_received_s: dict[str, float] = field(factory=dict)
     host_digest_sent_s: float = -math.inf
     news: threading.Event = field(factory=threading.Event)
+    handlers: dict[bytes, Callable[[bytes], None]] = field(factory=dict)
     eras: EraRecord = field(factory=EraRecord)
     udp_socket: socket.socket | None = None
     now_s: Callable[[], float] = time.monotonic
@@ -267,9 +269,18 @@
             digest = data[SHARE_HEADER.size :]
             self.handle_digest(decode_digest(digest, self.fleet.names_by_key))
             self.queue_digest(data)
+        elif kind in self.handlers:
+            self.run_handler(kind, data)
         else:
             raise MalformedBeacon(f"unknown datagram kind {kind!r}")
 
+    def run_handler(self, kind: bytes, data: bytes) -> None:
+        """Let another service handle a datagram; raise ``MalformedBeacon``."""
+        try:
+            self.handlers[kind](data)
+        except ValueError as error:
+            raise MalformedBeacon(str(error)) from error
+
     def queue_digest(self, data: bytes) -> None:
         """Queue a digest for the relay; drop it if the queue is full."""
         try:
