--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -52,6 +52,7 @@
     has_authorization: bool
     first_event: int
     streaming: bool
+    software: str
 
 
 @define
@@ -83,6 +84,7 @@
     make_event: Callable[[str, int], bytes] = lambda request, number: b""
     make_body: Callable[[str, str], bytes] = lambda request, name: b""
     orders: int = 0
+    software: str = "v1"
     loading: bool = False
     busy: bool = False
     quiet_s: float = 0.0
@@ -176,7 +178,13 @@
         )
         self.on_run(
             RunRecord(
-                request, name, account.decode(), has_authorization, after + 1, streams
+                request,
+                name,
+                account.decode(),
+                has_authorization,
+                after + 1,
+                streams,
+                self.software,
             )
         )
         sealed = [
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -25,6 +25,7 @@
 LIMITS = (b"0", b"0.25", b"2", b"5.5")
 LIMITED_S = (5.0, 9.0)  # longer than the time that hosts have to keep to a limit
 LOST_WRITES = 3
+SOFTWARE_VERSIONS = ("v1", "v2")
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
 
@@ -239,6 +240,21 @@
             context.testbed.register_node(node, READY)
 
 
+@faults.register("upstream replaced by another software version")
+def change_software(context: FaultContext) -> None:
+    """Break off what an engine runs, and start another version in its place."""
+    with reserve_upstream(context, engines_only=True) as node:
+        if node is not None:
+            old_name = node.upstream.name
+            node.link.reset()
+            context.testbed.deregister(old_name)
+            context.testbed.replace_incarnation(node)
+            node.upstream.software = context.rng.choice(SOFTWARE_VERSIONS)
+            context.wait(SHORT_S)
+            context.testbed.register_node(node, READY)
+            context.wait(SHORT_S)
+
+
 @faults.register("store fails")
 def fail_store(context: FaultContext) -> None:
     """Make the store fail: down, slow, lost or late writes, or lost history."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -56,6 +56,7 @@
     has_authorization: bool
     first_event: int
     at_s: float
+    software: str = "v1"
 
 
 @frozen
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -135,6 +135,19 @@
     ]
 
 
+@invariants.register("a stream goes on at the software version that began it")
+def check_software_versions(history: History) -> list[str]:
+    """Find streams that went on at a version that had not run them before."""
+    violations = []
+    for runs in history.executions.values():
+        versions: set[str] = set()
+        for run in runs:
+            if run.first_event > 1 and run.software not in versions:
+                violations.append(f"{runs}")
+            versions.add(run.software)
+    return violations
+
+
 @invariants.register(
     "an engine has one order holder at a time and versions never decrease"
 )
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -225,6 +225,7 @@
         entry = make_registration(
             str(node.link.address), node.service, upstream.version, state=state
         )
+        entry["version"] = upstream.software
         if node.is_engine:
             model = {"name": MODEL, "version": upstream.version, "adapters": []}
             entry["models"] = [model]
@@ -310,6 +311,7 @@
                 record.has_authorization,
                 record.first_event,
                 now_s(),
+                record.software,
             )
         )
 
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -28,6 +28,7 @@
 ACCOUNT = "upstreams receive the account and never the key"
 REJECTED = "a valid request is not rejected"
 RESUMED = "the first execution of a stream starts at its first event"
+VERSIONS = "a stream goes on at the software version that began it"
 ORDERS = "an engine has one order holder at a time and versions never decrease"
 CRASHING = "what crashed several upstreams reaches few more"
 LIMIT = "an upstream gets no more than the limit that it names"
@@ -102,6 +103,15 @@
         ),
     ),
     (CRASHING, make_history(crashed_runs=make_crashed_runs(FIVE_S + LATE_S))),
+    (
+        VERSIONS,
+        make_history(
+            executions=[
+                make_execution(kind=STREAM),
+                make_execution(kind=STREAM, first_event=3, software="v2"),
+            ]
+        ),
+    ),
     (
         CRASHING,
         make_history(crashed_runs=make_crashed_runs(FIVE_S[:3] + LATE_S, "/read/1")),
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -14,6 +14,8 @@
 CRASHES_SECONDS = 10.0
 REQUESTS_SEED = 701
 REQUESTS_SECONDS = 10.0
+VERSIONS_SEED = 801
+VERSIONS_SECONDS = 8.0
 LIMITS_SEED = 601
 LIMITS_SECONDS = 10.0
 OUTAGE_SEED = 501
@@ -48,6 +50,17 @@
     assert report.requests > 0 and report.faults
 
 
+# Engines of two software versions, at which streams of the other one went on.
+def test_soak_stream_goes_on_at_its_software_version():
+    report = run_soak(
+        VERSIONS_SEED,
+        VERSIONS_SECONDS,
+        "upstream replaced by another software version",
+    )
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
+
+
 # Prompts that crashed one engine after the other, sent by all hosts.
 def test_soak_part_that_crashes_engines_is_stopped():
     report = run_soak(
