Crashes that happen at once are no stale connections

A request that crashes an upstream within some milliseconds, on a connection that was kept open, looks as if the connection had been closed before: no crash, no run, and the attempt goes to the next kept connection, up to four upstreams a try, without any evidence.

A second such end of the same request within a minute, with no answer between, now shows two crashes. So does one of a suspect, and one whose upstream then refuses connections. The end counts as a run and as a failure of the upstream.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -93,7 +93,7 @@
     connection stays open until that one has accepted it. ``upstream_responds`` means
     that the upstream answered a health check after the timeout, so that it is merely
     slow; ``health_recorded`` that its state has been updated already, or that the
-    failure says nothing about it.
+    failure says nothing about it; ``connection_refused`` that nothing listens there.
     """
 
     reason: str
@@ -104,6 +104,7 @@
     broken_off: bool = False
     upstream_responds: bool = False
     health_recorded: bool = False
+    connection_refused: bool = False
 
 
 Outcome = ResponseReceived | StreamCompleted | NotRun | AttemptFailed
@@ -168,7 +169,11 @@
                 self.state.upstream, max(0.001, timeout_s), self.max_idle_s
             )
         except OSError as error:
-            return AttemptFailed(f"no connection: {error}", may_have_run=False)
+            return AttemptFailed(
+                f"no connection: {error}",
+                may_have_run=False,
+                connection_refused=error.errno == errno.ECONNREFUSED,
+            )
         if self.predecessor is not None:
             self.handover_end_s = time.monotonic() + HANDOVER_S
         return self._await_outcome()
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -292,6 +292,7 @@
         finally:
             self.fleet.end(state, sent.work)
             exchange.received = sent.attempt.summarize_response()
+        outcome = self.reporter.recheck_stale(exchange, sent, outcome)
         self.reporter.record(exchange, sent, outcome)
         self.record_outcome(exchange, sent.placement, sent.attempt, outcome)
         if isinstance(outcome, AttemptFailed) and outcome.timed_out:
--- a/rosemaryyoke/exchanges/outcome_reporter.py
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -1,8 +1,10 @@
 """Report to the quarantine how attempts ended."""
 
+import threading
 import time
+from collections import OrderedDict
 
-from attrs import frozen
+from attrs import define, evolve, field
 
 from rosemaryyoke.exchanges.attempt import (
     Attempt,
@@ -24,15 +26,71 @@
 )
 
 HTTP_OK = 200
+MAX_STALE_ENDS = 256
+STALE_END_TTL_S = 60.0
 # A stream without framing looks complete if the engine crashes between two events.
 MIN_UNFRAMED_EVENTS = 5
 
 
-@frozen
+@define(eq=False)
 class OutcomeReporter:
-    """Tells crashes and successes from ends that say nothing about the prompt."""
+    """Tells crashes and successes from ends that say nothing about the request.
+
+    ``stale_ends`` are the last attempts, by fingerprint, that seem to have found their
+    connections closed. An engine that crashes at once looks the same.
+    """
 
     quarantine: Quarantine
+    stale_ends: OrderedDict[int, PromptOutcome] = field(factory=OrderedDict)
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def recheck_stale(
+        self, exchange: Exchange, sent: SentAttempt, outcome: Outcome
+    ) -> Outcome:
+        """Return the outcome, with stale connections that show a crash as such.
+
+        Two ends of one request in a row show crashes, and so does one of a suspect, or
+        an engine that accepts no connection afterwards.
+        """
+        if not isinstance(outcome, AttemptFailed):
+            return outcome
+        key = exchange.fingerprint
+        if outcome.connection_refused:
+            known = self.stale_ends.get(key)
+            if known and known.upstream == upstream_key_of(sent):
+                self.report_stale_end(exchange, key)
+            return outcome
+        if not outcome.stale_connection:
+            return outcome
+        if not (self.report_stale_end(exchange, key) or self.is_suspect(key)):
+            self.remember_stale_end(key, prompt_outcome(exchange, sent, crashed=True))
+            return outcome
+        return evolve(outcome, stale_connection=False)
+
+    def is_suspect(self, key: int) -> bool:
+        """Return whether a request was in several crashes."""
+        return self.quarantine.is_suspect((key,))
+
+    def remember_stale_end(self, key: int, end: PromptOutcome) -> None:
+        """Remember an attempt on a connection that seemed to be closed."""
+        with self.lock:
+            self.stale_ends[key] = end
+            if len(self.stale_ends) > MAX_STALE_ENDS:
+                self.stale_ends.popitem(last=False)
+
+    def report_stale_end(self, exchange: Exchange, key: int) -> bool:
+        """Report the last stale end of a request as a crash; return if there is one."""
+        with self.lock:
+            end = self.stale_ends.pop(key, None)
+        if end is None or time.monotonic() - end.ended_s > STALE_END_TTL_S:
+            return False
+        self.quarantine.record_crash(
+            end,
+            request=exchange.request_id,
+            parts=log_parts(exchange),
+            fingerprint=format_key(key),
+        )
+        return True
 
     def record(self, exchange: Exchange, sent: SentAttempt, outcome: Outcome) -> None:
         """Report the end of an attempt."""
@@ -53,7 +111,9 @@
         )
 
     def record_success(self, exchange: Exchange, sent: SentAttempt) -> None:
-        """Report that a prompt was answered, or that its answer goes on."""
+        """Report that a request was answered, or that its answer goes on."""
+        with self.lock:
+            self.stale_ends.pop(exchange.fingerprint, None)
         self.quarantine.record_success(prompt_outcome(exchange, sent, crashed=False))
 
 
@@ -63,7 +123,7 @@
     """Return the outcome of an attempt as reported to other hosts."""
     return PromptOutcome(
         request_key(exchange.metadata.request_id),
-        upstream_key(sent.placement.state.upstream.name),
+        upstream_key_of(sent),
         exchange.shared_keys,
         sent.attempt.started_s,
         time.monotonic(),
@@ -72,6 +132,11 @@
     )
 
 
+def upstream_key_of(sent: SentAttempt) -> int:
+    """Return the key of the upstream to which an attempt was sent."""
+    return upstream_key(sent.placement.state.upstream.name)
+
+
 def is_crash(attempt: Attempt, outcome: Outcome) -> bool:
     """Return whether an engine seems to have crashed as it began to answer.
 
--- a/rosemaryyoke/platform/tests/test_crashing_requests.py
+++ b/rosemaryyoke/platform/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 
 from rosemaryyoke.http1.messages import encode_head, find_header
+from rosemaryyoke.http1.sockets import close
 from rosemaryyoke.platform.standins.documents import (
     make_configuration,
     make_registration,
@@ -53,6 +54,11 @@
     raise OSError("crashed")
 
 
+def crash_at_once(engine, message, caller):
+    """Close the connection as soon as the request is read."""
+    raise OSError("crashed")
+
+
 def reset_during_run(engine, message, caller):
     """Reset the connection while the request runs, without a head."""
     reset_on_close(caller.socket)
@@ -70,6 +76,7 @@
     "closed before the head": crash_during_run,
     "reset before the head": reset_during_run,
     "within the body": send_part_of_body,
+    "at once": crash_at_once,
 }
 
 
@@ -217,6 +224,20 @@
     assert fleet.count_sends(lambda: fleet.send_many(REPEATS)) <= MAX_REPEATS
 
 
+# Guards against a crash that passes for a stale connection as it happens at once.
+def test_request_that_crashed_upstreams_at_once_for_good_reaches_no_more(fleet):
+    def stop_for_good(upstream, message, caller):
+        close(upstream.server.listener)
+        crash_at_once(upstream, message, caller)
+
+    fleet.crash = stop_for_good
+    fleet.send(), fleet.send(host=1), fleet.send()
+    time.sleep(STABLE_S)
+    known = [len(host.fleet.quarantine.evidence.crashes) for host in fleet.hosts]
+    assert min(known) >= CRASHES
+    assert fleet.count_sends(lambda: fleet.send_many(UPSTREAMS)) <= MAX_REPEATS
+
+
 # Guards against the same on routes whose requests run once, and on public ones.
 @pytest.mark.parametrize("path", ["/issue/1", "/open/1?x=1"])
 def test_request_of_another_route_that_crashed_upstreams_reaches_no_more(fleet, path):
