Origins are software versions, whichever service of a route they serve

A route may have several services: with the service in the origin, a stream of such a route that another host was asked to resume was unknown there (each service had one version, so that nothing was told) and rejected with 503, although it had gone on before; and one whose route had moved to another service was rejected as version_gone. The origin is now the version alone, versions are mixed if the services of the route have several between them, and a version that comes to a service that has others is told.

Resumptions accept any queue only where some of the route's upstreams have another version: while one version serves, they are rejected as other requests are when queues are long. Two callers that ask for one stream at the same time no longer end each other's question.

test_streams_of_services_with_different_versions_are_told failed before (unknown origin).

--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -66,9 +66,9 @@
 
     ``reserved`` is where it goes next. ``suspended`` is an attempt without progress, to
     which it returns if the upstream that was reserved does not accept it. ``received``
-    summarizes the response of the last attempt. ``origin`` is the key of the service
-    and software version that began the stream, whose name is ``software`` if it is
-    known; only such upstreams may go on.
+    summarizes the response of the last attempt. ``origin`` is the key of the software
+    version that began the stream, whose name is ``software`` if it is known; only
+    upstreams of that version may go on.
     """
 
     message: RequestMessage
@@ -130,6 +130,13 @@
         """Return the service whose retry budget the exchange uses."""
         return self.route.targets[0].service
 
+    @property
+    def services(self) -> list[str]:
+        """Return the services that may run the exchange."""
+        targets = self.route.targets
+        weighted = [target.service for target in targets if target.weight > 0]
+        return list(dict.fromkeys(weighted or [targets[0].service]))
+
     @property
     def is_admitted(self) -> bool:
         """Return whether an upstream may have run the request."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -8,7 +8,7 @@
 from attrs import define, evolve, field
 from result import Err
 
-from rosemaryyoke.catalog import Catalog, Upstream
+from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.core import Metrics
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
@@ -159,8 +159,7 @@
 
         Raise ``RequestRejected`` if no host knows it.
         """
-        services = list({target.service: None for target in exchange.route.targets})
-        found = self.origins.resolve(services, exchange.metadata.resumes)
+        found = self.origins.resolve(exchange.services, exchange.metadata.resumes)
         log_resumption(exchange, found)
         if found.origin is None:
             raise RequestRejected(unknown_origin_error())
@@ -249,10 +248,10 @@
             attempt.predecessor = exchange.suspended.attempt
         sent = SentAttempt(placement, attempt)
 
-        upstream = state.upstream
+        software = state.upstream.software
 
         def first_event() -> None:
-            self.record_origin(exchange, upstream)
+            self.record_origin(exchange, software)
             self.fleet.prefilled(state, sent.work, read)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.started_s
@@ -267,15 +266,14 @@
         attempt.on_sustained = partial(self.reporter.record_success, exchange, sent)
         return sent
 
-    def record_origin(self, exchange: Exchange, upstream: Upstream) -> None:
-        """Record which upstream began a stream, or took it up."""
-        exchange.software = exchange.software or upstream.software
-        service, software = upstream.service, upstream.software
+    def record_origin(self, exchange: Exchange, software: str) -> None:
+        """Record which software version began a stream, or went on with it."""
+        exchange.software = exchange.software or software
         if exchange.origin is None:
-            exchange.origin = origin_key(service, software)
+            exchange.origin = origin_key(software)
         if exchange.route.resumable:
             request = exchange.metadata.request_id
-            self.origins.record_begin(request, service, software)
+            self.origins.record_begin(request, exchange.services, software)
 
     def run_attempt(
         self, exchange: Exchange, sent: SentAttempt, run: Callable[[], Outcome]
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -57,9 +57,9 @@
         self.check_origin(exchange)
         # The bound on queues is for admission: a request that may have run cannot be
         # rejected as not run any more, so that a long queue is better than none.
-        # A stream that has begun can only go on at few upstreams.
+        # A stream that can go on at some of the upstreams only is bound to these.
         max_wait_s = max_queue_wait_s(exchange.route)
-        if exchange.is_admitted or exchange.origin is not None:
+        if exchange.is_admitted or self.is_restricted(exchange):
             max_wait_s = math.inf
         request = self.placement_request(
             exchange, now_s, max_wait_s, self.fleet.probe_share()
@@ -152,7 +152,7 @@
     def candidates(self, exchange: Exchange) -> list[UpstreamState]:
         """Return the upstreams of a target, drawn at random by the route's weights.
 
-        A stream goes on at upstreams of the service and version that began it.
+        A stream goes on at upstreams of the software version that began it.
         """
         if exchange.origin is not None:
             return self.with_origin(exchange)
@@ -167,11 +167,26 @@
         """Return the upstreams at which a stream may go on."""
         return [
             state
-            for target in exchange.route.targets
-            for state in self.fleet.states_of_service(target.service)
+            for state in self.states_of_services(exchange)
             if upstream_origin(state) == exchange.origin
         ]
 
+    def is_restricted(self, exchange: Exchange) -> bool:
+        """Return whether a stream may go on at some of the route's upstreams only."""
+        if exchange.origin is None:
+            return False
+        with self.fleet.lock:
+            states = self.states_of_services(exchange)
+        return any(upstream_origin(state) != exchange.origin for state in states)
+
+    def states_of_services(self, exchange: Exchange) -> list[UpstreamState]:
+        """Return the upstreams of all services of the route."""
+        return [
+            state
+            for service in exchange.services
+            for state in self.fleet.states_of_service(service)
+        ]
+
     def with_usable_weights(
         self, exchange: Exchange, candidates: list[UpstreamState], now_s: float
     ) -> list[UpstreamState]:
@@ -188,7 +203,7 @@
 
 def upstream_origin(state: UpstreamState) -> int:
     """Return the origin of streams that begin at an upstream."""
-    return origin_key(state.upstream.service, state.upstream.software)
+    return origin_key(state.upstream.software)
 
 
 def is_healthy(state: UpstreamState, now_s: float) -> bool:
--- a/rosemaryyoke/hosts/origin_exchange.py
+++ b/rosemaryyoke/hosts/origin_exchange.py
@@ -94,20 +94,25 @@
 
     def update_versions(self) -> None:
         """Update the served versions; tell own streams if a second version came."""
-        mixed = self.served.update(list(self.catalog.upstreams.values()))
-        if not mixed:
+        grown = self.served.update(list(self.catalog.upstreams.values()))
+        if not grown:
             return
-        for service in mixed:
-            versions = [item.software for item in self.served.versions(service)]
+        for service in grown:
+            versions = [item.software for item in self.served.versions([service])]
             log_event("software versions mixed", service=service, versions=versions)
         self.tell(self.memory.own_rows(self.now_s()))
 
-    def record_begin(self, request_id: bytes, service: str, software: str) -> None:
-        """Remember a stream that began here; tell others if versions are mixed."""
-        now_s, origin = self.now_s(), origin_key(service, software)
+    def record_begin(
+        self, request_id: bytes, services: Sequence[str], software: str
+    ) -> None:
+        """Remember a stream of some services that began here at a software version.
+
+        Others are told if upstreams of several versions serve.
+        """
+        now_s, origin = self.now_s(), origin_key(software)
         request = request_key(request_id)
         self.memory.record(request, origin, now_s, is_own=True)
-        if self.served.is_mixed(service):
+        if self.served.is_mixed(services):
             self.tell([OriginRow(request, origin, now_s)])
 
     def tick(self) -> None:
@@ -173,25 +178,22 @@
 
     def find_sole(self, services: Sequence[str]) -> int | None:
         """Return the only origin that streams of some services can have."""
-        if len(services) != 1:
-            return None
-        software = self.served.find_sole(services[0])
-        return None if software is None else origin_key(services[0], software)
+        software = self.served.find_sole(services)
+        return None if software is None else origin_key(software)
 
     def find_earlier(self, services: Sequence[str]) -> int | None:
         """Return the origin of streams from before a second version came."""
-        if len(services) != 1:
-            return None
-        software = self.served.find_earlier(services[0])
-        return None if software is None else origin_key(services[0], software)
+        software = self.served.find_earlier(services)
+        return None if software is None else origin_key(software)
 
     def ask(self, request: int, timeout_s: float) -> tuple[OriginRow | None, bool]:
         """Ask other hosts for an origin; return it, and whether all have replied."""
         deadline_s = self.now_s() + timeout_s
-        with self.lock:
-            question = self.questions.setdefault(request, Question())
+        question = Question()
         try:
             while True:
+                with self.lock:
+                    question = self.questions.setdefault(request, question)
                 asked = self.send_question(request, question)
                 missing = asked - question.without
                 is_new = self.now_s() - self.served.started_s < START_S
--- a/rosemaryyoke/hosts/tests/test_origin_exchange.py
+++ b/rosemaryyoke/hosts/tests/test_origin_exchange.py
@@ -108,7 +108,7 @@
     begun = {}
     for number in range(STREAMS):
         request, software = b"r%d" % number, versions[number % len(versions)]
-        exchange.record_begin(request, SERVICE, software)
+        exchange.record_begin(request, [SERVICE], software)
         begun[request] = software
     return begun
 
@@ -118,7 +118,7 @@
     right = 0
     for request, software in begun.items():
         found = exchange.resolve([SERVICE], request)
-        assert found.origin in (None, origin_key(SERVICE, software))
+        assert found.origin in (None, origin_key(software))
         right += found.origin is not None
     return right
 
@@ -143,7 +143,7 @@
     begun = begin_streams(fleet)
     before = fleet.datagrams
     found = fleet.hosts()[0].resolve([SERVICE], b"r0")
-    assert (found.source, found.origin) == (OWN, origin_key(SERVICE, begun[b"r0"]))
+    assert (found.source, found.origin) == (OWN, origin_key(begun[b"r0"]))
     assert fleet.datagrams == before
 
 
@@ -192,7 +192,7 @@
     fleet = Fleet(3)
     fleet.serve(OLD)
     found = fleet.hosts()[0].resolve([SERVICE], b"unknown")
-    assert (found.source, found.origin) == (SOLE, origin_key(SERVICE, OLD))
+    assert (found.source, found.origin) == (SOLE, origin_key(OLD))
     assert fleet.hosts()[0].resolve([SERVICE], None).origin is not None
 
 
@@ -205,6 +205,23 @@
     assert time.monotonic() - started_s < ASK_TIMEOUT_S
 
 
+# Guards against streams of routes with several services that no other host knows.
+def test_streams_of_services_with_different_versions_are_told():
+    fleet = Fleet(3)
+    for exchange in fleet.hosts():
+        exchange.catalog.upstreams = {
+            service: Upstream(
+                service, service, Address("127.0.0.1", 1), "z1", 4, software=software
+            )
+            for service, software in (("a", OLD), ("b", NEW))
+        }
+        exchange.update_versions()
+    first, second = fleet.hosts()[:2]
+    first.record_begin(b"r1", ["a", "b"], NEW)
+    assert second.resolve(["a", "b"], b"r1").origin == origin_key(NEW)
+    assert second.resolve(["a"], b"unknown").origin == origin_key(OLD)
+
+
 # Guards against a guess while hosts that may know do not reply.
 def test_earlier_version_is_taken_only_if_all_hosts_reply(monkeypatch):
     fleet = Fleet(3)
@@ -213,7 +230,7 @@
     exchange.served.seen[SERVICE][OLD].first_s -= 10.0
     fleet.serve(OLD, NEW)
     found = exchange.resolve([SERVICE], b"unknown")
-    assert (found.source, found.origin) == (EARLIER, origin_key(SERVICE, OLD))
+    assert (found.source, found.origin) == (EARLIER, origin_key(OLD))
     fleet.loss = 1.0
     assert exchange.resolve([SERVICE], b"unknown").origin is None
 
--- a/rosemaryyoke/origins/tests/test_versions.py
+++ b/rosemaryyoke/origins/tests/test_versions.py
@@ -40,15 +40,21 @@
 
 def test_only_version_is_sole(served):
     assert served.update([make_upstream("v1"), make_upstream("v1")]) == set()
-    assert served.find_sole("llm") == "v1" and not served.is_mixed("llm")
-    assert served.find_sole("other") is None
+    assert served.find_sole(["llm"]) == "v1" and not served.is_mixed(["llm"])
+    assert served.find_sole(["other"]) is None
+
+
+def test_services_with_one_version_each_may_be_mixed(served):
+    served.update([make_upstream("v1", "a"), make_upstream("v2", "b")])
+    assert served.is_mixed(["a", "b"]) and served.find_sole(["a", "b"]) is None
+    assert served.find_sole(["a"]) == "v1" and not served.is_mixed(["b"])
 
 
 def test_second_version_is_told_once(served):
     served.update([make_upstream("v1")])
     both = [make_upstream("v1"), make_upstream("v2"), make_upstream("v9", "records")]
     assert served.update(both) == {"llm"} and served.update(both) == set()
-    assert served.is_mixed("llm") and not served.is_mixed("records")
+    assert served.is_mixed(["llm"]) and not served.is_mixed(["records"])
 
 
 # Guards against streams of a version that has just gone, which go on at the other.
@@ -56,18 +62,18 @@
     served.update([make_upstream("v1"), make_upstream("v2")])
     served.update([make_upstream("v2")])
     clock.at_s += RETENTION_S - 1
-    assert served.find_sole("llm") is None
+    assert served.find_sole(["llm"]) is None
     clock.at_s += 2
-    assert served.find_sole("llm") == "v2"
+    assert served.find_sole(["llm"]) == "v2"
 
 
 def test_version_that_served_alone_is_the_earlier_one_for_some_time(served, clock):
     served.update([make_upstream("v1")])
     clock.at_s += 10.0
     served.update([make_upstream("v1"), make_upstream("v2")])
-    assert served.find_earlier("llm") == "v1"
+    assert served.find_earlier(["llm"]) == "v1"
     clock.at_s += EARLIER_VERSION_S
-    assert served.find_earlier("llm") is None
+    assert served.find_earlier(["llm"]) is None
 
 
 # Guards against a guess of a host that has just started.
@@ -75,7 +81,7 @@
     served.update([make_upstream("v1")])
     clock.at_s += 0.2
     served.update([make_upstream("v1"), make_upstream("v2")])
-    assert served.find_earlier("llm") is None
+    assert served.find_earlier(["llm"]) is None
     assert not served.knows_history()
 
 
--- a/rosemaryyoke/origins/versions.py
+++ b/rosemaryyoke/origins/versions.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from typing import Callable, Iterable
+from typing import Callable, Collection, Iterable
 
 from attrs import define, field
 
@@ -38,8 +38,8 @@
         self.started_s = self.now_s()
 
     def update(self, upstreams: Iterable[Upstream]) -> set[str]:
-        """Update from the known upstreams; return services that now have several."""
-        now_s, became_mixed = self.now_s(), set()
+        """Update from the known upstreams; return services with a further version."""
+        now_s, grown = self.now_s(), set()
         present: dict[str, set[str]] = {}
         for upstream in upstreams:
             present.setdefault(upstream.service, set()).add(upstream.software)
@@ -48,37 +48,41 @@
             self.present = present
             for service, versions in present.items():
                 known = self.seen.setdefault(service, {})
-                was_mixed = len(known) > 1
-                for software in versions - known.keys():
+                added = versions - known.keys()
+                if len(known) + len(added) > 1 and added:
+                    grown.add(service)
+                for software in added:
                     known[software] = SeenVersion(software, now_s, now_s)
-                if len(known) > 1 and not was_mixed:
-                    became_mixed.add(service)
-        return became_mixed
+        return grown
 
-    def versions(self, service: str) -> list[SeenVersion]:
-        """Return the versions of a service that were seen lately, earliest first."""
+    def versions(self, services: Iterable[str]) -> list[SeenVersion]:
+        """Return the versions of services that were seen lately, earliest first."""
         with self.lock:
             self._mark_seen(self.now_s())
-            known = list(self.seen.get(service, {}).values())
+            known = [
+                version
+                for service in services
+                for version in self.seen.get(service, {}).values()
+            ]
         return sorted(known, key=lambda item: item.first_s)
 
-    def is_mixed(self, service: str) -> bool:
-        """Return whether several versions of a service served lately."""
-        return len(self.versions(service)) > 1
+    def is_mixed(self, services: Iterable[str]) -> bool:
+        """Return whether several versions served lately, in one service or several."""
+        return len({version.software for version in self.versions(services)}) > 1
 
     def knows_history(self) -> bool:
         """Return whether this host runs for long enough to have seen all versions."""
         return self.now_s() - self.started_s >= RETENTION_S
 
-    def find_sole(self, service: str) -> str | None:
-        """Return the only version of a service that this host has seen lately."""
-        versions = self.versions(service)
-        return versions[0].software if len(versions) == 1 else None
+    def find_sole(self, services: Iterable[str]) -> str | None:
+        """Return the only version of services that this host has seen lately."""
+        software = {version.software for version in self.versions(services)}
+        return software.pop() if len(software) == 1 else None
 
-    def find_earlier(self, service: str) -> str | None:
+    def find_earlier(self, services: Collection[str]) -> str | None:
         """Return the version that served alone until a short time ago, if one did."""
-        versions = self.versions(service)
-        if len(versions) < 2:
+        versions = self.versions(services)
+        if len(versions) < 2 or len(services) > 1:
             return None
         first, second = versions[:2]
         is_recent = self.now_s() - second.first_s < EARLIER_VERSION_S
