--- a/rosemaryyoke/core/metrics.py
+++ b/rosemaryyoke/core/metrics.py
@@ -14,7 +14,7 @@
     "crash_reports_received_total": "Such attempts as other hosts reported them.",
     "first_event_seconds": "Time to the first event of a streamed answer.",
     "hosts_live": "Hosts that are heard, this one included.",
-    "parts_quarantined": "Bans of prompt parts that crash engines.",
+    "parts_quarantined": "Bans of requests and prompt parts that crash engines.",
     "refusals_total": "Answers of this host's own, by code.",
     "requests_ended_total": "Requests that ended, by cause.",
     "requests_under_way": "Requests that this host is answering.",
--- a/rosemaryyoke/exchanges/outcome_reporter.py
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -47,10 +47,10 @@
     def recheck_stale(
         self, exchange: Exchange, sent: SentAttempt, outcome: Outcome
     ) -> Outcome:
-        """Return the outcome, with stale connections that show a crash as such.
+        """Return the outcome; a stale connection that shows a crash is a failure.
 
-        Two ends of one request in a row show crashes, and so does one of a suspect, or
-        an engine that accepts no connection afterwards.
+        Two such ends of one request in a row show crashes, and so does one of a
+        suspect. If the engine accepts no connection afterwards, the end is reported.
         """
         if not isinstance(outcome, AttemptFailed):
             return outcome
--- a/rosemaryyoke/quarantine/__init__.py
+++ b/rosemaryyoke/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that crash the engines that answer on them."""
+"""Quarantine of requests and prompt parts that crash the engines that run them."""
 
 from rosemaryyoke.quarantine.bans import Ban
 from rosemaryyoke.quarantine.fingerprints import fingerprint
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -214,7 +214,7 @@
                 self._adopt(ban, host)
 
     def review(self) -> None:
-        """Ban the parts that explain the known crashes."""
+        """Ban what explains the known crashes."""
         now_s = self.now_s()
         with self.lock:
             self._end_forgotten(now_s)
