Forward requests by way of other hosts while upstreams are out of reach

Cause: a host learned of its upstreams one by one, so that its own partition looked like the failure of each upstream; it had no way to serve but its own connections, and lookups went on naming it. Evidence: four failed connects before each refusal in the logs of the partitioned hosts, answers of the same upstreams in those of the others. Ruled out: reports of partitioned hosts did not take upstreams from sound ones.

A host that finds no upstream of a service accepting connections (a check of up to five at once, 0.25 s) tells the others, forwards requests by way of one that reaches the service, and is left out of lookups if it reaches none at all. The other host authenticates, places, retries and counts the request as its own, and never forwards again. What it may have run is never told as not run; a caller that leaves ends the work; a planned stop drains what is forwarded. If no host reaches the service, requests are rejected at once.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -94,6 +94,8 @@
     that the upstream answered a health check after the timeout, so that it is merely
     slow; ``health_recorded`` that its state has been updated already, or that the
     failure says nothing about it; ``connection_refused`` that nothing listens there.
+    ``not_connected`` means that no connection could be opened, ``no_contact`` that
+    nothing shows that the upstream can still be reached.
     """
 
     reason: str
@@ -105,6 +107,8 @@
     upstream_responds: bool = False
     health_recorded: bool = False
     connection_refused: bool = False
+    not_connected: bool = False
+    no_contact: bool = False
 
 
 Outcome = ResponseReceived | StreamCompleted | NotRun | AttemptFailed
@@ -173,6 +177,8 @@
                 f"no connection: {error}",
                 may_have_run=False,
                 connection_refused=error.errno == errno.ECONNREFUSED,
+                not_connected=True,
+                no_contact=True,
             )
         if self.predecessor is not None:
             self.handover_end_s = time.monotonic() + HANDOVER_S
@@ -247,6 +253,7 @@
                 self._sent_whole(),
                 stale_connection=stale_connection,
                 broken_off=error.errno in RESET_ERRORS,
+                no_contact=error.errno == errno.ETIMEDOUT,
             )
         if not (isinstance(outcome, AttemptFailed) and outcome.timed_out):
             self._release_connection(outcome)
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -96,6 +96,10 @@
 def log_received(exchange: Exchange) -> dict:
     """Return what the last attempt received, as fields of a log line."""
     fields = {"events": exchange.relay.events if exchange.relay is not None else None}
+    if exchange.via is not None:
+        fields["via"] = exchange.via
+    if exchange.forwarded_by is not None:
+        fields["forwarded_by"] = exchange.forwarded_by
     if exchange.software is not None:
         fields["software"] = exchange.software
     if exchange.received is not None:
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -11,7 +11,9 @@
 
 HTTP_SERVER_ERROR = 500
 NOT_RUN_RETRY_AFTER_S = 0.2
+UNREACHABLE_RETRY_AFTER_S = 0.5  # hosts look for a way to upstreams more often
 TIMEOUT_CODE = "timeout"
+UNREACHABLE_CODE = "unreachable"
 QUARANTINED_CODE = "quarantined"
 UNKNOWN_ORIGIN_CODE = "unknown_origin"
 VERSION_GONE_CODE = "version_gone"
@@ -63,6 +65,15 @@
     return ErrorResponse(503, QUARANTINED_CODE, text, refusal.left_s, quarantined=keys)
 
 
+def unreachable_error(exchange: Exchange) -> ErrorResponse:
+    """Return the error response while no host is known to reach an upstream."""
+    message = "no upstream of the service can be reached"
+    if exchange.is_admitted:
+        return ErrorResponse(502, "upstream_failed", message)
+    wait_s = jittered_retry_after_s(UNREACHABLE_RETRY_AFTER_S)
+    return ErrorResponse(503, UNREACHABLE_CODE, message, wait_s)
+
+
 def unknown_origin_error() -> ErrorResponse:
     """Return the error response for a stream that no known upstream began."""
     return ErrorResponse(
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -68,7 +68,8 @@
     which it returns if the upstream that was reserved does not accept it. ``received``
     summarizes the response of the last attempt. ``origin`` is the key of the software
     version that began the stream, whose name is ``software`` if it is known; only
-    upstreams of that version may go on.
+    upstreams of that version may go on. ``forwarded_by`` is the host that forwarded the
+    request to this one, ``via`` the host by way of which this one forwarded it.
     """
 
     message: RequestMessage
@@ -94,6 +95,9 @@
     known_fingerprint: int | None = None
     origin: int | None = None
     software: str | None = None
+    forwarded_by: str | None = None
+    via: str | None = None
+    connect_failures: int = 0
 
     @property
     def request_id(self) -> str:
@@ -137,6 +141,11 @@
         weighted = [target.service for target in targets if target.weight > 0]
         return list(dict.fromkeys(weighted or [targets[0].service]))
 
+    @property
+    def never_connected(self) -> bool:
+        """Return whether every attempt so far failed to connect, if there was any."""
+        return 0 < self.send_count == self.connect_failures
+
     @property
     def is_admitted(self) -> bool:
         """Return whether an upstream may have run the request."""
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -35,6 +35,7 @@
 from rosemaryyoke.exchanges.error_responses import (
     is_server_error,
     unknown_origin_error,
+    unreachable_error,
 )
 from rosemaryyoke.exchanges.exchange import (
     ErrorResponse,
@@ -56,6 +57,11 @@
     UpstreamState,
 )
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
+from rosemaryyoke.forwarding.envelope import Envelope
+from rosemaryyoke.forwarding.hosts import ForwardingHosts
+from rosemaryyoke.forwarding.reachability import Reachability
+from rosemaryyoke.forwarding.receiver import log_received
+from rosemaryyoke.forwarding.sender import RequestForwarder
 from rosemaryyoke.hosts.origin_exchange import OriginExchange
 from rosemaryyoke.http1 import RequestMessage
 from rosemaryyoke.origins import origin_key
@@ -84,6 +90,8 @@
     weights_bound_s: float
     engines: EngineClient
     origins: OriginExchange
+    reachability: Reachability
+    hosts: ForwardingHosts
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     memory: ResponseMemory = field(factory=ResponseMemory)
@@ -91,6 +99,7 @@
     selector: UpstreamSelector = field(init=False)
     endings: Endings = field(init=False)
     reporter: OutcomeReporter = field(init=False)
+    by_way_of_hosts: RequestForwarder = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.exchange_factory = ExchangeFactory(self.catalog, self.codec)
@@ -104,15 +113,33 @@
             self.budget,
             self.weights_bound_s,
         )
+        self.by_way_of_hosts = RequestForwarder(
+            self.hosts,
+            self.codec,
+            self.budget,
+            self.endings,
+            self.metrics,
+            self.memory,
+        )
 
-    def handle(self, message: RequestMessage, caller: CallerConnection) -> None:
-        """Handle one request; raise ``CallerDisconnected`` if the caller has gone."""
+    def handle(
+        self,
+        message: RequestMessage,
+        caller: CallerConnection,
+        envelope: Envelope | None = None,
+    ) -> None:
+        """Handle one request; raise ``CallerDisconnected`` if the caller has gone.
+
+        ``envelope`` is that of a request which another host has forwarded.
+        """
         started_s = time.monotonic()
         try:
             exchange = self.exchange_factory.open(message, caller, started_s)
         except RequestRejected as rejection:
             self.endings.reject(caller, rejection.error)
             return
+        if envelope is not None:
+            self.accept_forwarded(exchange, envelope)
         try:
             self.forward(exchange)
         except RequestRejected as rejection:
@@ -126,6 +153,14 @@
             self.endings.record_internal_error(exchange)
             raise
 
+    def accept_forwarded(self, exchange: Exchange, envelope: Envelope) -> None:
+        """Continue where the host that forwarded the request has ended."""
+        exchange.forwarded_by = envelope.host
+        exchange.run_count = envelope.runs
+        exchange.origin = envelope.origin
+        self.metrics.count("forwarded_requests_received_total")
+        log_received(exchange.request_id, envelope)
+
     def reject_leaving(self, message: RequestMessage, caller: CallerConnection) -> None:
         """Reject a request because this host shuts down."""
         error = ErrorResponse(
@@ -140,16 +175,40 @@
 
     def forward(self, exchange: Exchange) -> None:
         """Send the exchange until it completes or is rejected."""
-        self.budget.record_request(exchange.service, exchange.started_s)
         self.running.add(exchange)
         try:
-            if exchange.is_resumption:
+            if self.must_forward(exchange):
+                self.by_way_of_hosts.forward(exchange)
+                return
+            self.budget.record_request(exchange.service, exchange.started_s)
+            if exchange.is_resumption and exchange.origin is None:
                 self.find_origin(exchange)
             self.send_until_complete(exchange)
         finally:
             self.running.discard(exchange)
             exchange.abandon_suspended()
 
+    def must_forward(self, exchange: Exchange) -> bool:
+        """Return whether this host can't serve the exchange itself.
+
+        What another host has forwarded is not forwarded again: raise
+        ``RequestRejected``, so that that host tries elsewhere.
+        """
+        reachable = not any(map(self.reachability.is_unreachable, exchange.services))
+        if reachable:
+            return False
+        if exchange.forwarded_by is not None:
+            raise RequestRejected(unreachable_error(exchange))
+        return True
+
+    def may_forward_instead(self, exchange: Exchange) -> bool:
+        """Return whether another host may serve what this one couldn't connect for."""
+        return (
+            exchange.never_connected
+            and exchange.forwarded_by is None
+            and self.by_way_of_hosts.can_forward(exchange)
+        )
+
     def log_unfinished(self) -> None:
         """Log the requests that end with this process."""
         self.endings.record_unfinished(list(self.running))
@@ -168,14 +227,27 @@
     def send_until_complete(self, exchange: Exchange) -> None:
         """Send the exchange to one upstream after the other."""
         while True:
-            placement = exchange.take_reserved() or self.selector.choose_upstream(
-                exchange
-            )
+            if self.must_forward(exchange):
+                exchange.abandon_suspended()
+                self.by_way_of_hosts.forward(exchange)
+                return
+            try:
+                placement = exchange.take_reserved() or self.selector.choose_upstream(
+                    exchange
+                )
+            except RequestRejected:
+                if not self.may_forward_instead(exchange):
+                    raise
+                self.by_way_of_hosts.forward(exchange)
+                return
             outcome = self.send_attempt(exchange, placement)
             if isinstance(outcome, StreamCompleted):
                 self.endings.record_response(exchange, HTTP_OK)
                 return
             if exchange.reserved is None and not self.should_retry(exchange, outcome):
+                if self.may_forward_instead(exchange):
+                    self.by_way_of_hosts.forward(exchange)
+                    return
                 self.endings.complete(exchange, outcome)
                 return
 
@@ -306,6 +378,8 @@
         stall = self.check_health(exchange, attempt.state, stall, timeout_s)
         with self.fleet.lock:
             self.record_health(attempt.state, attempt, stall)
+        if not stall.upstream_responds:
+            self.reachability.check_after_failure(attempt.state.upstream.service)
 
     def check_health(
         self,
@@ -351,6 +425,7 @@
                 if outcome.may_have_run:
                     exchange.may_have_run = True
                     exchange.run_count += 1
+                exchange.connect_failures += outcome.not_connected
                 if not outcome.health_recorded:
                     self.record_health(state, attempt, outcome)
             elif isinstance(outcome, NotRun):
@@ -363,6 +438,8 @@
                 state.record_answer(success, now_s)
         if isinstance(outcome, (AttemptFailed, NotRun)):
             log_outcome(exchange, placement, outcome)
+        if isinstance(outcome, AttemptFailed) and outcome.no_contact:
+            self.reachability.check_after_failure(state.upstream.service)
 
     def record_health(
         self, state: UpstreamState, attempt: Attempt, outcome: AttemptFailed
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -31,6 +31,9 @@
 from rosemaryyoke.exchanges.server import ConnectionServer, RequestLimits
 from rosemaryyoke.exchanges.settings import RoutingSettings
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
+from rosemaryyoke.forwarding.hosts import ForwardingHosts
+from rosemaryyoke.forwarding.reachability import Reachability
+from rosemaryyoke.forwarding.receiver import ForwardedRequests, is_forwarded
 from rosemaryyoke.hosts import Beacon, BeaconService, HostTable
 from rosemaryyoke.hosts.ban_register import BanRegister
 from rosemaryyoke.hosts.origin_exchange import OriginExchange
@@ -53,6 +56,9 @@
 )
 EXIT_MARGIN_S = 0.3
 AUXILIARY_MAX_CONNECTIONS = 64
+# Of the connections for callers; each is one more task with its buffers.
+FORWARDED_SHARE = 0.5
+REACHABILITY_PERIOD_S = 0.25
 TRANSFER_PERIOD_S = 0.5
 POOL_SWEEP_PERIOD_S = 1.0
 ORIGINS_PERIOD_S = 0.2
@@ -139,6 +145,9 @@
             Pacer(settings.link_mbps),
             eras=adapter.eras,
         )
+        self.reachability = Reachability(
+            self.fleet, self.connections, self.beacons.send_now
+        )
         self.origins = OriginExchange(self.table, self.beacons, self.catalog)
         self.catalog.subscribe(self.origins.update_versions)
         pool = PoolService()
@@ -224,6 +233,7 @@
             (GAUGES_PERIOD_S, self.update_gauges),
             (TRANSFER_PERIOD_S, self.follower.remove_expired),
             (ORIGINS_PERIOD_S, self.origins.tick),
+            (REACHABILITY_PERIOD_S, self.reachability.tick),
         )
 
     def reload_settings(self) -> None:
@@ -251,9 +261,13 @@
         time.sleep(min(stale_s, STOP_SERVING_SHARE * grace_s))
         callers.reject_new_requests()
         callers.close_idle()
-        if not callers.wait_idle(started_s + grace_s - EXIT_MARGIN_S):
+        self.forwarded.leaving = True
+        deadline_s = started_s + grace_s - EXIT_MARGIN_S
+        idle = [server.wait_idle(deadline_s) for server in (callers, self.forwarded)]
+        if not all(idle):
             logging.warning(
-                "requests aborted at shutdown count=%d", callers.requests_in_progress
+                "requests aborted at shutdown count=%d",
+                callers.requests_in_progress + self.forwarded.under_way,
             )
             self.forwarder.log_unfinished()
         log_event("host stopped", host=self.settings.name)
@@ -288,6 +302,8 @@
             self.catalog.eras.current,
             self.fleet.quarantine.reported_bans(),
             self.fleet.limit_reports(),
+            unreachable=self.reachability.unreachable_keys(),
+            cut_off=self.reachability.is_cut_off(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
@@ -299,13 +315,15 @@
         """Return this host's rank among those that may order a model's engines."""
         now_s = time.monotonic()
         reachable = self.roles.reaches_store(now_s) and self.catalog.is_fresh()
-        if self.leaving or not reachable:
+        if self.leaving or not reachable or self.reachability.is_cut_off():
             return None
         live = self.table.live_peers(now_s)
         names = [
             peer.beacon.host
             for peer in live
-            if peer.beacon.ready and peer.beacon.store_reachable
+            if peer.beacon.ready
+            and peer.beacon.store_reachable
+            and not peer.beacon.cut_off
         ]
         key = f"orders/{model}".encode()
         ranked = rank(key, [*names, self.settings.name], ORDER_CANDIDATES)
@@ -347,6 +365,7 @@
             "store_answers": int(self.catalog.is_fresh()),
             "upstreams_usable": usable,
             "connections_opened_total": self.connections.opened,
+            "services_unreachable": len(self.reachability.unreachable),
             "upstreams_limited": len(self.fleet.limited_upstreams()),
             "parts_quarantined": len(self.fleet.quarantine.bans),
             "crash_reports_total": self.fleet.quarantine.own_reports,
@@ -387,6 +406,8 @@
             self.settings.weights_bound_s,
             self.adapter.engines,
             self.origins,
+            self.reachability,
+            ForwardingHosts(self.table),
         )
         return ConnectionServer(
             self.settings.callers,
@@ -414,15 +435,31 @@
         return self.auxiliary_server(self.settings.readiness, handler, "readiness")
 
     def peers_server(self) -> ConnectionServer:
-        """Return the server of queries from other hosts."""
+        """Return the server of queries from other hosts, and what they forward."""
+        limit = int(FORWARDED_SHARE * self.settings.max_connections)
+        self.forwarded = ForwardedRequests(
+            self.table, self.catalog, self.handle_forwarded, limit
+        )
 
         def handler(message, caller) -> None:
-            if message.target.startswith(CATALOG_TARGET):
+            if is_forwarded(message):
+                self.forwarded.handle(message, caller)
+            elif message.target.startswith(CATALOG_TARGET):
                 answer_catalog_poll(self.catalog, message, caller)
             else:
                 answer_state(self.catalog, message, caller)
 
-        return self.auxiliary_server(self.settings.peers, handler, "peers")
+        return ConnectionServer(
+            self.settings.peers,
+            handler,
+            limit + AUXILIARY_MAX_CONNECTIONS,
+            "peers",
+            limits=self.request_limits,
+        )
+
+    def handle_forwarded(self, message, caller, envelope) -> None:
+        """Handle a request that another host has forwarded."""
+        self.forwarder.handle(message, caller, envelope)
 
     def metrics_server(self) -> ConnectionServer:
         """Return the server of the metrics."""
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -73,6 +73,19 @@
     last_event_id: bytes | None = None
 
 
+@frozen
+class ForwardingToHost:
+    """Metadata of a request that this host forwards by way of another host.
+
+    ``deadline_s`` is the time that is left. ``resumes`` identifies the request that
+    brought the first event of the stream, if one has begun.
+    """
+
+    deadline_s: float
+    last_event_id: bytes | None = None
+    resumes: bytes | None = None
+
+
 @frozen
 class ResponseMetadata:
     """Metadata from the status and headers of a response.
@@ -107,5 +120,8 @@
     ) -> Headers:
         """Return the request headers to send to an upstream."""
 
+    def headers_for_host(self, headers: Headers, options: ForwardingToHost) -> Headers:
+        """Return a caller's headers, to send to another host."""
+
     def parse_response_headers(self, status: int, headers: Headers) -> ResponseMetadata:
         """Parse the status and headers of a response."""
--- a/rosemaryyoke/exchanges/tests/builders.py
+++ b/rosemaryyoke/exchanges/tests/builders.py
@@ -4,12 +4,16 @@
 import time
 from types import SimpleNamespace
 
+from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.attempt import Attempt
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.exchanges.connections import UpstreamConnection
+from rosemaryyoke.exchanges.connections import ConnectionPool, UpstreamConnection
 from rosemaryyoke.exchanges.events import EventRelay
+from rosemaryyoke.exchanges.forward import Forwarder
 from rosemaryyoke.exchanges.messages import ResponseMetadata
+from rosemaryyoke.fleet import Fleet
 from rosemaryyoke.fleet.tests.builders import make_state
+from rosemaryyoke.forwarding import Reachability
 
 SEALED = ResponseMetadata(request_id=None, sealed=True, not_run=False)
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -49,3 +53,23 @@
         "progress_deadline_s": now_s + left_s,
     }
     return Attempt(**{**values, **changes})
+
+
+def make_forwarder(engines):
+    """Return a forwarder that knows no upstream and no host."""
+    fleet, pool = Fleet(Catalog()), ConnectionPool()
+    reach = Reachability(fleet, pool)
+    return Forwarder(
+        "z1",
+        fleet.catalog,
+        fleet,
+        None,
+        pool,
+        None,
+        None,
+        15.0,
+        engines,
+        None,
+        reach,
+        None,
+    )
--- a/rosemaryyoke/exchanges/tests/test_attempt_limits.py
+++ b/rosemaryyoke/exchanges/tests/test_attempt_limits.py
@@ -8,11 +8,8 @@
 import pytest
 from result import Err
 
-from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.connections import TCP_USER_TIMEOUT_S
-from rosemaryyoke.exchanges.forward import Forwarder
-from rosemaryyoke.exchanges.tests.builders import Sockets, make_attempt
-from rosemaryyoke.fleet import Fleet
+from rosemaryyoke.exchanges.tests.builders import Sockets, make_attempt, make_forwarder
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.http1.sockets import connect, listen
@@ -64,11 +61,8 @@
         timeouts_s.append(timeout_s)
         return Err("no response")
 
-    catalog = Catalog()
     engines = SimpleNamespace(report=report)
-    forwarder = Forwarder(
-        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines, None
-    )
+    forwarder = make_forwarder(engines)
     exchange = SimpleNamespace(
         request_id="r1", response_deadline_s=time.monotonic() + 0.1
     )
--- a/rosemaryyoke/exchanges/tests/test_health_checks.py
+++ b/rosemaryyoke/exchanges/tests/test_health_checks.py
@@ -8,11 +8,9 @@
 import pytest
 from result import Err, Ok
 
-from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.attempt import AttemptFailed
-from rosemaryyoke.exchanges.forward import Forwarder
 from rosemaryyoke.exchanges.messages import RequestMetadata
-from rosemaryyoke.fleet import Fleet
+from rosemaryyoke.exchanges.tests.builders import make_forwarder
 from rosemaryyoke.fleet.tests.builders import make_state
 
 TIMEOUT = AttemptFailed("no progress", may_have_run=True, timed_out=True)
@@ -34,19 +32,19 @@
 def fail_attempt(reply, outcome=TIMEOUT, **changes):
     """Let an attempt fail at an engine; return the engine's state and the engines."""
     engines, state = Engines(reply), make_state(**changes)
-    catalog = Catalog()
-    forwarder = Forwarder(
-        "z1", catalog, Fleet(catalog), None, None, None, None, 15.0, engines, None
-    )
+    forwarder = make_forwarder(engines)
     exchange = SimpleNamespace(
         request_id="r1",
         metadata=RequestMetadata(),
         may_have_run=False,
         run_count=0,
+        connect_failures=0,
         age_ms=lambda: 1_000,
         relay=None,
         received=None,
         software=None,
+        via=None,
+        forwarded_by=None,
     )
     checked = forwarder.check_health(exchange, state, outcome)
     placement = SimpleNamespace(state=state)
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -80,7 +80,7 @@
     """States of all upstreams by name; the lock guards every change.
 
     ``host`` is this host's name; ``sharing_hosts`` are the hosts among which limits are
-    divided.
+    divided. ``unreachable_services`` are those that this host reaches no upstream of.
     """
 
     catalog: Catalog
@@ -95,6 +95,7 @@
     hosts: int = 1
     host: str = ""
     sharing_hosts: tuple[str, ...] = ("",)
+    unreachable_services: set[str] = field(factory=set)
     upstreams_by_host: dict[str, set[str]] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
     now_s: Callable[[], float] = time.monotonic
@@ -244,13 +245,19 @@
             ]
 
     def silent_upstreams(self, hosts: Collection[str]) -> list[str]:
-        """Return the upstreams that this host or some of ``hosts`` find silent."""
+        """Return the upstreams that this host or some of ``hosts`` find silent.
+
+        If this host reaches none of a service, that says nothing about each of them.
+        """
         oldest_s = self.now_s() - SILENCE_REPORT_TTL_S
         with self.lock:
             return [
                 name
                 for name, state in self.states.items()
-                if state.silent
+                if (
+                    state.silent
+                    and state.upstream.service not in self.unreachable_services
+                )
                 or any(
                     reported_s >= oldest_s and host in hosts
                     for host, reported_s in state.silence_reported_s.items()
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -24,6 +24,8 @@
   era @16 :UInt64;
   bans @17 :Data;
   limits @18 :Data;
+  unreachable @19 :Data;
+  cutOff @20 :Bool;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
@@ -40,6 +42,7 @@
   departures @7 :Data;
   bans @8 :Data;
   limits @9 :Data;
+  unreachable @10 :Data;  # of hosts
 }
 
 # What a host tells all others as soon as it learns of it: how attempts on prompts that
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -11,17 +11,21 @@
 from rosemaryyoke.fleet import LimitReport, PromptPrefill, UpstreamLoad
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.packed_rows import (
+    add_unreachable,
     decode_hosts,
     decode_incarnations,
     decode_limits,
     decode_loads,
     decode_reads,
+    decode_services,
     decode_upstream_names,
     encode_hosts,
     encode_incarnations,
     encode_limits,
     encode_loads,
     encode_reads,
+    encode_services,
+    encode_unreachable,
     encode_upstream_names,
 )
 from rosemaryyoke.http1 import Address
@@ -118,6 +122,8 @@
         era=beacon.era,
         bans=encode_bans(beacon.bans, time.monotonic()),
         limits=encode_limits(beacon.limits, time.monotonic()),
+        unreachable=encode_services(beacon.unreachable),
+        cutOff=beacon.cut_off,
     )
     return message.to_bytes_packed()
 
@@ -149,6 +155,8 @@
             message.era,
             decode_bans(message.bans, time.monotonic()),
             decode_limits(message.limits, names_by_key, time.monotonic()),
+            unreachable=decode_services(message.unreachable),
+            cut_off=message.cutOff,
         )
     except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
@@ -167,6 +175,7 @@
         departures=encode_incarnations(digest.departures),
         bans=encode_bans(digest.bans, time.monotonic()),
         limits=encode_limits(digest.limits, time.monotonic()),
+        unreachable=encode_unreachable(digest.hosts),
     ).to_bytes_packed()
 
 
@@ -177,7 +186,9 @@
         data_centre = message.dataCentre
         return Digest(
             data_centre,
-            decode_hosts(message.hosts, data_centre),
+            add_unreachable(
+                decode_hosts(message.hosts, data_centre), message.unreachable
+            ),
             message.tellsLoads,
             decode_loads(message.loads, names_by_key),
             decode_upstream_names(message.loading, names_by_key),
--- a/rosemaryyoke/hosts/host_state.py
+++ b/rosemaryyoke/hosts/host_state.py
@@ -1,6 +1,6 @@
 """Identity and state of a host, as other hosts receive it."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from rosemaryyoke.http1 import Address
 
@@ -11,6 +11,8 @@
 
     ``boot`` identifies one start of the process; later starts have greater values.
     Within a boot, the state with the greater ``sequence`` is the newer one.
+    ``unreachable`` are the keys of the services that the host reaches no upstream of;
+    it is ``cut_off`` if these are all.
     """
 
     host: str
@@ -23,3 +25,5 @@
     leaving: bool = False
     store_reachable: bool = False
     configuration: int = 0
+    unreachable: frozenset[int] = field(default=frozenset(), kw_only=True)
+    cut_off: bool = field(default=False, kw_only=True)
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -8,6 +8,8 @@
 from itertools import chain
 from typing import Iterable, Mapping
 
+from attrs import evolve
+
 from rosemaryyoke.core.ages import age_ms, time_of_age
 from rosemaryyoke.fleet import (
     HashedPart,
@@ -21,6 +23,9 @@
 
 NO_LIMIT = -1.0
 UPSTREAM_KEY_ROW = struct.Struct("<I")  # upstream key
+SERVICE_KEY_ROW = struct.Struct("<I")
+# Position of the host in its table, whether it is cut off, number of service keys.
+UNREACHABLE_HEADER = struct.Struct("<B?H")
 INCARNATION_KEY_ROW = struct.Struct("<Q")  # key of an upstream's incarnation
 LOAD_ROW = struct.Struct("<IfII")  # upstream key, requests, prefill tokens, tokens
 # Upstream key, requests a second (negative if there is no limit any more), age in ms.
@@ -45,6 +50,44 @@
     return tuple(names_by_key[key] for key in keys if key in names_by_key)
 
 
+def encode_services(keys: Iterable[int]) -> bytes:
+    """Encode a table of the keys of services."""
+    return b"".join(SERVICE_KEY_ROW.pack(key) for key in sorted(keys))
+
+
+def decode_services(data: bytes) -> frozenset[int]:
+    """Decode a table of the keys of services."""
+    return frozenset(chain.from_iterable(SERVICE_KEY_ROW.iter_unpack(data)))
+
+
+def encode_unreachable(hosts: Iterable[HostState]) -> bytes:
+    """Encode which services hosts do not reach; those that reach all have no row."""
+    return b"".join(
+        UNREACHABLE_HEADER.pack(position, host.cut_off, len(host.unreachable))
+        + encode_services(host.unreachable)
+        for position, host in enumerate(hosts)
+        if host.unreachable
+    )
+
+
+def add_unreachable(hosts: tuple[HostState, ...], data: bytes) -> tuple[HostState, ...]:
+    """Return the hosts with the services that they do not reach."""
+    changed, offset = list(hosts), 0
+    while offset < len(data):
+        position, cut_off, count = UNREACHABLE_HEADER.unpack_from(data, offset)
+        offset += UNREACHABLE_HEADER.size
+        end = offset + count * SERVICE_KEY_ROW.size
+        if position >= len(changed) or end > len(data):
+            raise ValueError("a row for a host that is not in the table")
+        changed[position] = evolve(
+            changed[position],
+            unreachable=decode_services(data[offset:end]),
+            cut_off=cut_off,
+        )
+        offset = end
+    return tuple(changed)
+
+
 def encode_incarnations(keys: Iterable[int]) -> bytes:
     """Encode a table of the keys of upstreams' incarnations."""
     return b"".join(INCARNATION_KEY_ROW.pack(key) for key in keys)
--- a/rosemaryyoke/hosts/table.py
+++ b/rosemaryyoke/hosts/table.py
@@ -97,6 +97,11 @@
         with self.lock:
             return list(self.peers)
 
+    def known_ips(self) -> set[str]:
+        """Return the addresses of the other hosts that were heard lately."""
+        with self.lock:
+            return {peer.beacon.peer_address.ip for peer in self.peers.values()}
+
     def log_changes(self, now_s: float) -> int:
         """Log hosts that became live or timed out; return the number of live peers."""
         live = {peer.beacon.host: peer.beacon for peer in self.live_peers(now_s)}
@@ -197,10 +202,12 @@
     ) -> list[Address]:
         """Return the client addresses to use from a data centre.
 
-        They are those of its own hosts, or of all hosts if it has too few.
+        They are those of its own hosts, or of all hosts if it has too few. Hosts that
+        are cut off from the upstreams are left out unless all are.
         """
         beacons = [own, *(peer.beacon for peer in self.live_peers(now_s))]
         ready = [item for item in beacons if item.ready and not item.leaving]
+        ready = [item for item in ready if not item.cut_off] or ready
         local_hosts = [item for item in ready if item.data_centre == data_centre]
         if len(local_hosts) < MIN_CLIENT_ADDRESSES:
             local_hosts = local_hosts + [
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -7,6 +7,7 @@
 
 from rosemaryyoke.exchanges.messages import (
     ForwardingOptions,
+    ForwardingToHost,
     MalformedRequestHeaders,
     PromptPart,
     RequestMetadata,
@@ -65,6 +66,24 @@
             ]
         return forwarded + directive_headers(directive)
 
+    def headers_for_host(self, headers: Headers, options: ForwardingToHost) -> Headers:
+        """Return a caller's headers, to send to another host.
+
+        That host authenticates the caller, too, so that the API key stays.
+        """
+        replaced = (
+            (names.DEADLINE, format_deadline(options.deadline_s)),
+            (names.LAST_EVENT_ID, options.last_event_id),
+            (names.RESUMES, options.resumes),
+        )
+        excluded = {b"content-length", *(name.lower() for name, _ in replaced)}
+        kept = [
+            (key, value)
+            for key, value in end_to_end_headers(headers)
+            if key.lower() not in excluded
+        ]
+        return kept + [(name, value) for name, value in replaced if value is not None]
+
     def parse_response_headers(self, status: int, headers: Headers) -> ResponseMetadata:
         """Parse the headers of an upstream's response."""
         values = {key.lower(): value for key, value in headers}
@@ -90,10 +109,9 @@
 
 def directive_headers(directive: ForwardingOptions) -> Headers:
     """Return the request headers that only the router may set."""
-    deadline_ms = int(directive.deadline_s * MS_PER_S)
     headers = [
         (names.EXPECTED_INSTANCE, directive.instance.encode()),
-        (names.DEADLINE, b"%d" % max(MIN_DEADLINE_MS, deadline_ms)),
+        (names.DEADLINE, format_deadline(directive.deadline_s)),
     ]
     optional = (
         (names.ACCOUNT, directive.account),
@@ -112,6 +130,11 @@
     return headers
 
 
+def format_deadline(deadline_s: float) -> bytes:
+    """Return a deadline in milliseconds, at least one."""
+    return b"%d" % max(MIN_DEADLINE_MS, int(deadline_s * MS_PER_S))
+
+
 def parse_api_key(value: bytes | None) -> str | None:
     """Return the API key of a bearer authorization, or None."""
     if value is None or not value.lower().startswith(names.BEARER_PREFIX):
--- a/rosemaryyoke/platform/tests/cut_hosts.py
+++ b/rosemaryyoke/platform/tests/cut_hosts.py
@@ -91,7 +91,7 @@
         for host in self.hosts:
             wait_for(host.is_ready)
             wait_for(lambda: len(host.catalog.upstreams) == ENGINES + RECORDS)
-            wait_for(lambda: self.live_peers(host) == hosts - 1)
+            wait_for(lambda: self.ready_peers(host) == hosts - 1)
 
     def register(self, upstream, service):
         """Register an upstream of a service."""
@@ -102,13 +102,14 @@
         """Start a host whose connections to upstreams can be cut."""
         seeds = [host.settings.peers for host in self.hosts]
         host, pool = start_host(self.store, seeds), CutPool()
-        host.connections = host.forwarder.pool = pool
+        host.connections = host.forwarder.pool = host.reachability.pool = pool
         self.hosts.append(host)
         self.pools.append(pool)
 
-    def live_peers(self, host):
-        """Return how many other hosts a host finds alive."""
-        return len(host.table.live_peers(time.monotonic()))
+    def ready_peers(self, host):
+        """Return how many other hosts a host finds alive and ready."""
+        peers = host.table.live_peers(time.monotonic())
+        return sum(peer.beacon.ready for peer in peers)
 
     def stop(self):
         """Stop all parts."""
