Keep served software versions in the store, beyond the end of all hosts

Cause: a host that has just started took the only version that it sees for the only one that served, as no host remembered another. Evidence: the source of each such resumption is 'sole version'; with one host kept running it does not happen. Ruled out: late registrations, the hosts saw all upstreams when the streams were resumed.

The watchers keep an object for each version that served in the last 60 s. A host reads them once, and guesses neither the sole nor the earlier version before. Three model tests of hosts without a past now state that they have read it; a new one expects that nothing is guessed otherwise.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -41,6 +41,7 @@
 from rosemaryyoke.hosts.registration import Registration
 from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
+from rosemaryyoke.hosts.version_register import VersionRegister
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
 from rosemaryyoke.objects import ObjectApi, ReportingObjectApi
@@ -150,6 +151,13 @@
         )
         self.origins = OriginExchange(self.table, self.beacons, self.catalog)
         self.catalog.subscribe(self.origins.update_versions)
+        self.version_register = VersionRegister(
+            api,
+            adapter.source.feed,
+            self.roles,
+            self.origins.served,
+            adapter.eras,
+        )
         pool = PoolService()
         self.timer = TimerService(pool.executor)
         self.rollout = Rollout(
@@ -233,6 +241,7 @@
             (GAUGES_PERIOD_S, self.update_gauges),
             (TRANSFER_PERIOD_S, self.follower.remove_expired),
             (ORIGINS_PERIOD_S, self.origins.tick),
+            (ORIGINS_PERIOD_S, self.version_register.tick),
             (REACHABILITY_PERIOD_S, self.reachability.tick),
         )
 
--- a/rosemaryyoke/hosts/origin_exchange.py
+++ b/rosemaryyoke/hosts/origin_exchange.py
@@ -151,8 +151,8 @@
     def resolve(self, services: Sequence[str], request_id: bytes | None) -> Resolution:
         """Return the origin of a stream that a caller resumes at one of some services.
 
-        Others are asked if this host does not know; what served alone is taken if no
-        host does.
+        Others are asked if this host does not know. What serves alone is taken if
+        nothing else has served since before the stream began.
         """
         if request_id is not None:
             request = request_key(request_id)
@@ -170,9 +170,11 @@
             if row is not None:
                 self.memory.learn([row])
                 return Resolution(row.origin, ASKED, self.now_s() - row.began_s)
-        if sole is not None:
+        knows_history = self.served.knows_history()
+        if sole is not None and knows_history:
             return Resolution(sole, SOLE)
-        earlier = self.find_earlier(services) if everyone_replied else None
+        is_proved = everyone_replied and knows_history
+        earlier = self.find_earlier(services) if is_proved else None
         source = UNKNOWN if earlier is None else EARLIER
         return Resolution(earlier, source)
 
--- a/rosemaryyoke/hosts/tests/test_ban_register.py
+++ b/rosemaryyoke/hosts/tests/test_ban_register.py
@@ -2,75 +2,29 @@
 
 import pytest
 from attrs import define, field
-from result import Err, Ok
 
 from rosemaryyoke.hosts import HostTable
 from rosemaryyoke.hosts.ban_register import (
-    OBJECT_PREFIX,
     RETRY_S,
     BanRegister,
     decode_ban,
     encode_ban,
     object_name,
 )
+from rosemaryyoke.hosts.tests.builders import ListedStore
 from rosemaryyoke.hosts.tests.test_table import OWN
 from rosemaryyoke.hosts.watchers import WatcherRoles
-from rosemaryyoke.objects import PlatformError
 from rosemaryyoke.objects.eras import EraRecord
-from rosemaryyoke.objects.feed import FeedError, Listing
-from rosemaryyoke.objects.objects import StoredObject
 from rosemaryyoke.quarantine import Ban, Quarantine
 
 KEYS = frozenset({7, 2**64 - 1})
 
 
-@define
-class BanStore:
-    """Objects with versions; it may be down."""
-
-    objects: dict = field(factory=dict)
-    version: int = 0
-    down: bool = False
-    calls: int = 0
-
-    def list(self, kind):
-        """Return all objects."""
-        self.calls += 1
-        if self.down:
-            return Err(FeedError("down"))
-        assert kind == OBJECT_PREFIX
-        return Ok(Listing(0, list(self.objects.values())))
-
-    def get(self, name):
-        """Return an object."""
-        self.calls += 1
-        if self.down:
-            return Err(PlatformError("down"))
-        return Ok(self.objects.get(name))
-
-    def put(self, name, body, expected_version):
-        """Write an object if its version matches."""
-        self.calls += 1
-        if self.down:
-            return Err(PlatformError("down"))
-        known = self.objects.get(name)
-        if (known.version if known else 0) != expected_version:
-            return Err(PlatformError("conflict", conflict=True))
-        self.version += 1
-        self.objects[name] = StoredObject(name, self.version, body)
-        return Ok(self.version)
-
-    def delete(self, name, expected_version):
-        """Remove an object."""
-        assert self.objects.pop(name).version == expected_version
-        return Ok(None)
-
-
 @define(eq=False)
 class Host:
     """A host that is a watcher, with its register."""
 
-    store: BanStore
+    store: ListedStore
     eras: EraRecord = field(factory=EraRecord)
     quarantine: Quarantine = field(factory=Quarantine)
     register: BanRegister = field(init=False)
@@ -95,7 +49,7 @@
 
 @pytest.fixture()
 def store():
-    return BanStore()
+    return ListedStore()
 
 
 # Guards against engines that crash again on a known part when all hosts were killed.
--- a/rosemaryyoke/hosts/tests/test_origin_exchange.py
+++ b/rosemaryyoke/hosts/tests/test_origin_exchange.py
@@ -49,6 +49,7 @@
         catalog = SimpleNamespace(upstreams={})
         exchange = OriginExchange(table, beacons, catalog)
         exchange.served.started_s -= START_S
+        exchange.served.add_past(())
         self.exchanges[address] = exchange
         return exchange
 
@@ -196,6 +197,18 @@
     assert fleet.hosts()[0].resolve([SERVICE], None).origin is not None
 
 
+# Guards against a host that has just started and takes what it sees for all there was.
+def test_stream_is_not_guessed_while_the_past_is_unknown():
+    fleet = Fleet(1)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    exchange.served.past_known = False
+    assert exchange.resolve([SERVICE], b"unknown").origin is None
+    exchange.served.seen[SERVICE][OLD].first_s -= 10.0
+    fleet.serve(OLD, NEW)
+    assert exchange.resolve([SERVICE], b"unknown").origin is None
+
+
 def test_stream_that_no_host_knows_is_not_guessed_among_two_versions():
     fleet = Fleet(3)
     fleet.serve(OLD, NEW)
--- a/rosemaryyoke/origins/versions.py
+++ b/rosemaryyoke/origins/versions.py
@@ -26,11 +26,16 @@
 
 @define(eq=False)
 class ServedVersions:
-    """Software versions by service, until ``RETENTION_S`` after they were last seen."""
+    """Software versions by service, until ``RETENTION_S`` after they were last seen.
+
+    ``past_known`` says that the versions which served before this host started have
+    been added.
+    """
 
     now_s: Callable[[], float] = time.monotonic
     seen: dict[str, dict[str, SeenVersion]] = field(factory=dict)
     present: dict[str, set[str]] = field(factory=dict)
+    past_known: bool = False
     started_s: float = field(init=False)
     lock: threading.Lock = field(factory=threading.Lock)
 
@@ -45,6 +50,7 @@
             present.setdefault(upstream.service, set()).add(upstream.software)
         with self.lock:
             self._mark_seen(now_s)
+            first_s = now_s if self.present else self.started_s
             self.present = present
             for service, versions in present.items():
                 known = self.seen.setdefault(service, {})
@@ -52,9 +58,28 @@
                 if len(known) + len(added) > 1 and added:
                     grown.add(service)
                 for software in added:
-                    known[software] = SeenVersion(software, now_s, now_s)
+                    known[software] = SeenVersion(software, first_s, now_s)
         return grown
 
+    def add_past(self, versions: Iterable[tuple[str, str]]) -> None:
+        """Add versions that served before this host started, each with its service."""
+        now_s = self.now_s()
+        with self.lock:
+            for service, software in versions:
+                known = self.seen.setdefault(service, {})
+                known[software] = SeenVersion(software, self.started_s, now_s)
+            self.past_known = True
+
+    def all_versions(self) -> set[tuple[str, str]]:
+        """Return the versions that were seen lately, each with its service."""
+        with self.lock:
+            self._mark_seen(self.now_s())
+            return {
+                (service, software)
+                for service, versions in self.seen.items()
+                for software in versions
+            }
+
     def versions(self, services: Iterable[str]) -> list[SeenVersion]:
         """Return the versions of services that were seen lately, earliest first."""
         with self.lock:
@@ -71,8 +96,11 @@
         return len({version.software for version in self.versions(services)}) > 1
 
     def knows_history(self) -> bool:
-        """Return whether this host runs for long enough to have seen all versions."""
-        return self.now_s() - self.started_s >= RETENTION_S
+        """Return whether this host knows all versions that served lately.
+
+        It has run for long enough to have seen them, or learned of those before.
+        """
+        return self.past_known or self.now_s() - self.started_s >= RETENTION_S
 
     def find_sole(self, services: Iterable[str]) -> str | None:
         """Return the only version of services that this host has seen lately."""
--- a/rosemaryyoke/platform/tests/test_software_versions.py
+++ b/rosemaryyoke/platform/tests/test_software_versions.py
@@ -56,8 +56,13 @@
         self.store.set("config", "main", make_configuration())
         for version in versions:
             self.add_engine(version)
+        self.start_hosts(2)
+
+    def start_hosts(self, count):
+        """Start hosts, and wait until they know each other."""
         self.hosts.append(start_host(self.store))
-        self.add_host()
+        for _ in range(count - 1):
+            self.add_host()
 
     def add_engine(self, version):
         """Start an engine and register it."""
@@ -71,6 +76,10 @@
         for engine in [item for item in self.engines if self.engines[item] == version]:
             self.store.remove("servers", engine.name)
 
+    def registered(self):
+        """Return how many engines are registered."""
+        return len(self.store.objects.get("servers", {}))
+
     def add_host(self):
         """Start one more host, and wait until all know each other."""
         self.hosts.append(start_host(self.store, [self.hosts[0].settings.peers]))
@@ -78,7 +87,7 @@
         for host in self.hosts:
             wait_for(host.is_ready)
             wait_for(lambda: len(host.table.live_peers(time.monotonic())) == others)
-            wait_for(lambda: len(host.catalog.upstreams) == len(self.engines))
+            wait_for(lambda: len(host.catalog.upstreams) == self.registered())
 
     def stop(self):
         """Stop all parts."""
