Divide the slots of brittle upstreams among the hosts

Cause: no code read the announcement; each host sent what its own view of the queues allowed, and learned of the others' requests too late. Ruled out: a lower bound on refusals alone, as hosts that each send one refused request a second are already too many.

Announced by one upstream, it holds for the service, also for one that comes back.

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -56,6 +56,7 @@
     RetryBudget,
     UpstreamState,
 )
+from rosemaryyoke.fleet.room import BRITTLE_REFUSAL_PAUSE_S
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
 from rosemaryyoke.forwarding.envelope import Envelope
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
@@ -465,6 +466,9 @@
             state.update_weights(model, version, now_s)
         else:
             state.record_failure(now_s, silent=False)
+            if state.is_brittle(now_s):
+                pause_end_s = now_s + BRITTLE_REFUSAL_PAUSE_S
+                state.suspect_until_s = max(state.suspect_until_s, pause_end_s)
 
     def should_retry(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Return whether to retry the exchange at another upstream."""
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -311,6 +311,7 @@
             self.catalog.eras.current,
             self.fleet.quarantine.reported_bans(),
             self.fleet.limit_reports(),
+            self.fleet.brittle_reports(),
             unreachable=self.reachability.unreachable_keys(),
             cut_off=self.reachability.is_cut_off(),
         )
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -95,7 +95,8 @@
     upstream that refused the request wants no more requests from this host;
     ``malformed_retry_after`` is the value if it cannot be parsed. ``limit_per_s`` is
     the rate of requests that the upstream takes from all hosts together;
-    ``malformed_limit`` is the value if it cannot be parsed.
+    ``malformed_limit`` is the value if it cannot be parsed. ``brittle`` announces that
+    the upstream falls over if it has to refuse more than a few requests a second.
     """
 
     request_id: bytes | None
@@ -107,6 +108,7 @@
     malformed_retry_after: bytes | None = None
     limit_per_s: float | None = None
     malformed_limit: bytes | None = None
+    brittle: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/rosemaryyoke/exchanges/selection.py
+++ b/rosemaryyoke/exchanges/selection.py
@@ -102,6 +102,7 @@
             )
             if not isinstance(chosen, Err):
                 chosen.ok_value.state.notices.limit.consume(now_s)
+                chosen.ok_value.state.room.place(now_s)
             return chosen
 
     def reserve_alternative(self, exchange: Exchange) -> bool:
--- a/rosemaryyoke/fleet/__init__.py
+++ b/rosemaryyoke/fleet/__init__.py
@@ -2,7 +2,13 @@
 
 from rosemaryyoke.fleet.budget import RetryBudget
 from rosemaryyoke.fleet.cache_estimate import HashedPart
-from rosemaryyoke.fleet.fleet import Fleet, PromptPrefill, UpstreamLoad, upstream_key
+from rosemaryyoke.fleet.fleet import (
+    Fleet,
+    PromptPrefill,
+    UpstreamLoad,
+    service_key,
+    upstream_key,
+)
 from rosemaryyoke.fleet.placement import (
     Chooser,
     ComparedQueue,
@@ -11,11 +17,13 @@
     PlacementRequest,
 )
 from rosemaryyoke.fleet.rate_limits import LimitReport
+from rosemaryyoke.fleet.room import BrittleReport
 from rosemaryyoke.fleet.state import ActiveRequest, UpstreamState
 from rosemaryyoke.fleet.stores import CacheStores, StoreEstimate
 
 __all__ = [
     "ActiveRequest",
+    "BrittleReport",
     "CacheStores",
     "Chooser",
     "ComparedQueue",
@@ -30,5 +38,6 @@
     "StoreEstimate",
     "UpstreamLoad",
     "UpstreamState",
+    "service_key",
     "upstream_key",
 ]
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -24,6 +24,7 @@
     sample_departures,
 )
 from rosemaryyoke.fleet.rate_limits import REPORT_TOLERANCE_S, LimitReport
+from rosemaryyoke.fleet.room import BRITTLE_TTL_S, BrittleReport
 from rosemaryyoke.fleet.state import (
     PROBE_SHARE,
     REMOTE_LOAD_TTL_S,
@@ -42,6 +43,8 @@
 PREFILLS_PER_BEACON = 12
 MAX_UNSENT_PREFILLS = 64
 MAX_REPORTED_LIMITS = 32  # per datagram
+BRITTLE_UPDATE_S = 0.25  # between updates of all upstreams of a service
+BRITTLE_REPORT_S = 3.0  # since this host, or another one, had such an answer
 MAX_PROBING_HOSTS = 10  # with more hosts, the probe share per host is reduced
 REGISTRATION_LAG_S = 2.0  # registrations report new weights only at the next heartbeat
 
@@ -53,6 +56,11 @@
     return int.from_bytes(digest, "big")
 
 
+def service_key(service: str) -> int:
+    """Return a hash of a service's name, for messages with no room for names."""
+    return upstream_key(f"service {service}")
+
+
 @define
 class UpstreamLoad:
     """The mean load that one or more hosts place on an upstream.
@@ -80,7 +88,9 @@
     """States of all upstreams by name; the lock guards every change.
 
     ``host`` is this host's name; ``sharing_hosts`` are the hosts among which limits are
-    divided. ``unreachable_services`` are those that this host reaches no upstream of.
+    divided. ``unreachable_services`` are those that this host reaches no upstream of,
+    ``brittle_services`` maps those with brittle upstreams to when an answer last said
+    so.
     """
 
     catalog: Catalog
@@ -96,6 +106,7 @@
     host: str = ""
     sharing_hosts: tuple[str, ...] = ("",)
     unreachable_services: set[str] = field(factory=set)
+    brittle_services: dict[str, float] = field(factory=dict)
     upstreams_by_host: dict[str, set[str]] = field(factory=dict)
     lock: threading.RLock = field(factory=threading.RLock)
     now_s: Callable[[], float] = time.monotonic
@@ -119,9 +130,11 @@
         state = self.states.get(upstream.name)
         if state is None or not is_same_incarnation(state.upstream, upstream):
             notices = self.notices.find(upstream)
-            self.states[upstream.name] = UpstreamState(
-                upstream, traits, notices=notices
-            )
+            state = UpstreamState(upstream, traits, notices=notices)
+            service_s = self.brittle_services.get(upstream.service, -math.inf)
+            state.room.brittle_s = service_s
+            self.states[upstream.name] = state
+            self.divide(state)
             return
         if state.traits != traits:
             state.traits = traits
@@ -285,9 +298,10 @@
         ``sent_s`` is when the request was sent. Its registration may have lapsed and
         returned since then.
         """
+        now_s = self.now_s()
+        self.record_brittleness(state, metadata.brittle, sent_s)
         if not has_notice(metadata) and state.notices.limit.limit_per_s is None:
             return
-        now_s = self.now_s()
         with self.lock:
             current = self.states.get(state.upstream.name, state)
             if is_same_incarnation(current.upstream, state.upstream):
@@ -296,6 +310,54 @@
             self.record_limit(state, metadata, sent_s, now_s)
             self.notices.keep(state.upstream, state.notices, now_s)
 
+    def record_brittleness(
+        self, state: UpstreamState, brittle: bool, sent_s: float
+    ) -> None:
+        """Record whether an answer says that the upstreams of a service are brittle.
+
+        It takes effect at all of them; each ends it by an answer that does not say so.
+        """
+        if not brittle:
+            state.room.plain_s = max(state.room.plain_s, sent_s)
+            return
+        self.mark_brittle(state.upstream.service, self.now_s())
+
+    def mark_brittle(
+        self, service: str, observed_s: float, reported_by: str | None = None
+    ) -> None:
+        """Record when an answer last said that a service's upstreams are brittle."""
+        known_s = self.brittle_services.get(service, -math.inf)
+        if observed_s < known_s + BRITTLE_UPDATE_S:
+            return
+        with self.lock:
+            self.brittle_services[service] = observed_s
+            for state in self.states_of_service(service):
+                state.room.brittle_s = observed_s
+        if observed_s - known_s > BRITTLE_TTL_S:
+            log_event("upstreams brittle", service=service, reported_by=reported_by)
+
+    def brittle_reports(self) -> tuple[BrittleReport, ...]:
+        """Return the services with brittle upstreams, to tell the other hosts."""
+        now_s = self.now_s()
+        with self.lock:
+            return tuple(
+                BrittleReport(service_key(service), observed_s)
+                for service, observed_s in self.brittle_services.items()
+                if now_s - observed_s < BRITTLE_REPORT_S
+            )
+
+    def record_brittle(self, host: str, reports: Sequence[BrittleReport]) -> None:
+        """Record what another host knows of brittle upstreams."""
+        if not reports:
+            return
+        with self.lock:
+            services = {state.upstream.service for state in self.states.values()}
+        names = {service_key(service): service for service in services}
+        for report in reports:
+            if report.service_key in names:
+                service = names[report.service_key]
+                self.mark_brittle(service, report.observed_s, host)
+
     def record_limit(
         self,
         state: UpstreamState,
@@ -342,8 +404,14 @@
         """Divide the limits among this host and the others that may be alive."""
         with self.lock:
             self.host, self.sharing_hosts = host, tuple(sorted({host, *others}))
-            for name, state in self.states.items():
-                state.notices.limit.divide(name, host, self.sharing_hosts, self.now_s())
+            for state in self.states.values():
+                self.divide(state)
+
+    def divide(self, state: UpstreamState) -> None:
+        """Compute this host's shares of an upstream's limit and room."""
+        name, hosts = state.upstream.name, self.sharing_hosts
+        state.notices.limit.divide(name, self.host, hosts, self.now_s())
+        state.room.divide(state.upstream.slots, name, self.host, hosts)
 
     def limited_upstreams(self) -> list[str]:
         """Return the upstreams that name a limit."""
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -41,6 +41,7 @@
 MAX_COMPARED = 9  # fleets up to this size are compared completely
 MAX_WAIT_SHARE = 0.9  # of the time left
 NO_UPSTREAM_RETRY_S = 0.5
+NO_ROOM_RETRY_S = 0.3  # until running requests have made room
 PAUSE_RETRY_SPREAD_S = 0.3  # mean time between the end of a pause and the retries
 
 
@@ -191,6 +192,7 @@
             for state in states
             if not state.draining
             and not state.notices.wait_s(now_s)
+            and state.has_place(now_s)
             and state.upstream.name not in excluded
         ]
         return sorted(suspects, key=lambda state: state.suspect_until_s)[:1]
@@ -280,6 +282,8 @@
     If all of them asked for a pause or are at their limits, also those that this
     request was sent to, retries before the first takes work would be rejected again.
     """
+    if any(not state.has_place(now_s) for state in states):
+        return NoUpstream("no upstream has room", NO_ROOM_RETRY_S)
     waits_s = [state.notices.wait_s(now_s) for state in states if not state.draining]
     first_s = min(waits_s, default=0.0)
     if first_s <= 0.0:
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -9,6 +9,7 @@
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.fleet.cache_estimate import CacheEstimate
 from rosemaryyoke.fleet.notices import Notices
+from rosemaryyoke.fleet.room import Room
 
 # The lowest prefill rate of the engines in the data sheets.
 PREFILL_TOKENS_PER_S = 60_000.0
@@ -101,6 +102,7 @@
     silence_reported_s: dict[str, float] = field(factory=dict)
     mean_load: MeanLoad = field(factory=MeanLoad)
     notices: Notices = field(factory=Notices)
+    room: Room = field(factory=Room)
     cache_estimate: CacheEstimate = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -115,7 +117,19 @@
 
     def accepts_requests(self, now_s: float) -> bool:
         """Return whether new requests of callers may be sent to the upstream."""
-        return self.usable(now_s) and not self.notices.wait_s(now_s)
+        return (
+            self.usable(now_s)
+            and not self.notices.wait_s(now_s)
+            and self.has_place(now_s)
+        )
+
+    def has_place(self, now_s: float) -> bool:
+        """Return whether the upstream has room for one more request of this host."""
+        return self.room.has_place(len(self.under_way), now_s)
+
+    def is_brittle(self, now_s: float) -> bool:
+        """Return whether the upstream falls over when it refuses requests."""
+        return self.room.is_brittle(now_s)
 
     def usable(self, now_s: float) -> bool:
         """Return whether the upstream works and does not leave.
@@ -152,6 +166,7 @@
         """Record that a request is sent."""
         self.mean_load.update(self.under_way, active.started_s)
         self.under_way.add(active)
+        self.room.begin()
 
     def prefilled(self, active: ActiveRequest, now_s: float) -> None:
         """Record that a request's prompt is prefilled."""
--- a/rosemaryyoke/forwarding/__init__.py
+++ b/rosemaryyoke/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwarding of requests by way of other hosts, while this one reaches no upstream."""
 
 from rosemaryyoke.forwarding.envelope import Envelope, MalformedEnvelope
-from rosemaryyoke.forwarding.reachability import Reachability, service_key
+from rosemaryyoke.forwarding.reachability import Reachability
 
-__all__ = ["Envelope", "MalformedEnvelope", "Reachability", "service_key"]
+__all__ = ["Envelope", "MalformedEnvelope", "Reachability"]
--- a/rosemaryyoke/forwarding/hosts.py
+++ b/rosemaryyoke/forwarding/hosts.py
@@ -7,8 +7,7 @@
 from attrs import define, field
 
 from rosemaryyoke.catalog import Upstream
-from rosemaryyoke.fleet import ActiveRequest, UpstreamState
-from rosemaryyoke.forwarding.reachability import service_key
+from rosemaryyoke.fleet import ActiveRequest, UpstreamState, service_key
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.table import HostTable, peers_in_data_centre
 
--- a/rosemaryyoke/forwarding/reachability.py
+++ b/rosemaryyoke/forwarding/reachability.py
@@ -18,7 +18,7 @@
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.core.pools import make_pool
 from rosemaryyoke.exchanges.connections import ConnectionPool
-from rosemaryyoke.fleet import Fleet, UpstreamState, upstream_key
+from rosemaryyoke.fleet import Fleet, UpstreamState, service_key
 
 CHECK_TIMEOUT_S = 0.25
 CHECKED_UPSTREAMS = 5  # per check of a service
@@ -27,11 +27,6 @@
 MS_PER_S = 1_000
 
 
-def service_key(service: str) -> int:
-    """Return a hash of a service's name, for messages with no room for names."""
-    return upstream_key(f"service {service}")
-
-
 @define(eq=False)
 class Reachability:
     """Checks whether a host can connect to the upstreams of each service.
--- a/rosemaryyoke/forwarding/tests/test_hosts.py
+++ b/rosemaryyoke/forwarding/tests/test_hosts.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 
-from rosemaryyoke.forwarding import service_key
+from rosemaryyoke.fleet import service_key
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.table import HostTable
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -26,10 +26,11 @@
   limits @18 :Data;
   unreachable @19 :Data;
   cutOff @20 :Bool;
+  brittle @21 :Data;
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
-# datagram with tellsLoads has all of loads, loading, silent, departures, bans and limits; the others
+# datagram with tellsLoads has all of loads, loading, silent, departures, bans, limits and brittle; the others
 # omit them.
 struct Digest {
   dataCentre @0 :Text;
@@ -43,6 +44,7 @@
   bans @8 :Data;
   limits @9 :Data;
   unreachable @10 :Data;  # of hosts
+  brittle @11 :Data;
 }
 
 # What a host tells all others as soon as it learns of it: how attempts on prompts that
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -302,6 +302,7 @@
         self.fleet.record_departures(beacon.host, beacon.departures)
         self.fleet.quarantine.receive(beacon.host, (), beacon.bans)
         self.fleet.record_limits(beacon.host, beacon.limits)
+        self.fleet.record_brittle(beacon.host, beacon.brittle)
         for read in beacon.reads:
             self.fleet.record_remote_prefill(read)
         load_digest_received_s = self.load_digest_received_s.get(
@@ -322,6 +323,7 @@
         self.fleet.record_departures(digest.data_centre, digest.departures)
         self.fleet.quarantine.receive(digest.data_centre, (), digest.bans)
         self.fleet.record_limits(digest.data_centre, digest.limits)
+        self.fleet.record_brittle(digest.data_centre, digest.brittle)
         for read in digest.reads:
             self.fleet.record_remote_prefill(read)
         if digest.has_loads:
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -8,10 +8,11 @@
 import capnp
 from attrs import frozen
 
-from rosemaryyoke.fleet import LimitReport, PromptPrefill, UpstreamLoad
+from rosemaryyoke.fleet import BrittleReport, LimitReport, PromptPrefill, UpstreamLoad
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.packed_rows import (
     add_unreachable,
+    decode_brittle,
     decode_hosts,
     decode_incarnations,
     decode_limits,
@@ -19,6 +20,7 @@
     decode_reads,
     decode_services,
     decode_upstream_names,
+    encode_brittle,
     encode_hosts,
     encode_incarnations,
     encode_limits,
@@ -73,6 +75,7 @@
     era: int = 0
     bans: tuple[Ban, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    brittle: tuple[BrittleReport, ...] = ()
 
 
 @frozen
@@ -89,6 +92,7 @@
     departures: tuple[int, ...] = ()
     bans: tuple[Ban, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    brittle: tuple[BrittleReport, ...] = ()
 
 
 @frozen
@@ -123,6 +127,7 @@
         bans=encode_bans(beacon.bans, time.monotonic()),
         limits=encode_limits(beacon.limits, time.monotonic()),
         unreachable=encode_services(beacon.unreachable),
+        brittle=encode_brittle(beacon.brittle, time.monotonic()),
         cutOff=beacon.cut_off,
     )
     return message.to_bytes_packed()
@@ -155,6 +160,7 @@
             message.era,
             decode_bans(message.bans, time.monotonic()),
             decode_limits(message.limits, names_by_key, time.monotonic()),
+            brittle=decode_brittle(message.brittle, time.monotonic()),
             unreachable=decode_services(message.unreachable),
             cut_off=message.cutOff,
         )
@@ -176,6 +182,7 @@
         bans=encode_bans(digest.bans, time.monotonic()),
         limits=encode_limits(digest.limits, time.monotonic()),
         unreachable=encode_unreachable(digest.hosts),
+        brittle=encode_brittle(digest.brittle, time.monotonic()),
     ).to_bytes_packed()
 
 
@@ -197,6 +204,7 @@
             decode_incarnations(message.departures),
             decode_bans(message.bans, time.monotonic()),
             decode_limits(message.limits, names_by_key, time.monotonic()),
+            decode_brittle(message.brittle, time.monotonic()),
         )
     except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
--- a/rosemaryyoke/hosts/digests.py
+++ b/rosemaryyoke/hosts/digests.py
@@ -38,6 +38,7 @@
         departures=fleet.departures(),
         bans=fleet.quarantine.reported_bans(),
         limits=fleet.limit_reports(),
+        brittle=fleet.brittle_reports(),
     )
     if with_hosts:
         hosts = [own, *(peer.beacon for peer in local_peers)]
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -12,6 +12,7 @@
 
 from rosemaryyoke.core.ages import age_ms, time_of_age
 from rosemaryyoke.fleet import (
+    BrittleReport,
     HashedPart,
     LimitReport,
     PromptPrefill,
@@ -23,6 +24,7 @@
 
 NO_LIMIT = -1.0
 UPSTREAM_KEY_ROW = struct.Struct("<I")  # upstream key
+BRITTLE_ROW = struct.Struct("<II")  # service key, age in ms
 SERVICE_KEY_ROW = struct.Struct("<I")
 # Position of the host in its table, whether it is cut off, number of service keys.
 UNREACHABLE_HEADER = struct.Struct("<B?H")
@@ -50,6 +52,22 @@
     return tuple(names_by_key[key] for key in keys if key in names_by_key)
 
 
+def encode_brittle(reports: Iterable[BrittleReport], now_s: float) -> bytes:
+    """Encode a table of the services with brittle upstreams."""
+    return b"".join(
+        BRITTLE_ROW.pack(item.service_key, age_ms(item.observed_s, now_s))
+        for item in reports
+    )
+
+
+def decode_brittle(data: bytes, now_s: float) -> tuple[BrittleReport, ...]:
+    """Decode a table of the services with brittle upstreams."""
+    return tuple(
+        BrittleReport(key, time_of_age(age, now_s))
+        for key, age in BRITTLE_ROW.iter_unpack(data)
+    )
+
+
 def encode_services(keys: Iterable[int]) -> bytes:
     """Encode a table of the keys of services."""
     return b"".join(SERVICE_KEY_ROW.pack(key) for key in sorted(keys))
--- a/rosemaryyoke/hosts/tests/test_unreachable_rows.py
+++ b/rosemaryyoke/hosts/tests/test_unreachable_rows.py
@@ -5,7 +5,7 @@
 import pytest
 from attrs import evolve
 
-from rosemaryyoke.forwarding import service_key
+from rosemaryyoke.fleet import service_key
 from rosemaryyoke.hosts.codec import (
     Digest,
     MalformedBeacon,
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -104,6 +104,7 @@
             malformed_retry_after=retry_after if retry_after_s is None else None,
             limit_per_s=limit_per_s,
             malformed_limit=limit if limit_per_s is None else None,
+            brittle=names.BRITTLE.lower() in values,
         )
 
 
--- a/rosemaryyoke/platform/names.py
+++ b/rosemaryyoke/platform/names.py
@@ -33,6 +33,8 @@
 LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
 RATE_LIMIT = b"Server-Limit"  # requests a second from all hosts together
+# How many refusals a second the engine bears before it falls over.
+BRITTLE = b"Server-Brittle"
 
 # Header of the store's responses; it rises whenever the store is restored from a copy.
 STORE_ERA = b"Store-Era"
@@ -74,6 +76,7 @@
     "Weight-Versions",
     "Server-Leaving",
     "Server-Limit",
+    "Server-Brittle",
     "Resumes",
     "Instance-Id",
     "pathPrefix",
--- a/rosemaryyoke/platform/standins/servers.py
+++ b/rosemaryyoke/platform/standins/servers.py
@@ -82,7 +82,8 @@
     A script entry is a status, or a function of the engine, the message and the
     connection. Responses with 421 and 503 carry the header for requests that were not
     executed. If ``leaving`` is set, all responses announce that the engine leaves, and
-    if ``limit`` is, the rate of requests that it takes.
+    if ``limit`` is, the rate of requests that it takes. ``brittle`` is how many
+    refusals a second it says that it bears.
     """
 
     name: str
@@ -93,6 +94,7 @@
     version: int = 1
     leaving: bool = False
     limit: bytes | None = None
+    brittle: bytes | None = None
     address: Address = field(init=False)
     server: ConnectionServer = field(init=False)
 
@@ -153,10 +155,12 @@
         ]
 
     def notice_headers(self):
-        """Return the headers that announce leaving and a limit, if there are any."""
+        """Return the headers of what the engine announces, if there are any."""
         headers = [(b"Server-Leaving", b"1")] if self.leaving else []
         if self.limit is not None:
             headers.append((b"Server-Limit", self.limit))
+        if self.brittle is not None:
+            headers.append((b"Server-Brittle", self.brittle))
         return headers
 
 
