Leave connections to upstreams the time of all keep-alive probes

Cause: TCP_USER_TIMEOUT of 0.7 s also decides when keep-alive probes give up, whatever their count, so that one lost probe ended a silent connection; and it counts while a peer does not read. Ruled out: the detection of dead upstreams does not rest on it. Attempts without progress are noticed after the route's timeout and a health check of 0.25 s, connects fail after 0.3 s.

--- a/rosemaryyoke/exchanges/connections.py
+++ b/rosemaryyoke/exchanges/connections.py
@@ -12,9 +12,15 @@
 from rosemaryyoke.catalog import Upstream
 from rosemaryyoke.http1 import ResponseMessage
 from rosemaryyoke.http1.messages import find_header
-from rosemaryyoke.http1.sockets import close, connect, is_reusable
-
-TCP_USER_TIMEOUT_S = 0.7  # detects a dead engine before the caller gives up
+from rosemaryyoke.http1.sockets import (
+    KEEPALIVE_TIMEOUT_S,
+    close,
+    connect,
+    is_reusable,
+)
+
+# Attempts and health checks notice a dead upstream sooner; this ends what remains.
+TCP_USER_TIMEOUT_S = KEEPALIVE_TIMEOUT_S
 DEFAULT_KEEP_ALIVE_S = 8.0
 UNUSED_KEEP_ALIVE_S = 1.0  # upstreams say how long only with an answer
 KEEP_ALIVE_MARGIN_S = 0.8
--- a/rosemaryyoke/forwarding/sender.py
+++ b/rosemaryyoke/forwarding/sender.py
@@ -34,12 +34,12 @@
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
 from rosemaryyoke.http1 import Headers, ResponseMessage
 from rosemaryyoke.http1.messages import encode_head, find_header
-from rosemaryyoke.http1.sockets import close, connect
+from rosemaryyoke.http1.sockets import KEEPALIVE_TIMEOUT_S, close, connect
 
 HTTP_OK = 200
 MAX_HOSTS = 3  # that one exchange is forwarded to
 # A host that has gone is noticed by its beacons; its connection is a second sign.
-TCP_USER_TIMEOUT_S = 3.0
+TCP_USER_TIMEOUT_S = KEEPALIVE_TIMEOUT_S
 LIVENESS_CHECK_S = 0.5  # without progress, until a host's beacons are considered
 # Answers of hosts that promise that the request has not run and never will.
 NOT_RUN_STATUSES = (429, 503)
--- a/rosemaryyoke/http1/sockets.py
+++ b/rosemaryyoke/http1/sockets.py
@@ -7,7 +7,10 @@
 
 MS_PER_S = 1_000
 KEEPALIVE_IDLE_S = 1  # minimum on Linux
+KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2  # one lost probe must not close the connection
+# A shorter TCP_USER_TIMEOUT would end a silent connection after the first lost probe.
+KEEPALIVE_TIMEOUT_S = KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S
 READ_BYTES = 65_536
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -35,7 +38,9 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
+    )
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     limit_ms = int(user_timeout_s * MS_PER_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
