Log what stopped the retry of a cut stream

The line of a stream that was cut named the last failure, not why no attempt followed: an empty retry budget looked like an upstream's fault. Closing lines have not_retried; a test expects 'retry budget empty', which no line showed before. No decision changes.

--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -157,6 +157,7 @@
         sends=exchange.send_count,
         runs=exchange.run_count,
         upstream=exchange.last_upstream,
+        not_retried=exchange.not_retried,
         **log_received(exchange),
     )
 
--- a/rosemaryyoke/exchanges/exchange.py
+++ b/rosemaryyoke/exchanges/exchange.py
@@ -70,6 +70,7 @@
     version that began the stream, whose name is ``software`` if it is known; only
     upstreams of that version may go on. ``forwarded_by`` is the host that forwarded the
     request to this one, ``via`` the host by way of which this one forwarded it.
+    ``not_retried`` is why the last attempt was not followed by another one.
     """
 
     message: RequestMessage
@@ -98,6 +99,7 @@
     forwarded_by: str | None = None
     via: str | None = None
     connect_failures: int = 0
+    not_retried: str | None = None
 
     @property
     def request_id(self) -> str:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -472,27 +472,36 @@
 
     def should_retry(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Return whether to retry the exchange at another upstream."""
+        exchange.not_retried = self.retry_obstacle(exchange, outcome)
+        return exchange.not_retried is None
+
+    def retry_obstacle(self, exchange: Exchange, outcome: Outcome) -> str | None:
+        """Return why an exchange is not retried, or ``None`` if it is."""
         route = exchange.route
         if not self.selector.may_send_again(exchange, time.monotonic()):
-            return False
+            return "no sends or time left"
         if isinstance(outcome, ResponseReceived):
-            if not is_server_error(outcome) or not route.repeatable:
-                return False
+            if not is_server_error(outcome):
+                return "answered"
+            if not route.repeatable:
+                return "not repeatable"
         if isinstance(outcome, AttemptFailed):
             if outcome.deadline_exceeded:
-                return False
+                return "deadline"
             if outcome.may_have_run and not route.repeatable:
-                return False
+                return "not repeatable"
             if not exchange.is_resumable:
-                return False
+                return "not resumable"
             exchange.prepare_resume()
             if not outcome.may_have_run:
-                return True
+                return None
             if self.fleet.quarantine.is_suspect(exchange.quarantine_keys):
-                return False
+                return "suspected of crashes"
         if exchange.run_count >= route.max_attempts:
-            return False
-        return self.budget.try_retry(exchange.service, time.monotonic())
+            return "runs used up"
+        if not self.budget.try_retry(exchange.service, time.monotonic()):
+            return "retry budget empty"
+        return None
 
 
 def completes(exchange: Exchange, outcome: Outcome) -> bool:
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -48,6 +48,16 @@
     assert any("closed" in reason or "lost" in reason for reason in reasons)
 
 
+# Guards against a cut stream whose line does not say that the budget stopped the retry.
+def test_what_stopped_the_retry_of_a_cut_stream_is_in_the_logs(deployment, logged):
+    script_all(deployment.engines, abort_after(2), 200)
+    deployment.host.budget.ratio = deployment.host.budget.slack = 0.0
+    deployment.stream(**{"Request-Id": "c8"})
+    cut = logged("c8")[-1]
+    assert cut.message == "stream cut"
+    assert cut.fields["not_retried"] == "retry budget empty"
+
+
 # Guards against a crash of engines that the logs can't lay to a part of a prompt.
 def test_parts_of_a_prompt_are_in_the_logs(deployment, logged):
     script_all(deployment.engines, abort_after(0), abort_after(1))
