Only whole events are progress of a stream

Callers of an engine that sent a byte now and then, but no whole event, waited until the deadline and got a cut stream; another engine was never asked. Cause: the time between events was counted from the last byte. Other operators reported it; test_trickling_streams shows it here (one of three cases failed before: with two events, then single bytes, the stream was cut at its deadline). A slow stream whose events come in parts is not moved, which a test checks; a second attempt without an event has the time of a first.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -119,12 +119,13 @@
     """Sends one request to one upstream and reads its response.
 
     ``progress_deadline_s`` is the deadline for the first byte or event, and
-    ``stall_timeout_s`` limits the time between events. After either, ``on_first_stall``
-    is called once, and then ``on_stall`` at intervals until it returns that another
-    upstream is reserved; without one the attempt continues. ``response_deadline_s`` is
-    the deadline of the whole exchange. ``predecessor`` is the attempt that this one
-    takes over from: which of them delivers first, goes on. ``on_sustained`` is called
-    once when the response has gone on for ``SUSTAINED_S`` after its head.
+    ``stall_timeout_s`` limits the time between whole events. After either,
+    ``on_first_stall`` is called once, and then ``on_stall`` at intervals until it
+    returns that another upstream is reserved; without one the attempt continues.
+    ``response_deadline_s`` is the deadline of the whole exchange. ``predecessor`` is
+    the attempt that this one takes over from: which of them delivers first, goes on.
+    ``on_sustained`` is called once when the response has gone on for ``SUSTAINED_S``
+    after its head.
     """
 
     state: UpstreamState
@@ -145,6 +146,7 @@
     memory: ResponseMemory = field(factory=ResponseMemory)
     held_bytes: int = 0
     last_byte_s: float = 0.0
+    last_progress_s: float = 0.0
     head_s: float | None = None
     connection_state: ConnectionState = ConnectionState.OPEN
     started_s: float = field(factory=time.monotonic)
@@ -377,13 +379,11 @@
         if not self._has_progress():
             return self.progress_deadline_s
         if self.stall_timeout_s:
-            return self.last_byte_s + self.stall_timeout_s
+            return self.last_progress_s + self.stall_timeout_s
         return self.response_deadline_s
 
     def _has_progress(self) -> bool:
-        if self.relay is not None:
-            return self.relay.events > 0 and self.last_byte_s > 0
-        return self.last_byte_s > 0
+        return self.last_progress_s > 0
 
     def _poll_events(self) -> int:
         return select.POLLIN | (select.POLLOUT if self.unsent else 0)
@@ -448,6 +448,7 @@
             self.on_head = None
         if self.relay is not None and message.status == HTTP_OK:
             return self._relay_stream(message)
+        self.last_progress_s = self.last_byte_s
         if not message.complete:
             return None
         if self.metadata.not_run:
@@ -478,6 +479,8 @@
                 return AttemptFailed(str(error), may_have_run=True)
             # Time spent writing to a slow caller is no stall of the upstream.
             self.last_byte_s = time.monotonic()
+            if self.relay.events > before:
+                self.last_progress_s = self.last_byte_s
             if self.on_first_event is not None and self.relay.events > before:
                 self.on_first_event()
                 self.on_first_event = None
