Survive a lack of descriptors or threads, and errors in beacon tasks

One failed accept (no descriptors, an aborted connection), or a thread that could not be started, ended the accepting task of a host for good, while it counted as ready. One unexpected error ended the task that receives beacons, or the one that sends them, so that the host lost all others. And a request whose last byte was read between the last look for requests and the end of the process got no answer.

Cause: loops that end at the first error of a kind that passes.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -56,6 +56,7 @@
     0.42  # of the grace period; later requests could not finish within it
 )
 EXIT_MARGIN_S = 0.3
+CLOSE_TIMEOUT_S = 0.15  # within the margin
 AUXILIARY_MAX_CONNECTIONS = 64
 # Of the connections for callers; each is one more task with its buffers.
 FORWARDED_SHARE = 0.5
@@ -279,6 +280,8 @@
                 callers.requests_in_progress + self.forwarded.under_way,
             )
             self.forwarder.log_unfinished()
+        callers.stop()
+        callers.wait_closed(time.monotonic() + CLOSE_TIMEOUT_S)
         log_event("host stopped", host=self.settings.name)
 
     def is_ready(self) -> bool:
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -34,6 +34,8 @@
 BACKLOG = 512
 TCP_USER_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 0.5
+ACCEPT_RETRY_S = 0.05
+IDLE_POLL_S = 0.02
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 OVERLOADED_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
@@ -67,6 +69,7 @@
     name: str = "callers"
     limits: Callable[[], RequestLimits] = RequestLimits
     keep_alive_disabled: bool = False
+    stopped: bool = False
     rejecting_requests: bool = False
     rejection_handler: Handler = reject_leaving
     open_connections: int = 0
@@ -90,6 +93,7 @@
 
     def stop(self) -> None:
         """Stop accepting connections."""
+        self.stopped = True
         if self.listener is not None:
             close(self.listener)
 
@@ -114,16 +118,31 @@
     def wait_idle(self, deadline_s: float) -> bool:
         """Wait until no request is in progress; return whether that is so."""
         while self.requests_in_progress and time.monotonic() < deadline_s:
-            time.sleep(0.02)
+            time.sleep(IDLE_POLL_S)
         return self.requests_in_progress == 0
 
+    def wait_closed(self, deadline_s: float) -> bool:
+        """Close what is idle until no connection is open; return whether that is so.
+
+        A request that is read meanwhile still gets its answer.
+        """
+        while self.open_connections and time.monotonic() < deadline_s:
+            self.close_idle()
+            time.sleep(IDLE_POLL_S)
+        return self.open_connections == 0
+
     def accept(self) -> None:
         """Accept connections until the listener is closed."""
         while True:
             try:
                 connection, peer = self.listener.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if self.stopped:
+                    return
+                # Such as a lack of descriptors, which lasts for a while.
+                logging.warning("accept failed server=%s error=%s", self.name, error)
+                time.sleep(ACCEPT_RETRY_S)
+                continue
             self.accepted_connections += 1
             with self.lock:
                 full = self.open_connections >= self.max_connections
@@ -132,7 +151,16 @@
             if full:
                 self._reject_connection(connection)
                 continue
-            self.pool.submit(self._serve_connection, connection, peer[0])
+            self._start_task(connection, peer[0])
+
+    def _start_task(self, connection: socket.socket, peer: str) -> None:
+        try:
+            self.pool.submit(self._serve_connection, connection, peer)
+        except RuntimeError as error:  # no thread can be started
+            with self.lock:
+                self.open_connections -= 1
+            logging.warning("no task for a connection server=%s: %s", self.name, error)
+            close(connection)
 
     def _reject_connection(self, connection: socket.socket) -> None:
         logging.warning(
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -113,12 +113,20 @@
     def send(self) -> None:
         """Send beacons and digests periodically until stopped."""
         while not self.stopping.is_set():
-            with self.lock:
-                beacon, destination_count = self.send_beacon()
-            self.stopping.wait(next_pause_s(destination_count) / 2)
-            with self.lock:
-                self.send_digests(beacon)
-            self.stopping.wait(next_pause_s(destination_count) / 2)
+            try:
+                self.send_round()
+            except Exception:
+                logging.exception("sending beacons failed")
+                self.stopping.wait(BEACON_PERIOD_S)
+
+    def send_round(self) -> None:
+        """Send a beacon and the digests that are due, each with a pause after it."""
+        with self.lock:
+            beacon, destination_count = self.send_beacon()
+        self.stopping.wait(next_pause_s(destination_count) / 2)
+        with self.lock:
+            self.send_digests(beacon)
+        self.stopping.wait(next_pause_s(destination_count) / 2)
 
     def send_now(self) -> None:
         """Send a beacon, and digests if due, without waiting for the next round."""
@@ -210,7 +218,10 @@
                 data = self.relay_queue.get(timeout=BEACON_PERIOD_S)
             except queue.Empty:
                 continue
-            self.relay_digest(data)
+            try:
+                self.relay_digest(data)
+            except Exception:
+                logging.exception("relaying a digest failed")
 
     def relay_digest(self, data: bytes) -> None:
         """Send a digest to this relay's share of the hosts of its data centre."""
@@ -254,6 +265,8 @@
             except OSError as error:
                 logging.warning("receiving a datagram failed: %s", error)
                 self.stopping.wait(BEACON_PERIOD_S)
+            except Exception:
+                logging.exception("handling a datagram failed")
 
     def handle_datagram(self, kind: bytes, data: bytes) -> None:
         """Decode and handle a datagram; raise ``MalformedBeacon`` if it is invalid."""
--- a/rosemaryyoke/hosts/tests/test_beacons.py
+++ b/rosemaryyoke/hosts/tests/test_beacons.py
@@ -129,3 +129,45 @@
     period_s = statistics.mean(sent_s) / 8
     assert abs(period_s - 0.6) < 0.05
     assert statistics.pstdev(sent_s) > period_s / 4
+
+
+# Guards against a host that hears no other host after one unexpected error.
+def test_receiving_goes_on_after_an_unexpected_error():
+    table = HostTable(OWN, "h1", "z1")
+    service = BeaconService(table, Fleet(Catalog()), lambda *_: None)
+    handled = threading.Event()
+
+    def handle(data):
+        if data == b"bad":
+            raise RuntimeError("unexpected")
+        handled.set()
+
+    service.handlers[b"X"] = handle
+    datagrams = [b"Xgood", b"Xbad", b"\xff" * 9, b""]
+
+    class Socket:
+        def recvfrom(self, size):
+            if datagrams:
+                return datagrams.pop(), OWN
+            service.stopping.set()
+            return b"Xgood", OWN
+
+    service.udp_socket = Socket()
+    service.receive()
+    assert handled.is_set()
+
+
+# Guards against a host that falls silent after one unexpected error.
+def test_sending_goes_on_after_an_unexpected_error():
+    table = HostTable(OWN, "h1", "z1")
+    rounds = []
+
+    def make(sequence, reads):
+        rounds.append(sequence)
+        if len(rounds) > 1:
+            service.stopping.set()
+        raise RuntimeError("unexpected")
+
+    service = BeaconService(table, Fleet(Catalog()), make)
+    service.send()
+    assert len(rounds) == 2
