Forwarded requests as large as callers may send; a host's failure is one to connect

A caller's request near the size limit of heads would have been refused by the host that it is forwarded to, since the envelope and the headers replaced make it larger; found on reading the change again, and a test of a head of 3.7 kB of 4 kB is added. A stream that an upstream broke off behind the other host no longer counts against that host; only a lack of contact does, for 1 s.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -5,7 +5,7 @@
 from typing import Callable
 
 from absl import logging
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
@@ -31,6 +31,7 @@
 from rosemaryyoke.exchanges.server import ConnectionServer, RequestLimits
 from rosemaryyoke.exchanges.settings import RoutingSettings
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
+from rosemaryyoke.forwarding.envelope import MAX_ENVELOPE_BYTES
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
 from rosemaryyoke.forwarding.reachability import Reachability
 from rosemaryyoke.forwarding.receiver import ForwardedRequests, is_forwarded
@@ -467,7 +468,16 @@
             handler,
             limit + AUXILIARY_MAX_CONNECTIONS,
             "peers",
-            limits=self.request_limits,
+            limits=self.forwarded_limits,
+        )
+
+    def forwarded_limits(self) -> RequestLimits:
+        """Return the limits of forwarded requests, which have an envelope."""
+        limits = self.request_limits()
+        message = limits.message
+        return evolve(
+            limits,
+            message=evolve(message, head_bytes=message.head_bytes + MAX_ENVELOPE_BYTES),
         )
 
     def handle_forwarded(self, message, caller, envelope) -> None:
--- a/rosemaryyoke/forwarding/envelope.py
+++ b/rosemaryyoke/forwarding/envelope.py
@@ -7,6 +7,7 @@
 from rosemaryyoke.http1 import Headers
 
 FORWARDED_HEADER = b"Rosemaryyoke-Forwarded"
+MAX_ENVELOPE_BYTES = 1_024  # with the headers that a host adds to the caller's
 # The code of an error that the other host generated itself.
 ERROR_HEADER = b"Rosemaryyoke-Error"
 
--- a/rosemaryyoke/forwarding/sender.py
+++ b/rosemaryyoke/forwarding/sender.py
@@ -40,6 +40,7 @@
 MAX_HOSTS = 3  # that one exchange is forwarded to
 # A host that has gone is noticed by its beacons; its connection is a second sign.
 TCP_USER_TIMEOUT_S = KEEPALIVE_TIMEOUT_S
+HOST_PAUSE_S = 1.0  # after a failure to connect to a host
 LIVENESS_CHECK_S = 0.5  # without progress, until a host's beacons are considered
 # Answers of hosts that promise that the request has not run and never will.
 NOT_RUN_STATUSES = (429, 503)
@@ -222,8 +223,8 @@
         if outcome.may_have_run:
             exchange.may_have_run = True
             exchange.run_count += 1
-        if not outcome.deadline_exceeded and not outcome.health_recorded:
-            attempt.state.record_failure(time.monotonic(), silent=False)
+        if outcome.no_contact:
+            attempt.state.suspect_until_s = time.monotonic() + HOST_PAUSE_S
         log_event(
             "forwarding failed",
             request=exchange.request_id,
--- a/rosemaryyoke/platform/tests/test_forwarded_requests.py
+++ b/rosemaryyoke/platform/tests/test_forwarded_requests.py
@@ -297,3 +297,11 @@
     started_s = time.monotonic()
     assert fleet.send(CUT, SAFE)[0] == 503
     assert time.monotonic() - started_s < 0.1
+
+
+def test_request_as_large_as_callers_may_send_is_served(fleet):
+    # Guards against an envelope that makes a request too large for the other host.
+    head = [("X-Large", "x" * 3_700)]
+    address = fleet.hosts[CUT].settings.callers
+    answer = send_client_request(address, "/read/1", "GET", headers=head).responses[0]
+    assert answer.status == 200
