A host's partition is no evidence of requests that crash upstreams

Cause: each connection that ends early was reported as a crash, whatever else ended at the same moment. Ruled out: hosts that hang rather than reset report none. Before a first such end counts, the host now connects to other upstreams of the service; if none accepts, it is no crash, and the service is checked. A connection that is accepted and reset at once shows no contact either, nor does one that is merely accepted.

--- a/rosemaryyoke/exchanges/connections.py
+++ b/rosemaryyoke/exchanges/connections.py
@@ -22,7 +22,6 @@
 # Attempts and health checks notice a dead upstream sooner; this ends what remains.
 TCP_USER_TIMEOUT_S = KEEPALIVE_TIMEOUT_S
 DEFAULT_KEEP_ALIVE_S = 8.0
-UNUSED_KEEP_ALIVE_S = 1.0  # upstreams say how long only with an answer
 KEEP_ALIVE_MARGIN_S = 0.8
 MAX_IDLE_PER_UPSTREAM = 24  # connections to one upstream
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
@@ -49,7 +48,6 @@
 
     idle: dict[str, deque[UpstreamConnection]] = field(factory=dict)
     round_trips_s: dict[str, float] = field(factory=dict)
-    connected: dict[str, float] = field(factory=dict)
     lock: threading.Lock = field(factory=threading.Lock)
     opened: int = 0
 
@@ -76,14 +74,8 @@
         with self.lock:
             shortest_s = min(elapsed_s, self.round_trips_s.get(name, elapsed_s))
             self.round_trips_s[name] = shortest_s
-            self.connected[name] = time.monotonic()
         return shortest_s
 
-    def connected_s(self, name: str) -> float:
-        """Return when a connection to an upstream was last opened."""
-        with self.lock:
-            return self.connected.get(name, -math.inf)
-
     def _acquire_idle(self, name: str, max_idle_s: float) -> UpstreamConnection | None:
         while True:
             oldest_s = time.monotonic() - max_idle_s
@@ -104,15 +96,8 @@
         if not answer.keep_alive:
             close(connection.socket)
             return
-        self._keep(connection, keep_alive_s(answer))
-
-    def keep_unused(self, connection: UpstreamConnection) -> None:
-        """Add a new connection that has served no request yet."""
-        self._keep(connection, UNUSED_KEEP_ALIVE_S)
-
-    def _keep(self, connection: UpstreamConnection, keep_alive_s: float) -> None:
         connection.idle_since_s = time.monotonic()
-        connection.reusable_until_s = connection.idle_since_s + keep_alive_s
+        connection.reusable_until_s = connection.idle_since_s + keep_alive_s(answer)
         with self.lock:
             connections = self.idle.setdefault(connection.upstream, deque())
             connections.append(connection)
@@ -130,7 +115,6 @@
             gone = [self.idle.pop(name) for name in names if name in self.idle]
             for name in names:
                 self.round_trips_s.pop(name, None)
-                self.connected.pop(name, None)
         for connections in gone:
             for connection in connections:
                 close(connection.socket)
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -106,7 +106,7 @@
         self.exchange_factory = ExchangeFactory(self.catalog, self.codec)
         self.writer = RequestWriter(self.fleet, self.codec)
         self.endings = Endings(self.metrics)
-        self.reporter = OutcomeReporter(self.fleet.quarantine)
+        self.reporter = OutcomeReporter(self.fleet.quarantine, self.reachability)
         self.selector = UpstreamSelector(
             self.data_centre,
             self.catalog,
--- a/rosemaryyoke/exchanges/outcome_reporter.py
+++ b/rosemaryyoke/exchanges/outcome_reporter.py
@@ -6,6 +6,7 @@
 
 from attrs import define, evolve, field
 
+from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.attempt import (
     Attempt,
     AttemptFailed,
@@ -16,7 +17,8 @@
 from rosemaryyoke.exchanges.decision_log import log_parts
 from rosemaryyoke.exchanges.error_responses import HTTP_SERVER_ERROR
 from rosemaryyoke.exchanges.exchange import Exchange, SentAttempt
-from rosemaryyoke.fleet import upstream_key
+from rosemaryyoke.fleet import UpstreamState, upstream_key
+from rosemaryyoke.forwarding.reachability import Reachability
 from rosemaryyoke.http1 import Framing
 from rosemaryyoke.quarantine import (
     PromptOutcome,
@@ -36,11 +38,14 @@
 class OutcomeReporter:
     """Tells crashes and successes from ends that say nothing about the request.
 
+    Connections that end as this host loses all upstreams of a service show no crash.
+
     ``stale_ends`` are the last attempts, by fingerprint, that seem to have found their
     connections closed. An engine that crashes at once looks the same.
     """
 
     quarantine: Quarantine
+    reachability: Reachability
     stale_ends: OrderedDict[int, PromptOutcome] = field(factory=OrderedDict)
     lock: threading.Lock = field(factory=threading.Lock)
 
@@ -84,6 +89,9 @@
             end = self.stale_ends.pop(key, None)
         if end is None or time.monotonic() - end.ended_s > STALE_END_TTL_S:
             return False
+        state = self.known_upstream(end)
+        if state is not None and not self.has_contact(exchange, state, end.ended_s):
+            return False
         self.quarantine.record_crash(
             end,
             request=exchange.request_id,
@@ -92,6 +100,33 @@
         )
         return True
 
+    def known_upstream(self, end: PromptOutcome) -> UpstreamState | None:
+        """Return the upstream of an attempt, if it is still registered."""
+        fleet = self.reachability.fleet
+        with fleet.lock:
+            return fleet.states.get(fleet.names_by_key.get(end.upstream, ""))
+
+    def has_contact(
+        self, exchange: Exchange, state: UpstreamState, since_s: float
+    ) -> bool:
+        """Return whether this host has reached other upstreams since an attempt.
+
+        What was in crashes before is not checked, since each further one counts soon.
+        """
+        upstream = state.upstream
+        if self.quarantine.is_suspect(exchange.quarantine_keys):
+            return True
+        if self.reachability.confirms_contact(upstream, since_s):
+            return True
+        log_event(
+            "lost connection not counted as a crash",
+            request=exchange.request_id,
+            upstream=upstream.name,
+            service=upstream.service,
+        )
+        self.reachability.check_after_failure(upstream.service)
+        return False
+
     def record(self, exchange: Exchange, sent: SentAttempt, outcome: Outcome) -> None:
         """Report the end of an attempt."""
         if is_crash(sent.attempt, outcome):
@@ -102,6 +137,8 @@
 
     def record_crash(self, exchange: Exchange, sent: SentAttempt) -> None:
         """Report that an engine crashed as it began to answer."""
+        if not self.has_contact(exchange, sent.placement.state, time.monotonic()):
+            return
         self.quarantine.record_crash(
             prompt_outcome(exchange, sent, crashed=True),
             request=exchange.request_id,
--- a/rosemaryyoke/forwarding/reachability.py
+++ b/rosemaryyoke/forwarding/reachability.py
@@ -19,11 +19,13 @@
 from rosemaryyoke.core.pools import make_pool
 from rosemaryyoke.exchanges.connections import ConnectionPool
 from rosemaryyoke.fleet import Fleet, UpstreamState, service_key
+from rosemaryyoke.http1.sockets import close, wait_readable
 
 CHECK_TIMEOUT_S = 0.25
 CHECKED_UPSTREAMS = 5  # per check of a service
 CHECK_WORKERS = 16
 RECENT_CONTACT_S = 0.3  # the time that a connection attempt takes to fail
+SETTLED_S = 0.02  # longer than the reset of a connection takes to arrive
 MS_PER_S = 1_000
 
 
@@ -69,21 +71,41 @@
     def check_after_failure(self, service: str) -> None:
         """Check a service after an attempt at one of its upstreams made no contact.
 
-        A recent answer or connection shows that the service is reachable.
+        A recent answer shows that the service is reachable.
         """
         since_s = self.now_s() - RECENT_CONTACT_S
         if service not in self.unreachable and not self.has_responded(service, since_s):
             self.check(service)
 
+    def confirms_contact(self, upstream: Upstream, since_s: float) -> bool:
+        """Return whether other upstreams of a service were reached since a moment.
+
+        If none is, the loss of a connection says nothing about its upstream. A service
+        with no other upstream can't tell.
+        """
+        with self.fleet.lock:
+            states = [
+                state
+                for state in self.fleet.states_of_service(upstream.service)
+                if state.upstream.name != upstream.name and not state.draining
+            ]
+        if not states or self.any_responded(states, since_s):
+            return True
+        chosen = random.sample(states, min(CHECKED_UPSTREAMS, len(states)))
+        return self.any_accepts([state.upstream for state in chosen])
+
     def has_responded(self, service: str, since_s: float) -> bool:
-        """Return whether an upstream has answered or accepted a connection since."""
+        """Return whether an upstream of a service has answered since a moment."""
         with self.fleet.lock:
             states = self.fleet.states_of_service(service)
-        return any(
-            max(state.last_byte_s, self.pool.connected_s(state.upstream.name))
-            >= since_s
-            for state in states
-        )
+        return self.any_responded(states, since_s)
+
+    def any_responded(self, states: list[UpstreamState], since_s: float) -> bool:
+        """Return whether one of some upstreams has answered since a moment.
+
+        An accepted connection is no sign: it may be reset by what lies between.
+        """
+        return any(state.last_byte_s >= since_s for state in states)
 
     def tick(self) -> None:
         """Check the unreachable services, and after a change once all others."""
@@ -122,18 +144,26 @@
             upstreams = [item.upstream for item in states if not item.draining]
             upstreams = upstreams or [item.upstream for item in states]
         chosen = random.sample(upstreams, min(CHECKED_UPSTREAMS, len(upstreams)))
-        attempts = [self.executor.submit(self.connect, item) for item in chosen]
-        accepted = (item.result() for item in as_completed(attempts))
-        return not attempts or any(accepted)
+        return not chosen or self.any_accepts(chosen)
+
+    def any_accepts(self, upstreams: list[Upstream]) -> bool:
+        """Return whether one of some upstreams accepts a connection."""
+        attempts = [self.executor.submit(self.connect, item) for item in upstreams]
+        return any(item.result() for item in as_completed(attempts))
 
     def connect(self, upstream: Upstream) -> bool:
-        """Open a connection that requests may use; return whether that succeeds."""
+        """Open a connection; return whether it is accepted and not reset at once.
+
+        It is not kept: a request on a connection that is not new, and ends at once,
+        passes for one that found its connection closed.
+        """
         try:
             connection = self.pool.open(upstream, CHECK_TIMEOUT_S)
         except OSError:
             return False
-        self.pool.keep_unused(connection)
-        return True
+        ended = wait_readable(connection.socket, SETTLED_S)
+        close(connection.socket)
+        return not ended
 
     def record(self, service: str, reachable: bool) -> None:
         """Record the result of a check, and log and announce a change."""
--- a/rosemaryyoke/forwarding/tests/test_reachability.py
+++ b/rosemaryyoke/forwarding/tests/test_reachability.py
@@ -1,12 +1,13 @@
 """When a host believes that it reaches no upstream of a service, without a network."""
 
+import socket
 import threading
 import time
 
 from attrs import define, field
 
 from rosemaryyoke.catalog import Catalog, Upstream
-from rosemaryyoke.exchanges.connections import ConnectionPool
+from rosemaryyoke.exchanges.connections import ConnectionPool, UpstreamConnection
 from rosemaryyoke.fleet import Fleet, UpstreamState
 from rosemaryyoke.forwarding.reachability import RECENT_CONTACT_S, Reachability
 from rosemaryyoke.http1 import Address
@@ -17,6 +18,8 @@
     """Connections that only some upstreams accept."""
 
     accepting: set = field(factory=set)
+    resetting: set = field(factory=set)
+    ends: list = field(factory=list)
     tries: int = 0
     delay_s: float = 0.0
 
@@ -25,10 +28,11 @@
         time.sleep(self.delay_s)
         if upstream.name not in self.accepting:
             raise ConnectionRefusedError
-        self.connected[upstream.name] = time.monotonic()
-
-    def keep_unused(self, connection):
-        """Keep nothing."""
+        near, far = socket.socketpair()
+        self.ends.append(far)
+        if upstream.name in self.resetting:
+            far.close()
+        return UpstreamConnection(near, upstream.name)
 
 
 def make_reachability(accepting=(), **options):
@@ -54,6 +58,14 @@
     assert not reach.unreachable
 
 
+def test_connections_that_are_accepted_and_reset_show_no_contact():
+    # Guards against a partition whose connections are accepted on the way.
+    names = {"e0", "e1", "e2", "e3"}
+    reach = make_reachability(names, resetting=names)
+    reach.check_after_failure("llm")
+    assert reach.is_unreachable("llm")
+
+
 def test_recent_answer_spares_the_check():
     reach = make_reachability()
     reach.fleet.states["e3"].last_byte_s = time.monotonic()
--- a/rosemaryyoke/platform/tests/cut_hosts.py
+++ b/rosemaryyoke/platform/tests/cut_hosts.py
@@ -1,8 +1,10 @@
 """Hosts on loopback whose connections to upstreams can be cut one host at a time."""
 
 import itertools
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 
 import orjson
 from attrs import define, field
@@ -39,11 +41,14 @@
 
     mode: str | None = None
     services: tuple[str, ...] = ("llm", "records")
+    given: list = field(factory=list)
 
     def take(self, upstream, timeout_s, max_idle_s=float("inf")):
         """Return a connection, unless this host is cut off from the upstream."""
         if self.mode is None or upstream.service not in self.services:
-            return super().take(upstream, timeout_s, max_idle_s)
+            connection = super().take(upstream, timeout_s, max_idle_s)
+            self.given.append(connection.socket)
+            return connection
         if self.mode == REFUSING:
             kept = self._acquire_idle(upstream.name, max_idle_s)
             if kept is not None:
@@ -56,6 +61,12 @@
             return super().open(upstream, timeout_s)
         return self.fail(timeout_s)
 
+    def end_connections(self):
+        """End the connections that are in use, as a partition does by resets."""
+        while self.given:
+            with suppress(OSError):
+                self.given.pop().shutdown(socket.SHUT_RDWR)
+
     def fail(self, timeout_s):
         """Fail to connect in the way of the partition."""
         if self.mode == HANGING:
@@ -123,6 +134,8 @@
         for number in numbers:
             self.pools[number].services = services
             self.pools[number].mode = mode
+            if mode == RESETTING:
+                self.pools[number].end_connections()
 
     def heal(self):
         """End all partitions."""
--- a/rosemaryyoke/platform/tests/test_cut_hosts.py
+++ b/rosemaryyoke/platform/tests/test_cut_hosts.py
@@ -1,10 +1,15 @@
 """Hosts that reach no upstream, while callers, the store and other hosts reach them."""
 
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
+from rosemaryyoke.platform.standins.servers import send_client_request, stream_headers
 from rosemaryyoke.platform.tests.cut_hosts import (
     HANGING,
     KINDS,
+    PATHS,
     REFUSING,
     RESETTING,
     SAFE,
@@ -12,7 +17,7 @@
     UNSAFE,
     CutFleet,
 )
-from rosemaryyoke.platform.tests.deployment import wait_for
+from rosemaryyoke.platform.tests.deployment import script_all, wait_for
 
 REQUESTS = 12
 SERVED_SHARE = 2 / 3  # of what other hosts serve, which is all
@@ -118,3 +123,37 @@
     fleet.cut(0, mode=REFUSING)
     for kind in KINDS:
         assert fleet.served(0, kind, REQUESTS) == REQUESTS, kind
+
+
+@pytest.mark.parametrize("kind", (STREAMING, SAFE))
+def test_requests_that_a_cut_breaks_off_are_not_banned(fleet, kind):
+    # Guards against a partition that looks like requests which crash upstreams.
+    def hold(engine, message, caller):
+        time.sleep(0.3)
+        engine.run(message, caller)
+
+    script_all((*fleet.engines, *fleet.records), *[hold] * 60)
+    headers = stream_headers() if kind == STREAMING else []
+
+    def send(host):
+        answer = send_client_request(
+            fleet.hosts[host].settings.callers,
+            PATHS[kind],
+            "GET" if kind == SAFE else "POST",
+            headers=headers,
+            **{"Request-Id": f"q{next(fleet.numbers)}"},
+        ).responses
+        return answer[0].status if answer else 0
+
+    with ThreadPoolExecutor(8) as clients:
+        for _ in range(3):
+            running = [clients.submit(send, 0) for _ in range(6)]
+            time.sleep(0.15)
+            fleet.cut(0, mode=RESETTING)
+            for item in running:
+                item.result()
+            fleet.heal()
+            wait_for(lambda: not fleet.hosts[0].reachability.unreachable)
+    time.sleep(1.5)  # longer than it takes to ban
+    assert not any(host.fleet.quarantine.bans for host in fleet.hosts)
+    assert [send(number % 3) for number in range(6)] == [200] * 6
