Read past versions at once when a stream is resumed at a new host

A caller that resumed a stream within the first 0.2 s of a host's life got 503 unknown_origin, though one version alone had served: the host had not read the versions yet, which it did periodically only. Now the read is made for the first such caller, who waits 0.3 s at most if the store gives no answer.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -173,6 +173,7 @@
             self.order_rank,
             self.beacons.send_now,
         )
+        self.origins.read_past = self.version_register.ensure_read
         self.follower = self.make_follower()
         self.transfer = StateTransfer(
             adapter.source, self.catalog, self.roles, self.follower.replace_upstreams
--- a/rosemaryyoke/hosts/origin_exchange.py
+++ b/rosemaryyoke/hosts/origin_exchange.py
@@ -75,6 +75,7 @@
     """The origins of streams as this host and the others know them.
 
     ``pending`` are the rows to tell once more, since datagrams may be lost.
+    ``read_past`` adds the versions that served before this host started.
     """
 
     table: HostTable
@@ -86,6 +87,7 @@
     pending: list[OriginRow] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
     now_s: Callable[[], float] = time.monotonic
+    read_past: Callable[[], None] = lambda: None
 
     def __attrs_post_init__(self) -> None:
         self.beacons.handlers[TELL] = self.handle_told
@@ -160,6 +162,8 @@
             if known is not None:
                 source = OWN if known.is_own else TOLD
                 return Resolution(known.origin, source, self.now_s() - known.began_s)
+        if not self.served.knows_history():
+            self.read_past()
         sole = self.find_sole(services)
         if sole is not None and self.served.knows_history():
             return Resolution(sole, SOLE)
--- a/rosemaryyoke/hosts/tests/test_origin_exchange.py
+++ b/rosemaryyoke/hosts/tests/test_origin_exchange.py
@@ -198,6 +198,15 @@
 
 
 # Guards against a host that has just started and takes what it sees for all there was.
+def test_past_is_read_before_a_stream_is_rejected():
+    fleet = Fleet(1)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    exchange.served.past_known = False
+    exchange.read_past = lambda: exchange.served.add_past([(SERVICE, OLD)])
+    assert exchange.resolve([SERVICE], b"unknown").origin == origin_key(OLD)
+
+
 def test_stream_is_not_guessed_while_the_past_is_unknown():
     fleet = Fleet(1)
     fleet.serve(OLD)
--- a/rosemaryyoke/hosts/tests/test_version_register.py
+++ b/rosemaryyoke/hosts/tests/test_version_register.py
@@ -148,6 +148,17 @@
     assert not store.objects and store.calls == 1 and host.served.knows_history()
 
 
+def test_past_is_read_at_once_for_a_caller_that_waits(store):
+    # Guards against streams that are rejected until the next periodic read.
+    Host(store).see("v1")
+    host = Host(store)
+    host.register.ensure_read()
+    assert host.served.knows_history() and host.served.is_mixed(("llm",)) is False
+    calls = store.calls
+    host.register.ensure_read()
+    assert store.calls == calls
+
+
 def test_failed_read_is_repeated_after_a_pause(store):
     host = Host(store)
     store.down = True
--- a/rosemaryyoke/hosts/version_register.py
+++ b/rosemaryyoke/hosts/version_register.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import threading
 import time
 
 import orjson
@@ -22,6 +23,7 @@
 OBJECT_PREFIX = "software-versions"
 NAME_BYTES = 16
 RETRY_S = 1.0
+READ_WAIT_S = 0.3
 
 ServiceVersion = tuple[str, str]  # the names of a service and of a software version
 
@@ -67,10 +69,29 @@
     stored: set[ServiceVersion] | None = None
     era: int = 0
     next_attempt_s: float = 0.0
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def ensure_read(self) -> None:
+        """Read the versions now if that has not been done, for a caller that waits.
+
+        It waits for a short time only if the store gives no answer.
+        """
+        if not self.lock.acquire(timeout=READ_WAIT_S):
+            return
+        try:
+            due = time.monotonic() >= self.next_attempt_s
+            if self.stored is None and due and not self.load():
+                self.next_attempt_s = time.monotonic() + RETRY_S
+        finally:
+            self.lock.release()
 
     def tick(self) -> None:
         """Read the versions, or write what changed, when the next attempt is due."""
-        now_s = time.monotonic()
+        with self.lock:
+            self.synchronize(time.monotonic())
+
+    def synchronize(self, now_s: float) -> None:
+        """Read the versions, or write what changed, if the next attempt is due."""
         if now_s < self.next_attempt_s:
             return
         is_watcher = self.roles.is_watcher(now_s)
