--- a/rosemaryyoke/hosts/tests/builders.py
+++ b/rosemaryyoke/hosts/tests/builders.py
@@ -12,6 +12,7 @@
 class ListedStore:
     """Objects of one kind, with versions; it may be down."""
 
+    kind: str
     objects: dict = field(factory=dict)
     version: int = 0
     down: bool = False
@@ -22,7 +23,7 @@
         self.calls += 1
         if self.down:
             return Err(FeedError("down"))
-        assert all(name.startswith(f"{kind}/") for name in self.objects)
+        assert kind == self.kind
         return Ok(Listing(0, list(self.objects.values())))
 
     def get(self, name):
--- a/rosemaryyoke/hosts/tests/test_ban_register.py
+++ b/rosemaryyoke/hosts/tests/test_ban_register.py
@@ -5,6 +5,7 @@
 
 from rosemaryyoke.hosts import HostTable
 from rosemaryyoke.hosts.ban_register import (
+    OBJECT_PREFIX,
     RETRY_S,
     BanRegister,
     decode_ban,
@@ -49,7 +50,7 @@
 
 @pytest.fixture()
 def store():
-    return ListedStore()
+    return ListedStore(OBJECT_PREFIX)
 
 
 # Guards against engines that crash again on a known part when all hosts were killed.
--- a/rosemaryyoke/hosts/tests/test_version_register.py
+++ b/rosemaryyoke/hosts/tests/test_version_register.py
@@ -8,6 +8,7 @@
 from rosemaryyoke.hosts.tests.builders import ListedStore
 from rosemaryyoke.hosts.tests.test_table import OWN
 from rosemaryyoke.hosts.version_register import (
+    OBJECT_PREFIX,
     RETRY_S,
     VersionRegister,
     decode_version,
@@ -58,7 +59,7 @@
 
 @pytest.fixture()
 def store():
-    return ListedStore()
+    return ListedStore(OBJECT_PREFIX)
 
 
 def test_host_that_starts_alone_knows_a_version_that_has_left(store):
