Leave crashes before a host's start to the other hosts

Cause: reports of crashes reach a host that has just started seconds late: a paused host sends its own when it goes on, and each restarted host, which can't know them, relays them anew. The answers that refuted them are told once and not again. 2.5 s after its start the host banned the prefix, and all others adopted the ban.

Evidence, from the hosts' logs: both bans came from host1, 2.50 s after it began to serve (10.17 and 10.29 s), with four crashes, all of them before its start (8.55 to 9.44 s; 3.02 to 9.78 s, told 0.8 to 7.6 s late). host0 and host2, which had seen the same crashes, banned nothing.

Ruled out: that requests themselves were banned (the bans hold 11 and 15 prefixes and no fingerprint), and that callers gave up for lack of a Retry-After (they did, but only since a ban existed).

Why this works: whoever was up at the time of a crash has also heard the answers since then, and tells a ban if there is one. Reports of earlier crashes are neither kept nor relayed, so that they no longer circulate.

The new test of a host that starts failed before.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -189,9 +189,15 @@
     def receive(
         self, host: str, outcomes: Iterable[PromptOutcome], bans: Iterable[Ban]
     ) -> None:
-        """Apply what another host tells."""
+        """Apply what another host tells.
+
+        Crashes before the start of this host are for those to judge that have heard
+        the answers since then.
+        """
         with self.lock:
             for outcome in outcomes:
+                if outcome.crashed and outcome.ended_s < self.started_s:
+                    continue
                 if not outcome.crashed:
                     disproves = bool(self.evidence.outlived_crashes(outcome))
                     if self.relays and (disproves or self._is_news(outcome.all_keys)):
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -14,7 +14,7 @@
 from rosemaryyoke.quarantine.outcomes import UNKNOWN_REQUEST
 from rosemaryyoke.quarantine.quarantine import EXPLAIN_PERIOD_S, FORGET_S, MAX_BANS
 from rosemaryyoke.quarantine.suspicion import MIN_CRASHES, SETTLE_S
-from rosemaryyoke.quarantine.tests.builders import HostGroup, make_outcome
+from rosemaryyoke.quarantine.tests.builders import TICK_S, HostGroup, make_outcome
 
 COMMON, OTHER, BAD, WORSE = 1, 2, 3, 4
 STABLE_S = 3.0
@@ -300,6 +300,34 @@
     assert not new.bans
 
 
+# Guards against a ban of sound parts by a host that has missed the answers to them.
+def test_crashes_before_the_start_of_a_host_are_judged_by_the_others(group):
+    before = [
+        make_outcome((COMMON,), upstream, group.clock.at_s, fingerprint=100 + upstream)
+        for upstream in range(CRASHES)
+    ]
+    group.pass_time(TICK_S)
+    new = group.make_host()
+    new.receive("h1", before, ())
+    group.clock.at_s += STABLE_S
+    new.review()
+    assert not new.bans and not new.suspects
+    assert new.take_due() == ([], [])
+
+
+def test_crashes_after_the_start_of_a_host_are_judged(group):
+    new = group.make_host()
+    group.pass_time(TICK_S)
+    after = [
+        make_outcome((COMMON,), upstream, group.clock.at_s, fingerprint=100 + upstream)
+        for upstream in range(CRASHES)
+    ]
+    new.receive("h1", after, ())
+    group.clock.at_s += STABLE_S
+    new.review()
+    assert new.bans
+
+
 def end_of_ban(level=0):
     return BAN_S * BAN_GROWTH**level * END_JITTER[1] + 1.0
 
