A host that was suspended reads before it judges crashes

What callers could see: a sound part or request refused for 30 s and more after a host was frozen.

Cause: a verdict waits 1.2 s for answers that refute it. A host that is suspended in that time has read none of them when it goes on, but its first review finds that the time is over. All other hosts adopt the ban.

Why the fix works: a review that is more than 0.5 s late (they come every 0.1 s or more often) postpones verdicts by 0.3 s, in which what has arrived is read. Refusals of known bans go on. A second test shows that what nobody refutes is still banned.

The new test of a suspended host failed before. Two tests moved the clock by three seconds and reviewed once; they now review as a host does during these three seconds, with the same assertions.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -34,6 +34,10 @@
 SUSPECT_CRASHES = 2
 # A host that has just started hears of crashes, but not of answers before its start.
 START_WAIT_S = 2.5
+# A host whose review is late was suspended, or is overloaded: what has arrived
+# meanwhile is read first.
+LATE_REVIEW_S = 0.5
+CATCH_UP_S = 0.3
 TRIAL_TIMEOUT_S = 1.0
 RECENT_CRASH_S = 2.0  # longer than the time for answers to refute a suspicion
 EXPLAIN_PERIOD_S = 2.0
@@ -101,6 +105,8 @@
     pending: dict[tuple[int, ...], PendingSuccess] = field(factory=dict)
     outbox: Outbox = field(factory=Outbox)
     started_s: float = field(init=False)
+    reviewed_s: float = field(init=False)
+    judges_from_s: float = field(init=False)
     last_crash_s: float = -math.inf
     explain_due_s: float = -math.inf
     own_reports: int = 0
@@ -109,7 +115,8 @@
     lock: threading.RLock = field(factory=threading.RLock)
 
     def __attrs_post_init__(self) -> None:
-        self.started_s = self.now_s()
+        self.started_s = self.reviewed_s = self.now_s()
+        self.judges_from_s = self.started_s + START_WAIT_S
 
     def refuse(
         self, keys: Sequence[int], fingerprint: Callable[[], int]
@@ -226,9 +233,12 @@
             self._end_forgotten(now_s)
             self._announce_survivals(now_s)
             self._announce_pending(now_s)
+            if now_s - self.reviewed_s > LATE_REVIEW_S:
+                self.judges_from_s = max(self.judges_from_s, now_s + CATCH_UP_S)
+            self.reviewed_s = now_s
             if not self.evidence.crashes:
                 return
-            if now_s >= max(self.explain_due_s, self.started_s + START_WAIT_S):
+            if now_s >= max(self.explain_due_s, self.judges_from_s):
                 self._explain(now_s)
 
     def _explain(self, now_s: float) -> None:
--- a/rosemaryyoke/quarantine/tests/builders.py
+++ b/rosemaryyoke/quarantine/tests/builders.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 
 from attrs import define, field
 
@@ -41,6 +42,13 @@
     )
 
 
+def review_for(quarantine, seconds):
+    """Let a quarantine on the system's clock review as if some time passed."""
+    for number in range(1, round(seconds / TICK_S) + 1):
+        quarantine.now_s = lambda: time.monotonic() + number * TICK_S
+        quarantine.review()
+
+
 @define(eq=False)
 class HostGroup:
     """Quarantines of several hosts on one clock, and the loss of their datagrams."""
