Suspect requests whose crashes the bans of others explain

Cause: requests that run side by side end at the same upstreams. One with more crashes is banned first, and what its ban explains no longer counts against the others. A request all of whose crashes were shared starts anew, with two attempts a try and several senders at once.

Evidence: a run with the evidence printed (trial). After the first 80 requests eight of ten were banned; the two others had reached upstreams three times each, but had one crash and none in evidence. Then they reached five and four, two of these in the same 5 ms.

Why the fix works: a request that was never answered and whose crashes would suffice but for bans of others is a suspect: each host sends it once at a time and doesn't repeat it. The next crashes that no ban explains hold it back; an answer clears it, so a sound one beside the others pays its repetitions until it is answered once.

--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -445,6 +445,10 @@
         self.suspects |= find_suspects(self.evidence, repetitions)
         self.held = find_held(repetitions)
         self.suspects |= self.held.keys()
+        # A crash that a ban explains may have had several causes.
+        if self.bans:
+            everything = collect_repetitions(self.evidence, (), self.suspects)
+            self.suspects |= find_held(everything).keys()
         self.trials = {
             key: until_s for key, until_s in self.trials.items() if key in self.suspects
         }
--- a/rosemaryyoke/quarantine/tests/test_repetitions.py
+++ b/rosemaryyoke/quarantine/tests/test_repetitions.py
@@ -138,6 +138,22 @@
     assert group.refusing(BAD) == group.count and not group.refusing(SOUND)
 
 
+# Guards against a request that crashes engines beside others that are banned first.
+def test_request_whose_crashes_a_ban_explains_is_sent_one_at_a_time(group):
+    for number in range(MIN_CRASHES + 1):
+        group.clock.at_s += RUN_S
+        keys = (BAD, OTHER) if number < MIN_CRASHES else (BAD,)
+        for key in keys:
+            group.crash(0, (), 100 + number, fingerprint=key, lasted_s=RUN_S / 2)
+    group.pass_time(STABLE_S)
+    assert group.refusing(BAD) == group.count
+    assert [group.refuses(0, OTHER) for _ in range(3)] == [False, True, True]
+    assert group.hosts[0].is_suspect((OTHER,))
+    group.answer(0, (), fingerprint=OTHER)
+    assert not any(group.refuses(0, OTHER) for _ in range(3))
+    assert not group.hosts[0].is_suspect((OTHER,))
+
+
 # Guards against the refusal of a request that everyone sends beside crashing prompts.
 def test_popular_request_is_not_blamed_while_there_are_other_suspects(group):
     group.answer(0, (), fingerprint=SOUND)
