An engine that went on with its stream has not crashed

What callers of /v1 could see: sound prompts refused as "quarantined" while an engine cuts its connections every few tokens, as in the faults of test_streams_under_faults.

Cause: an engine from which a stream was resumed counted as crashed if the resumed stream broke off, too, since only the first break was looked at. Each such stream left a report of a crash.

--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -246,6 +246,7 @@
             broke_off = attempt.broke_off_early(outcome)
             while isinstance(outcome, Err) and self._may_resume(outcome, progress):
                 progress.resumes += 1
+                received = progress.next_index
                 outcome = attempt.receive(
                     lambda on_event: adapter.resume(
                         address,
@@ -255,11 +256,12 @@
                         sink.wait,
                     )
                 )
+                # An engine that goes on with the stream has not crashed.
+                broke_off = broke_off and progress.next_index == received
         finally:
             self.placement.record_completion(decision)
         if isinstance(outcome, Err):
             self._record_upstream_failure(decision, outcome.err_value)
-        # An engine that resumes the stream has not crashed.
         if isinstance(outcome, Ok) or broke_off:
             crashed = isinstance(outcome, Err)
             self._record_evidence(decision, completion, progress, sent_s, crashed)
--- a/rosemaryyoke/streams/tests/test_crashing_prompts.py
+++ b/rosemaryyoke/streams/tests/test_crashing_prompts.py
@@ -8,6 +8,7 @@
 from rosemaryyoke.quarantine.prefixes import FIRST_PREFIX_BYTES
 from rosemaryyoke.quarantine.tests.builders import review_for
 from rosemaryyoke.streams import CompletionRequest
+from rosemaryyoke.streams.relay import MAX_RESUMES
 from rosemaryyoke.streams.tests.builders import (
     NO_RULES,
     RecordingSink,
@@ -84,6 +85,16 @@
     assert not relay.quarantine.evidence.crashes
 
 
+# Guards against bans of sound prefixes by an engine that cuts its connections.
+def test_engine_that_went_on_with_its_stream_has_not_crashed():
+    cut = [["token", "crash"]] * (1 + MAX_RESUMES)
+    relay = make_relay([*cut, []] * REQUESTS)
+    for number in range(REQUESTS):
+        run(relay, make_prompt("sound", number))
+    relay.quarantine.review()
+    assert not relay.quarantine.evidence.crashes
+
+
 def test_suspected_prefix_is_not_repeated():
     relay = make_relay([["crash"]] * 1_000)
     run(relay, make_prompt("bad", 0))
