The test of a slow caller gives its stream the time that it takes

The route ends a request after 3 s; 1.3 s of these are the caller's pause, and relaying 20 MB in a process beside ten busy ones took up to 2.3 s.

The test is about stalls, so its route now allows 30 s; a caller's header can only shorten the time. The assertions are the same. No serving code is touched.

--- a/rosemaryyoke/platform/tests/test_stalled_engines.py
+++ b/rosemaryyoke/platform/tests/test_stalled_engines.py
@@ -12,7 +12,11 @@
 
 from rosemaryyoke.fleet import UpstreamLoad
 from rosemaryyoke.fleet.state import PREFILL_TOKENS_PER_S
-from rosemaryyoke.platform.standins.documents import make_registration
+from rosemaryyoke.platform.standins.documents import (
+    make_configuration,
+    make_registration,
+    make_route,
+)
 from rosemaryyoke.platform.standins.servers import (
     read_answer,
     send_client_request,
@@ -22,6 +26,7 @@
 
 STALL_S = 1.3  # longer than the limits on a stalled stream and on a first event
 LONG_DEADLINE = {"Deadline-Ms": "4000"}
+SLOW_READER_TIMEOUT_MS = 30_000  # a busy machine takes seconds to relay its stream
 
 
 def stall_after(events, stall_s=STALL_S):
@@ -153,6 +158,9 @@
             head = b""
         caller.end_stream(head)
 
+    routes = [make_route(timeoutMs=SLOW_READER_TIMEOUT_MS)]
+    deployment.store.set("config", "main", make_configuration(2, routes))
+    wait_for(lambda: deployment.host.catalog.configuration.version == 2)
     script_all(deployment.engines, large_events, large_events)
     address, lines = deployment.callers, ["POST /chat/1 HTTP/1.1", "Host: a.example"]
     lines += ["Request-Id: r1", "Authorization: Bearer k1", "Content-Length: 0"]
