The soak cuts hosts off from upstreams

Links can't: all hosts share the link to an upstream, and a link accepts before it resets. Hosts of the soak now start through rosemaryyoke.soak.partition, which takes the place of the system's connect and follows a file: new connections to the named ports hang, are reset or are refused; open ones become silent, are reset or live on. The fault cuts one to all of the hosts for 4 to 8 s.

A new invariant compares what cut hosts and the others serve from 3 s after the cut (RECOVER: two thirds), while nothing else is disturbed.

--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -12,7 +12,9 @@
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm
 from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
 from rosemaryyoke.soak.history import now_s
+from rosemaryyoke.soak.invariants import CUT_OFF_FAULT
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
+from rosemaryyoke.soak.partition import MODES, Partition
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
 
 SHORT_S = (0.1, 0.6)
@@ -25,6 +27,7 @@
 LIMITS = (b"0", b"0.25", b"2", b"5.5")
 LIMITED_S = (5.0, 9.0)  # longer than the time that hosts have to keep to a limit
 LOST_WRITES = 3
+CUT_OFF_S = (4.0, 8.0)  # longer than the time that hosts have to forward
 SOFTWARE_VERSIONS = ("v1", "v2")
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
 
@@ -118,6 +121,26 @@
     inject_link_fault(context, context.rng.choice(context.testbed.hosts).caller_link)
 
 
+@faults.register(CUT_OFF_FAULT)
+def cut_hosts_off(context: FaultContext) -> None:
+    """Cut some hosts off from all upstreams; now and then all of them."""
+    testbed = context.testbed
+    with try_lock(testbed.partition_lock) as acquired:
+        if not acquired:
+            return
+        count = context.rng.randint(1, len(testbed.hosts))
+        hosts = context.rng.sample(testbed.hosts, count)
+        partition = Partition(context.rng.choice(MODES), testbed.upstream_ports())
+        entry = testbed.history.begin_cut([host.name for host in hosts])
+        for host in hosts:
+            host.cut(partition)
+        context.wait(CUT_OFF_S)
+        entry.ended_s = now_s()
+        for host in hosts:
+            host.cut(Partition())
+        context.wait(SHORT_S)
+
+
 @faults.register("link to an upstream")
 def inject_upstream_link_fault(context: FaultContext) -> None:
     """Set a random fault on the link to an upstream."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -107,6 +107,15 @@
     ended_s: float = math.inf
 
 
+@define
+class CutOff:
+    """The hosts that reach no upstream for a time."""
+
+    hosts: list[str]
+    started_s: float
+    ended_s: float = math.inf
+
+
 @define(eq=False)
 class History:
     """Written by callers, upstreams and the injector; read by the invariant checks."""
@@ -118,6 +127,7 @@
     broken_off: list[BrokenOff] = field(factory=list)
     crashed_runs: list[CrashedRun] = field(factory=list)
     limits: list[NamedLimit] = field(factory=list)
+    cuts: list[CutOff] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -157,6 +167,12 @@
             self.limits.append(NamedLimit(upstream, limit_per_s, now_s()))
             return self.limits[-1]
 
+    def begin_cut(self, hosts: list[str]) -> CutOff:
+        """Record that hosts are cut off from all upstreams, and return the entry."""
+        with self.lock:
+            self.cuts.append(CutOff(hosts, now_s()))
+            return self.cuts[-1]
+
     def copy(self) -> "History":
         """Return a snapshot of the history."""
         with self.lock:
@@ -171,6 +187,7 @@
                 list(self.broken_off),
                 list(self.crashed_runs),
                 [evolve(item) for item in self.limits],
+                [evolve(item) for item in self.cuts],
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -11,6 +11,7 @@
     STREAM,
     UNSAFE,
     CallResult,
+    CutOff,
     Execution,
     History,
     OrderExecution,
@@ -29,6 +30,9 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5  # requests
 HOST_DISRUPTIONS = frozenset({"host killed", "host frozen"})
+CUT_OFF_FAULT = "hosts cut off from upstreams"
+MIN_COMPARED_CALLS = 20
+SERVED_SHARE_OF_OTHERS = 2 / 3
 LIMIT_MARGIN_S = 0.1  # hosts end a request this long before its deadline
 
 Check = Callable[[History], list[str]]
@@ -276,3 +280,39 @@
 def count_in_window(times_s: list[float], start_s: float) -> int:
     """Return how many moments are within a window."""
     return sum(start_s <= at_s < start_s + LIMIT_WINDOW_S for at_s in times_s)
+
+
+@invariants.register("hosts cut off from upstreams serve by way of others")
+def check_cut_hosts(history: History) -> list[str]:
+    """Compare what cut hosts and the others serve while nothing else is disturbed."""
+    violations = []
+    for cut in history.cuts:
+        calls = [call for call in history.calls.values() if is_in_cut(call, cut)]
+        calls = [call for call in calls if not is_disturbed_beside_cuts(call, history)]
+        inside = [is_served(call) for call in calls if call.host in cut.hosts]
+        others = [is_served(call) for call in calls if call.host not in cut.hosts]
+        if min(len(inside), len(others)) < MIN_COMPARED_CALLS:
+            continue
+        share, usual = sum(inside) / len(inside), sum(others) / len(others)
+        if share < SERVED_SHARE_OF_OTHERS * usual:
+            violations.append(f"{cut} served {share:.2f}, the others {usual:.2f}")
+    return violations
+
+
+def is_in_cut(call: CallResult, cut: CutOff) -> bool:
+    """Return whether a call was made while a cut was known."""
+    return cut.started_s + STABLE_S <= call.sent_s and call.ended_s <= cut.ended_s
+
+
+def is_served(call: CallResult) -> bool:
+    """Return whether a call brought a whole answer."""
+    return call.status == SUCCESS and call.complete
+
+
+def is_disturbed_beside_cuts(call: CallResult, history: History) -> bool:
+    """Return whether a fault other than a cut may have caused the end of a call."""
+    return any(
+        item.started_s <= call.ended_s and item.ended_s >= call.sent_s - STABLE_S
+        for item in history.disruptions
+        if item.name != CUT_OFF_FAULT
+    )
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -36,6 +36,7 @@
 )
 from rosemaryyoke.soak.invariants import EVENTS, body_text, event_text
 from rosemaryyoke.soak.link import Link
+from rosemaryyoke.soak.partition import Partition
 from rosemaryyoke.testing.builders import free_port
 
 PORTS_PER_HOST = 6
@@ -65,6 +66,7 @@
     caller_link: Link
     store: Link
     readiness: Address
+    partition: Path
     popen: subprocess.Popen | None = None
     frozen: bool = False
     exit_expected: bool = False
@@ -76,6 +78,10 @@
             self.popen = subprocess.Popen(self.command, stdout=log, stderr=log)
         self.exit_expected = False
 
+    def cut(self, partition: Partition) -> None:
+        """Cut the process off from upstreams, or end that."""
+        partition.save(self.partition)
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal."""
         self.popen.send_signal(number)
@@ -128,6 +134,7 @@
     nodes: list[UpstreamNode] = field(factory=list)
     store: StoreStandin = field(factory=StoreStandin)
     store_lock: threading.Lock = field(factory=threading.Lock)
+    partition_lock: threading.Lock = field(factory=threading.Lock)
     configuration: int = 0
     published: dict = field(factory=dict)
     weights: int = 1
@@ -207,13 +214,15 @@
         caller_link = Link(host_address, Address("127.0.0.1", free_port()))
         program = "rosemaryyoke.soak.clock"
         program = program if number == JUMPING_CLOCK_HOST else "rosemaryyoke"
-        command = [sys.executable, "-m", program, "route", "--settings", str(path)]
+        partition = self.folder / f"{name}.partition"
+        cutter = [sys.executable, "-m", "rosemaryyoke.soak.partition", str(partition)]
+        command = [*cutter, program, "route", "--settings", str(path)]
         readiness = Address("127.0.0.1", port + 1)
         log = self.folder / f"{name}.log"
         for link in (store, caller_link):
             link.start()
         self.hosts.append(
-            HostProcess(name, command, log, caller_link, store, readiness)
+            HostProcess(name, command, log, caller_link, store, readiness, partition)
         )
 
     def register_node(self, node: UpstreamNode, state: str) -> None:
@@ -286,6 +295,12 @@
         )
         for link in self.links():
             link.heal()
+        for host in self.hosts:
+            host.cut(Partition())
+
+    def upstream_ports(self) -> tuple[int, ...]:
+        """Return the ports at which hosts reach the upstreams."""
+        return tuple(node.link.address.port for node in self.nodes)
 
     def links(self) -> list[Link]:
         """Return all links."""
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -14,7 +14,7 @@
     History,
     OrderExecution,
 )
-from rosemaryyoke.soak.invariants import body_text
+from rosemaryyoke.soak.invariants import MIN_COMPARED_CALLS, body_text
 
 
 def make_history(
@@ -25,6 +25,7 @@
     broken_off=(),
     crashed_runs=(),
     limits=(),
+    cuts=(),
 ):
     """Return a history with the given entries."""
     history = History(
@@ -32,6 +33,7 @@
         broken_off=list(broken_off),
         crashed_runs=list(crashed_runs),
         limits=list(limits),
+        cuts=list(cuts),
     )
     for item in calls:
         history.record_call(item)
@@ -103,3 +105,13 @@
 def make_crashed_runs(times_s, part="bad"):
     """Return runs that crashed upstreams at some times because of one part."""
     return [CrashedRun(part, f"e{n}", at_s) for n, at_s in enumerate(times_s)]
+
+
+def make_compared_calls(failed):
+    """Return calls at a cut host, of which some failed, and as many at another one."""
+    calls = [
+        make_call(f"safe-{number}", sent_s=5.0, status=503 if number < failed else 200)
+        for number in range(MIN_COMPARED_CALLS)
+    ]
+    others = [evolve(call, host="front-1", status=200) for call in calls]
+    return calls + [evolve(call, request=f"{call.request}b") for call in others]
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -1,17 +1,19 @@
 """Each invariant reports a history that violates it, and accepts one that does not."""
 
 import pytest
+from attrs import evolve
 
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     ABANDONED,
     NOT_CONNECTED,
     RESET,
 )
-from rosemaryyoke.soak.history import STREAM, UNSAFE, NamedLimit
+from rosemaryyoke.soak.history import STREAM, UNSAFE, CutOff, NamedLimit
 from rosemaryyoke.soak.invariants import EVENTS, event_text, invariants
 from rosemaryyoke.soak.tests.builders import (
     make_broken_off,
     make_call,
+    make_compared_calls,
     make_crashed_runs,
     make_cut_call,
     make_disruption,
@@ -33,6 +35,8 @@
 CRASHING = "what crashed several upstreams reaches few more"
 LIMIT = "an upstream gets no more than the limit that it names"
 LOST = "an accepted request is not lost"
+CUT = "hosts cut off from upstreams serve by way of others"
+CUT_HOST = CutOff(["front-0"], 1.0, 9.0)
 
 
 def make_executions(times_s):
@@ -138,6 +142,7 @@
             disruptions=[make_disruption(0.0, 2.0)],
         ),
     ),
+    (CUT, make_history(make_compared_calls(failed=8), cuts=[CUT_HOST])),
 ]
 
 VALID_HISTORY = make_history(
@@ -234,3 +239,21 @@
         disruptions=[make_disruption(5.0, 6.5)],
     )
     assert not invariants.get(LIMIT)(history)
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        make_history(make_compared_calls(failed=6), cuts=[CUT_HOST]),
+        make_history(
+            make_compared_calls(failed=20), cuts=[evolve(CUT_HOST, ended_s=5)]
+        ),
+        make_history(
+            make_compared_calls(failed=20),
+            cuts=[CUT_HOST],
+            disruptions=[make_disruption(1.0, 3.0)],
+        ),
+    ],
+)
+def test_cut_host_that_serves_or_is_disturbed_is_no_violation(history):
+    assert not invariants.get(CUT)(history)
