Ban requests that crash the only upstream of a service

Cause: a verdict needs crashes of two upstreams, as a single faulty one may break off all answers.

Why the fix works: an upstream that answers other requests between its crashes doesn't break off all. Each crash keeps whether this host got an answer from the upstream after the crash before. An upstream that answers nothing, or seldom, bans nothing (test_only_upstream_that_seldom_answers_bans_nothing).

--- a/rosemaryyoke/platform/tests/test_crashing_requests.py
+++ b/rosemaryyoke/platform/tests/test_crashing_requests.py
@@ -279,6 +279,20 @@
     assert sends <= MAX_REPEATS
 
 
+# Guards against a service's only upstream that one request crashes again and again.
+def test_request_that_crashes_the_only_upstream_reaches_no_more(fleet):
+    for upstream in fleet.upstreams[UPSTREAMS + 1 :]:
+        fleet.store.remove("servers", upstream.name)
+    for host in fleet.hosts:
+        wait_for(lambda: len(host.fleet.states_of_service("records")) == 1)
+    for number in range(2 * UPSTREAMS):
+        fleet.send(host=number % 2)
+        fleet.send(SOUND, host=number % 2)
+    time.sleep(STABLE_S)
+    assert fleet.count_sends(lambda: fleet.send_many(REPEATS)) <= MAX_REPEATS
+    assert fleet.send_many(REPEATS, SOUND) == [200] * REPEATS
+
+
 # Guards against several such requests at once, of which each needs its own evidence.
 def test_many_requests_that_crash_upstreams_reach_no_more(fleet):
     bodies = [BAD + b"%d" % number for number in range(10)]
--- a/rosemaryyoke/quarantine/evidence.py
+++ b/rosemaryyoke/quarantine/evidence.py
@@ -48,12 +48,14 @@
     """One crash of an engine, with the prompts that it ended, by request.
 
     ``last_sent_s`` is when the last of these prompts was sent, ``keys`` holds all of
-    their keys.
+    their keys. ``follows_answer`` says that the engine had answered what this host sent
+    after its crash before.
     """
 
     upstream: int
     at_s: float
     last_sent_s: float
+    follows_answer: bool = False
     prompts: dict[int, EndedPrompt] = field(factory=dict)
     keys: set[int] = field(factory=set)
 
@@ -104,7 +106,12 @@
             return False
         crash = self._find(outcome)
         if crash is None:
-            crash = Crash(outcome.upstream, outcome.ended_s, outcome.sent_s)
+            crash = Crash(
+                outcome.upstream,
+                outcome.ended_s,
+                outcome.sent_s,
+                self._has_answered_since_crash(outcome.upstream),
+            )
             self._replace([*self.crashes, crash][-MAX_CRASHES:])
         known = outcome.request in crash.prompts
         if known or len(crash.prompts) >= MAX_PROMPTS_PER_CRASH:
@@ -119,6 +126,12 @@
                 involving.append(crash)
         return True
 
+    def _has_answered_since_crash(self, upstream: int) -> bool:
+        """Return whether an engine answers again after its last known crash."""
+        times_s = [item.at_s for item in self.crashes if item.upstream == upstream]
+        spans = self.survivals.spans.get(upstream, ())
+        return bool(times_s) and any(sent_s > max(times_s) for sent_s, _ in spans)
+
     def _replace(self, crashes: list[Crash]) -> None:
         self.crashes = sorted(crashes, key=lambda item: item.at_s)
         self.crashes_by_key = {}
--- a/rosemaryyoke/quarantine/repetitions.py
+++ b/rosemaryyoke/quarantine/repetitions.py
@@ -20,6 +20,9 @@
 
 MIN_CRASHES = 3
 MIN_CRASHES_AFTER_SUCCESS = 4
+# Of a service's only upstream, which answers other requests between them.
+MIN_CRASHES_OF_ONE_UPSTREAM = 5
+MIN_ANSWERS_BETWEEN = 3
 SUSPECT_CRASHES = 2
 SUSPECT_SHARE = 0.5  # of the crashes since its first one
 
@@ -66,21 +69,27 @@
         """Return the number of upstreams that crashed."""
         return len({crash.upstream for crash in self.crashes})
 
+    @property
+    def wanted_crashes(self) -> int:
+        """Return how many crashes suffice."""
+        if self.upstreams < MIN_UPSTREAMS:
+            return MIN_CRASHES_OF_ONE_UPSTREAM
+        return MIN_CRASHES_AFTER_SUCCESS if self.succeeded else MIN_CRASHES
+
     @property
     def is_strong(self) -> bool:
         """Return whether the evidence is enough unless it is refuted."""
-        wanted = MIN_CRASHES_AFTER_SUCCESS if self.succeeded else MIN_CRASHES
-        return (
-            len(self.times_s) >= wanted
-            and self.upstreams >= MIN_UPSTREAMS
-            and self.is_repeated
-        )
+        if not self.is_repeated or len(self.times_s) < self.wanted_crashes:
+            return False
+        if self.upstreams >= MIN_UPSTREAMS:
+            return True
+        answers = sum(crash.follows_answer for crash in self.crashes)
+        return not self.succeeded and answers >= MIN_ANSWERS_BETWEEN
 
     @property
     def settles_s(self) -> float:
         """Return when answers would have refuted the first crashes that suffice."""
-        wanted = MIN_CRASHES_AFTER_SUCCESS if self.succeeded else MIN_CRASHES
-        return self.times_s[wanted - 1] + SETTLE_S
+        return self.times_s[self.wanted_crashes - 1] + SETTLE_S
 
 
 def collect_repetitions(
--- a/rosemaryyoke/quarantine/tests/test_repetitions.py
+++ b/rosemaryyoke/quarantine/tests/test_repetitions.py
@@ -8,7 +8,10 @@
 from rosemaryyoke.quarantine.bans import MAX_REQUEST_PROBES
 from rosemaryyoke.quarantine.evidence import MAX_REQUEST_SUCCESSES
 from rosemaryyoke.quarantine.quarantine import TRIAL_TIMEOUT_S
-from rosemaryyoke.quarantine.repetitions import MIN_CRASHES
+from rosemaryyoke.quarantine.repetitions import (
+    MIN_CRASHES,
+    MIN_CRASHES_OF_ONE_UPSTREAM,
+)
 from rosemaryyoke.quarantine.rows import (
     decode_outcomes,
     encode_fingerprints,
@@ -80,6 +83,34 @@
     assert not group.refuses(0, BAD) and group.hosts[0].is_suspect((BAD,))
 
 
+def crash_only_upstream(group, crashes, answers):
+    """Let a request crash the same engine, which answers another one in between."""
+    for number in range(crashes):
+        group.clock.at_s += RUN_S
+        if number < answers:
+            for host in range(group.count):
+                group.answer(host, (), upstream=100, fingerprint=SOUND)
+        group.clock.at_s += RUN_S
+        group.crash(number % group.count, (), 100, fingerprint=BAD, lasted_s=RUN_S / 2)
+        group.pass_time(RUN_S)
+
+
+# Guards against a request that crashes the only upstream of its service for good.
+def test_request_that_crashes_the_only_upstream_is_banned(group):
+    crash_only_upstream(group, MIN_CRASHES_OF_ONE_UPSTREAM, answers=DAY_S)
+    assert group.refusing(BAD) == group.count
+    group.pass_time(STABLE_S)
+    assert group.refusing(BAD) == group.count and not group.refusing(SOUND)
+
+
+# Guards against the refusal of a request since the only upstream fails.
+@pytest.mark.parametrize("answers", [0, 2])
+def test_only_upstream_that_seldom_answers_bans_nothing(group, answers):
+    crash_only_upstream(group, 2 * MIN_CRASHES_OF_ONE_UPSTREAM, answers)
+    group.pass_time(STABLE_S)
+    assert not group.refusing(BAD)
+
+
 # Guards against several engines that crash before the first crash is known.
 def test_repetitions_of_a_suspect_are_sent_one_at_a_time(group):
     crash_in_turn(group, BAD, crashes=2)
