Hosts of the soak start without importing the soak

The module moves to rosemaryyoke.testing, whose package imports nothing. front-0 still starts by rosemaryyoke.soak.clock, as before.

--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -14,8 +14,8 @@
 from rosemaryyoke.soak.history import now_s
 from rosemaryyoke.soak.invariants import CUT_OFF_FAULT
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
-from rosemaryyoke.soak.partition import MODES, Partition
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
+from rosemaryyoke.testing.partition import MODES, Partition
 
 SHORT_S = (0.1, 0.6)
 LONG_S = (0.3, 3.0)
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -36,8 +36,8 @@
 )
 from rosemaryyoke.soak.invariants import EVENTS, body_text, event_text
 from rosemaryyoke.soak.link import Link
-from rosemaryyoke.soak.partition import Partition
 from rosemaryyoke.testing.builders import free_port
+from rosemaryyoke.testing.partition import Partition
 
 PORTS_PER_HOST = 6
 HOST_COUNT = 3
@@ -215,7 +215,12 @@
         program = "rosemaryyoke.soak.clock"
         program = program if number == JUMPING_CLOCK_HOST else "rosemaryyoke"
         partition = self.folder / f"{name}.partition"
-        cutter = [sys.executable, "-m", "rosemaryyoke.soak.partition", str(partition)]
+        cutter = [
+            sys.executable,
+            "-m",
+            "rosemaryyoke.testing.partition",
+            str(partition),
+        ]
         command = [*cutter, program, "route", "--settings", str(path)]
         readiness = Address("127.0.0.1", port + 1)
         log = self.folder / f"{name}.log"
--- a/rosemaryyoke/soak/tests/test_partition.py
+++ b/rosemaryyoke/soak/tests/test_partition.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rosemaryyoke.soak.partition import (
+from rosemaryyoke.testing.partition import (
     HANGING,
     MODES,
     REFUSING,
--- a/rosemaryyoke/soak/partition.py
+++ b/rosemaryyoke/testing/partition.py
@@ -5,7 +5,7 @@
 
 Example::
 
-    python -m rosemaryyoke.soak.partition partition.json rosemaryyoke route ...
+    python -m rosemaryyoke.testing.partition partition.json rosemaryyoke route ...
 """
 
 import os
