The soak makes upstreams brittle

Plain upstreams now say for some seconds that they are brittle, take 0.3 s longer for each request, and from 3 s on have four slots and no queue: more than three refusals in a second end one for a second. Callers ask for more than their slots. A new invariant allows two falls and a tenth of the upstreams' number, but near killed or frozen hosts.

--- a/rosemaryyoke/platform/standins/documents.py
+++ b/rosemaryyoke/platform/standins/documents.py
@@ -6,6 +6,7 @@
 
 MODEL = "m1"
 KV_STORE_SERVICE = "keep"
+SLOTS = 4  # of each upstream
 
 
 def make_route(name="chat", **changes):
@@ -31,7 +32,7 @@
 def make_configuration(version=1, routes=None, tenants=None):
     """Return a configuration with a model service, a plain service and a KV store."""
     engine = {
-        "slots": 4,
+        "slots": SLOTS,
         "kvCapacityTokens": 100_000,
         "tokenKvBytes": 35_136,
         "linkMbps": 740_000.0,
@@ -72,7 +73,7 @@
         "address": address,
         "zone": "z1",
         "version": "v1",
-        "slots": 4,
+        "slots": SLOTS,
         "state": "ready",
         "coldRemainingMs": 0,
         "seq": 1,
--- a/rosemaryyoke/platform/standins/simulated_upstreams.py
+++ b/rosemaryyoke/platform/standins/simulated_upstreams.py
@@ -27,6 +27,7 @@
 from rosemaryyoke.platform import names
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm, AnswerWriter
 from rosemaryyoke.platform.standins.documents import MODEL
+from rosemaryyoke.platform.standins.limited_slots import LimitedSlots
 from rosemaryyoke.platform.standins.servers import EngineStandin, stream_headers
 
 EVENT_INTERVAL_S = 0.02
@@ -75,7 +76,8 @@
     ``first_event_after_s``, and no stream goes on before ``next_event_after_s``; both
     are times of the monotonic clock. It crashes as it begins to answer a prompt with
     one of ``crashing_parts`` that is not the last part, or any request with one of
-    ``crashing_targets``.
+    ``crashing_targets``. A request takes ``run_s`` longer than usual, and one of
+    ``limited_slots`` if these are set.
     """
 
     on_run: Callable[[RunRecord], None] = lambda record: None
@@ -92,6 +94,8 @@
     crashing_parts: set[str] = field(factory=set)
     crashing_targets: set[str] = field(factory=set)
     on_crash: Callable[[str, str], None] = lambda name, part: None
+    run_s: float = 0.0
+    limited_slots: LimitedSlots | None = None
     first_event_after_s: float = 0.0
     next_event_after_s: float = 0.0
     order_lock: threading.Lock = field(factory=threading.Lock)
@@ -116,9 +120,23 @@
             self.reply(message, caller, 421, not_run)
         elif self.script:
             self.script.pop(0)(self, message, caller)
+        elif self.limited_slots is not None:
+            self.run_in_slot(self.limited_slots, message, caller)
         else:
             self.run_request(message, caller)
 
+    def run_in_slot(
+        self, slots: LimitedSlots, message: RequestMessage, caller: CallerConnection
+    ) -> None:
+        """Execute a request if there is a slot for it; refuse it otherwise."""
+        if not slots.acquire():
+            self.reply(message, caller, 503, [(names.NOT_EXECUTED, b"1")])
+            return
+        try:
+            self.run_request(message, caller)
+        finally:
+            slots.release()
+
     def quiet_headers(self) -> Headers:
         """Return the header that asks for a pause, if the upstream wants one."""
         if not (self.busy and self.quiet_s):
@@ -197,6 +215,7 @@
             time.sleep(EVENT_INTERVAL_S)
             self.on_crash(self.name, target)
             raise OSError("the engine crashed")
+        time.sleep(self.run_s)
         if not streams:
             self.wait_event(first=True)
             body = self.make_body(request, name)
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -3,15 +3,18 @@
 import random
 import signal
 import threading
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
+from functools import partial
 from typing import Callable, Iterator
 
 from attrs import define
 
 from rosemaryyoke.core import Registry
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm
+from rosemaryyoke.platform.standins.documents import SLOTS
+from rosemaryyoke.platform.standins.limited_slots import LimitedSlots
 from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
-from rosemaryyoke.soak.history import now_s
+from rosemaryyoke.soak.history import BrittleTime, now_s
 from rosemaryyoke.soak.invariants import CUT_OFF_FAULT
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
@@ -27,6 +30,11 @@
 LIMITS = (b"0", b"0.25", b"2", b"5.5")
 LIMITED_S = (5.0, 9.0)  # longer than the time that hosts have to keep to a limit
 LOST_WRITES = 3
+BRITTLE_TOLERANCE = 3  # refusals a second
+BRITTLE_RUN_S = 0.3
+BRITTLE_TOLD_S = (3.0, 3.5)  # until upstreams that say so may fall over
+BRITTLE_S = (3.0, 5.0)
+BRITTLE_DOWN_S = (1.0, 1.2)
 CUT_OFF_S = (4.0, 8.0)  # longer than the time that hosts have to forward
 SOFTWARE_VERSIONS = ("v1", "v2")
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
@@ -249,6 +257,43 @@
         context.wait(SHORT_S)
 
 
+@faults.register("plain upstreams brittle")
+def make_upstreams_brittle(context: FaultContext) -> None:
+    """Let slow upstreams without a queue fall over when they refuse too much."""
+    testbed = context.testbed
+    nodes = [node for node in testbed.nodes if not node.is_engine]
+    with ExitStack() as stack:
+        if not all(stack.enter_context(try_lock(node.lock)) for node in nodes):
+            return
+        entry = testbed.history.begin_brittle_time(len(nodes))
+        for node in nodes:
+            node.upstream.brittle = b"%d" % BRITTLE_TOLERANCE
+            node.upstream.run_s = BRITTLE_RUN_S
+        context.wait(BRITTLE_TOLD_S)
+        for node in nodes:
+            fall = partial(let_fall, node, entry)
+            slots = LimitedSlots(SLOTS, BRITTLE_TOLERANCE, fall)
+            node.upstream.limited_slots = slots
+        context.wait(BRITTLE_S)
+        entry.ended_s = now_s()
+        for node in nodes:
+            node.upstream.brittle = node.upstream.limited_slots = None
+            node.upstream.run_s = 0.0
+        context.wait(BRITTLE_DOWN_S)
+        for node in nodes:
+            node.link.heal()
+
+
+def let_fall(node: UpstreamNode, entry: BrittleTime) -> None:
+    """Abort an upstream's connections, and refuse new ones for a while."""
+    entry.falls_s.append(now_s())
+    node.link.refusing = True
+    node.link.reset()
+    timer = threading.Timer(BRITTLE_DOWN_S[0], node.link.heal)
+    timer.daemon = True
+    timer.start()
+
+
 @faults.register("upstream replaced at its address")
 def replace_upstream(context: FaultContext) -> None:
     """Reuse an upstream's address for another before the first is deregistered."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -107,6 +107,16 @@
     ended_s: float = math.inf
 
 
+@define
+class BrittleTime:
+    """A time in which the upstreams of a service say that they are brittle."""
+
+    upstreams: int
+    started_s: float
+    ended_s: float = math.inf
+    falls_s: list[float] = field(factory=list)
+
+
 @define
 class CutOff:
     """The hosts that reach no upstream for a time."""
@@ -128,6 +138,7 @@
     crashed_runs: list[CrashedRun] = field(factory=list)
     limits: list[NamedLimit] = field(factory=list)
     cuts: list[CutOff] = field(factory=list)
+    brittle_times: list[BrittleTime] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -167,6 +178,12 @@
             self.limits.append(NamedLimit(upstream, limit_per_s, now_s()))
             return self.limits[-1]
 
+    def begin_brittle_time(self, upstreams: int) -> BrittleTime:
+        """Record that upstreams say that they are brittle, and return the entry."""
+        with self.lock:
+            self.brittle_times.append(BrittleTime(upstreams, now_s()))
+            return self.brittle_times[-1]
+
     def begin_cut(self, hosts: list[str]) -> CutOff:
         """Record that hosts are cut off from all upstreams, and return the entry."""
         with self.lock:
@@ -188,6 +205,10 @@
                 list(self.crashed_runs),
                 [evolve(item) for item in self.limits],
                 [evolve(item) for item in self.cuts],
+                [
+                    evolve(item, falls_s=list(item.falls_s))
+                    for item in self.brittle_times
+                ],
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -31,6 +31,8 @@
 LIMIT_SLACK = 5  # requests
 HOST_DISRUPTIONS = frozenset({"host killed", "host frozen"})
 CUT_OFF_FAULT = "hosts cut off from upstreams"
+MAX_FALLS = 2
+FALLS_PER_UPSTREAM = 0.1
 MIN_COMPARED_CALLS = 20
 SERVED_SHARE_OF_OTHERS = 2 / 3
 LIMIT_MARGIN_S = 0.1  # hosts end a request this long before its deadline
@@ -316,3 +318,14 @@
         for item in history.disruptions
         if item.name != CUT_OFF_FAULT
     )
+
+
+@invariants.register("brittle upstreams seldom fall over")
+def check_brittle_upstreams(history: History) -> list[str]:
+    """Find times in which brittle upstreams fell more often than they may."""
+    violations = []
+    for item in history.brittle_times:
+        falls = [at_s for at_s in item.falls_s if not is_host_disturbed(at_s, history)]
+        if len(falls) > MAX_FALLS + FALLS_PER_UPSTREAM * item.upstreams:
+            violations.append(f"{item}")
+    return violations
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -26,6 +26,7 @@
     crashed_runs=(),
     limits=(),
     cuts=(),
+    brittle_times=(),
 ):
     """Return a history with the given entries."""
     history = History(
@@ -34,6 +35,7 @@
         crashed_runs=list(crashed_runs),
         limits=list(limits),
         cuts=list(cuts),
+        brittle_times=list(brittle_times),
     )
     for item in calls:
         history.record_call(item)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -8,7 +8,13 @@
     NOT_CONNECTED,
     RESET,
 )
-from rosemaryyoke.soak.history import STREAM, UNSAFE, CutOff, NamedLimit
+from rosemaryyoke.soak.history import (
+    STREAM,
+    UNSAFE,
+    BrittleTime,
+    CutOff,
+    NamedLimit,
+)
 from rosemaryyoke.soak.invariants import EVENTS, event_text, invariants
 from rosemaryyoke.soak.tests.builders import (
     make_broken_off,
@@ -36,6 +42,8 @@
 LIMIT = "an upstream gets no more than the limit that it names"
 LOST = "an accepted request is not lost"
 CUT = "hosts cut off from upstreams serve by way of others"
+BRITTLE = "brittle upstreams seldom fall over"
+THREE_FALLS_S = [5.0, 6.0, 7.0]
 CUT_HOST = CutOff(["front-0"], 1.0, 9.0)
 
 
@@ -143,6 +151,7 @@
         ),
     ),
     (CUT, make_history(make_compared_calls(failed=8), cuts=[CUT_HOST])),
+    (BRITTLE, make_history(brittle_times=[BrittleTime(2, 1.0, 9.0, THREE_FALLS_S)])),
 ]
 
 VALID_HISTORY = make_history(
@@ -257,3 +266,13 @@
 )
 def test_cut_host_that_serves_or_is_disturbed_is_no_violation(history):
     assert not invariants.get(CUT)(history)
+
+
+def test_few_falls_of_brittle_upstreams_or_some_near_a_killed_host_are_allowed():
+    few = make_history(brittle_times=[BrittleTime(2, 1.0, 9.0, THREE_FALLS_S[:2])])
+    assert not invariants.get(BRITTLE)(few)
+    excused = make_history(
+        brittle_times=[BrittleTime(2, 1.0, 9.0, THREE_FALLS_S)],
+        disruptions=[make_disruption(4.0, 4.5)],
+    )
+    assert not invariants.get(BRITTLE)(excused)
--- a/rosemaryyoke/soak/tests/test_simulated_upstreams.py
+++ b/rosemaryyoke/soak/tests/test_simulated_upstreams.py
@@ -10,6 +10,7 @@
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.http1.sockets import listen
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm
+from rosemaryyoke.platform.standins.limited_slots import LimitedSlots
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     ABANDONED,
     CLOSED,
@@ -136,3 +137,17 @@
     upstream.form, upstream.events = AnswerForm.UNBOUNDED, 5
     exchange, _ = call(upstream)
     assert not exchange.message.complete
+
+
+def test_limited_slots_fall_after_too_many_refusals_in_a_second():
+    falls, clock = [], [1.0]
+    slots = LimitedSlots(1, 2, lambda: falls.append(clock[0]), now_s=lambda: clock[0])
+    assert slots.acquire()
+    for _ in range(4):
+        assert not slots.acquire()
+        clock[0] += 0.6
+    assert not falls
+    assert not slots.acquire() and not slots.acquire()
+    assert falls == [clock[0]]
+    slots.release()
+    assert slots.acquire()
