--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -85,9 +85,10 @@
     ``announced`` is when the last success that all hosts know of was sent, by part;
     ``disproved_s`` is the time until which all hosts know that an engine has not
     crashed. ``pending`` and ``pending_survivals`` hold what to announce, and when.
-    ``on_news`` is called when there is something to tell the other hosts at once. A
-    host that ``relays`` passes on what is new to it, where not all hosts hear each
-    other.
+    ``judges_from_s`` is when a verdict may be reached; ``reviewed_s`` is when crashes
+    were last looked at. ``on_news`` is called when there is something to tell the other
+    hosts at once. A host that ``relays`` passes on what is new to it, where not all
+    hosts hear each other.
     """
 
     now_s: Callable[[], float] = time.monotonic
