--- a/rosemaryyoke/platform/standins/limited_slots.py
+++ b/rosemaryyoke/platform/standins/limited_slots.py
@@ -1,4 +1,4 @@
-"""Slots of an upstream without a queue, which falls over when it refuses too much."""
+"""Slots of an upstream without a queue that crashes on too many rejections."""
 
 import threading
 import time
@@ -12,7 +12,7 @@
 
 @define(eq=False)
 class LimitedSlots:
-    """Counts what runs and what is refused.
+    """Limits the concurrent requests and counts the rejected ones.
 
     ``on_fall`` is called when more than ``tolerance`` requests were refused within a
     second; the refusals are then forgotten.
--- a/rosemaryyoke/platform/tests/test_stalled_engines.py
+++ b/rosemaryyoke/platform/tests/test_stalled_engines.py
@@ -26,7 +26,7 @@
 
 STALL_S = 1.3  # longer than the limits on a stalled stream and on a first event
 LONG_DEADLINE = {"Deadline-Ms": "4000"}
-SLOW_READER_TIMEOUT_MS = 30_000  # a busy machine takes seconds to relay its stream
+SLOW_READER_TIMEOUT_MS = 30_000
 
 
 def stall_after(events, stall_s=STALL_S):
--- a/rosemaryyoke/quarantine/quarantine.py
+++ b/rosemaryyoke/quarantine/quarantine.py
@@ -34,8 +34,7 @@
 SUSPECT_CRASHES = 2
 # A host that has just started hears of crashes, but not of answers before its start.
 START_WAIT_S = 2.5
-# A host whose review is late was suspended, or is overloaded: what has arrived
-# meanwhile is read first.
+# After a late review, as of a suspended process, queued messages are handled first.
 LATE_REVIEW_S = 0.5
 CATCH_UP_S = 0.3
 TRIAL_TIMEOUT_S = 1.0
--- a/rosemaryyoke/quarantine/repetitions.py
+++ b/rosemaryyoke/quarantine/repetitions.py
@@ -20,7 +20,7 @@
 
 MIN_CRASHES = 3
 MIN_CRASHES_AFTER_SUCCESS = 4
-# Of a service's only upstream, which answers other requests between them.
+# Sufficient for a single upstream, if it answers other requests between the crashes.
 MIN_CRASHES_OF_ONE_UPSTREAM = 5
 MIN_ANSWERS_BETWEEN = 3
 SUSPECT_CRASHES = 2
--- a/rosemaryyoke/quarantine/tests/test_quarantine.py
+++ b/rosemaryyoke/quarantine/tests/test_quarantine.py
@@ -334,7 +334,7 @@
     assert new.bans
 
 
-# Guards against a verdict on crashes whose refutation is still to be read.
+# Guards against a ban before queued messages with answers are handled.
 def test_suspended_host_reads_the_answers_before_it_judges():
     group = HostGroup(1)
     group.pass_time(STABLE_S)
@@ -349,7 +349,7 @@
     assert not host.bans
 
 
-# Guards against engines that are lost while no host judges in time.
+# Guards against late reviews that suppress a ban.
 def test_suspended_host_judges_what_is_not_refuted(group):
     group.pass_time(STABLE_S)
     for number in range(CRASHES):
--- a/rosemaryyoke/quarantine/tests/test_repetitions.py
+++ b/rosemaryyoke/quarantine/tests/test_repetitions.py
@@ -103,7 +103,7 @@
     assert group.refusing(BAD) == group.count and not group.refusing(SOUND)
 
 
-# Guards against the refusal of a request since the only upstream fails.
+# Guards against a ban of a request because the only upstream is faulty.
 @pytest.mark.parametrize("answers", [0, 2])
 def test_only_upstream_that_seldom_answers_bans_nothing(group, answers):
     crash_only_upstream(group, 2 * MIN_CRASHES_OF_ONE_UPSTREAM, answers)
--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -131,7 +131,7 @@
 
 @faults.register(CUT_OFF_FAULT)
 def cut_hosts_off(context: FaultContext) -> None:
-    """Cut some hosts off from all upstreams; now and then all of them."""
+    """Partition one to all of the hosts from all upstreams."""
     testbed = context.testbed
     with try_lock(testbed.partition_lock) as acquired:
         if not acquired:
@@ -259,7 +259,7 @@
 
 @faults.register("plain upstreams brittle")
 def make_upstreams_brittle(context: FaultContext) -> None:
-    """Let slow upstreams without a queue fall over when they refuse too much."""
+    """Make plain upstreams slow, without a queue, and crash on many rejections."""
     testbed = context.testbed
     nodes = [node for node in testbed.nodes if not node.is_engine]
     with ExitStack() as stack:
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -109,7 +109,7 @@
 
 @define
 class BrittleTime:
-    """A time in which the upstreams of a service say that they are brittle."""
+    """A period in which a service's upstreams are brittle, and their crashes."""
 
     upstreams: int
     started_s: float
@@ -119,7 +119,7 @@
 
 @define
 class CutOff:
-    """The hosts that reach no upstream for a time."""
+    """Hosts that are partitioned from all upstreams, and when."""
 
     hosts: list[str]
     started_s: float
@@ -179,7 +179,7 @@
             return self.limits[-1]
 
     def begin_brittle_time(self, upstreams: int) -> BrittleTime:
-        """Record that upstreams say that they are brittle, and return the entry."""
+        """Record that upstreams announce that they are brittle; return the entry."""
         with self.lock:
             self.brittle_times.append(BrittleTime(upstreams, now_s()))
             return self.brittle_times[-1]
--- a/rosemaryyoke/testing/partition.py
+++ b/rosemaryyoke/testing/partition.py
@@ -33,7 +33,7 @@
 
 @frozen
 class Partition:
-    """The ports that are cut, and how connections to them behave.
+    """The unreachable ports, and how connections to them fail.
 
     While new connections are refused, those that are open live on.
     """
@@ -57,7 +57,7 @@
 
 
 def make_silent_pair() -> tuple[socket.socket, socket.socket]:
-    """Return two ends of a TCP connection that nobody reads or writes."""
+    """Return both ends of an idle TCP connection."""
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
         listener.listen(1)
@@ -107,7 +107,7 @@
             self.end(connection, partition.mode)
 
     def end(self, connection: socket.socket, mode: str) -> None:
-        """Let an open connection behave as the partition says."""
+        """Reset or silence an open connection, depending on the mode."""
         if mode == REFUSING:
             return
         with suppress(OSError), connection.dup() as old:
