--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -32,11 +32,14 @@
     upstreams of an older era of the store. ``registered`` has the upstreams as the
     store lists them, ``upstreams`` those to use. ``changes`` counts all changes, while
     ``upstream_changes`` has the last one of each upstream that is or was registered.
+    ``upstreams_position`` is a position in the store's history up to which
+    ``registered`` certainly has all changes, or ``None`` if none is known.
     """
 
     configuration: Configuration | None = None
     eras: EraRecord = field(factory=EraRecord)
     upstreams_era: int = 0
+    upstreams_position: int | None = None
     registered: dict[str, Upstream] = field(factory=dict)
     departures: Departures = field(factory=Departures)
     upstreams: dict[str, Upstream] = field(factory=dict)
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -71,6 +71,7 @@
     pause_s: float
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[FeedChanges], None]
+    on_position: Callable[[int], None] = lambda position: None
     on_success: Callable[[float], None] = lambda outage_s: None
     on_store_status: Callable[[str, bool], None] = lambda kind, is_read: None
     on_call: Callable[[bool], None] = lambda success: None
@@ -134,6 +135,7 @@
         elif value.changes:
             self.on_changes(value)
         self.position = value.position
+        self.on_position(value.position)
         return outcome
 
     def stop_reading(self) -> None:
@@ -213,6 +215,7 @@
             UPSTREAMS_PAUSE_SHARE * drain_s,
             self.apply_upstream_listing,
             self.apply_upstream_changes,
+            self.record_upstreams_position,
             self.handle_store_success,
             self.record_upstreams_status,
         )
@@ -268,6 +271,10 @@
             self.has_read_store = True
         self.catalog.record_store_status(kind, is_read)
 
+    def record_upstreams_position(self, position: int) -> None:
+        """Record up to which position the catalog has the changes of upstreams."""
+        self.catalog.upstreams_position = position
+
     def start(self) -> None:
         """Start one thread per kind."""
         for follower in self.followers:
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -56,6 +56,7 @@
         resumed_from=exchange.metadata.last_event_id,
         origin=None if found.origin is None else format_key(found.origin),
         source=found.source,
+        is_current=found.is_current,
         age_ms=None if found.age_s is None else round(found.age_s * MS_PER_S),
     )
 
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -12,6 +12,7 @@
 HTTP_SERVER_ERROR = 500
 NOT_RUN_RETRY_AFTER_S = 0.2
 UNREACHABLE_RETRY_AFTER_S = 0.5  # hosts look for a way to upstreams more often
+OTHER_HOST_RETRY_AFTER_S = 0.1  # another host can serve the request now
 TIMEOUT_CODE = "timeout"
 UNREACHABLE_CODE = "unreachable"
 QUARANTINED_CODE = "quarantined"
@@ -74,11 +75,16 @@
     return ErrorResponse(503, UNREACHABLE_CODE, message, wait_s)
 
 
-def unknown_origin_error() -> ErrorResponse:
-    """Return the error response for a stream that no known upstream began."""
-    return ErrorResponse(
-        503, UNKNOWN_ORIGIN_CODE, "no host knows the software version of the stream"
-    )
+def unknown_origin_error(is_current: bool) -> ErrorResponse:
+    """Return the error response for a stream that no known upstream began.
+
+    Unless this host knows all versions that serve, another one may take it.
+    """
+    message = "no host knows the software version of the stream"
+    if is_current:
+        return ErrorResponse(503, UNKNOWN_ORIGIN_CODE, message)
+    wait_s = jittered_retry_after_s(OTHER_HOST_RETRY_AFTER_S)
+    return ErrorResponse(503, UNKNOWN_ORIGIN_CODE, message, wait_s)
 
 
 def version_gone_error(exchange: Exchange) -> ErrorResponse:
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -222,7 +222,7 @@
         found = self.origins.resolve(exchange.services, exchange.metadata.resumes)
         log_resumption(exchange, found)
         if found.origin is None:
-            raise RequestRejected(unknown_origin_error())
+            raise RequestRejected(unknown_origin_error(found.is_current))
         exchange.origin = found.origin
 
     def send_until_complete(self, exchange: Exchange) -> None:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -42,6 +42,7 @@
 from rosemaryyoke.hosts.registration import Registration
 from rosemaryyoke.hosts.relay import CATALOG_PATH, CatalogRelay, answer_catalog_poll
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
+from rosemaryyoke.hosts.version_check import VersionCheck
 from rosemaryyoke.hosts.version_register import VersionRegister
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
@@ -159,6 +160,8 @@
             self.roles,
             self.origins.served,
             adapter.eras,
+            self.catalog.is_fresh,
+            self.record_store_call,
         )
         pool = PoolService()
         self.timer = TimerService(pool.executor)
@@ -173,7 +176,15 @@
             self.order_rank,
             self.beacons.send_now,
         )
+        self.version_check = VersionCheck(
+            adapter.source,
+            self.catalog,
+            lambda: self.roles.reaches_store(time.monotonic()),
+            self.record_store_call,
+            self.origins.add_versions,
+        )
         self.origins.read_past = self.version_register.ensure_read
+        self.origins.read_versions = self.version_check.read
         self.follower = self.make_follower()
         self.transfer = StateTransfer(
             adapter.source, self.catalog, self.roles, self.follower.replace_upstreams
--- a/rosemaryyoke/hosts/origin_exchange.py
+++ b/rosemaryyoke/hosts/origin_exchange.py
@@ -18,6 +18,7 @@
 from rosemaryyoke.hosts.digests import batched
 from rosemaryyoke.hosts.table import HostTable, Peer
 from rosemaryyoke.http1 import Address
+from rosemaryyoke.objects.eras import boot_time_s
 from rosemaryyoke.origins import (
     OriginMemory,
     OriginRow,
@@ -48,17 +49,24 @@
 # Key of the host that replies; the row of the origin follows if it is known.
 REPLY_HEADER = struct.Struct("<QI")
 
+# A pause between ticks after which this host has probably been suspended.
+SUSPENDED_S = 2.0
+
 OWN, TOLD, ASKED = "own", "told", "asked"
 SOLE, EARLIER, UNKNOWN = "sole version", "earlier version", "unknown"
 
 
 @frozen
 class Resolution:
-    """The origin of a stream, ``None`` if it is unknown, and how it is known."""
+    """The origin of a stream, ``None`` if it is unknown, and how it is known.
+
+    Unless ``is_current``, another host may know more of the versions that serve.
+    """
 
     origin: int | None
     source: str
     age_s: float | None = None
+    is_current: bool = True
 
 
 @define(eq=False)
@@ -75,7 +83,9 @@
     """The origins of streams as this host and the others know them.
 
     ``pending`` are the rows to tell once more, since datagrams may be lost.
-    ``read_past`` adds the versions that served before this host started.
+    ``read_past`` adds the versions that served before this host started, and
+    ``read_versions`` those that were registered until after a time; it returns whether
+    the store has answered.
     """
 
     table: HostTable
@@ -87,16 +97,28 @@
     pending: list[OriginRow] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
     now_s: Callable[[], float] = time.monotonic
+    boot_time_s: Callable[[], float] = boot_time_s
     read_past: Callable[[], None] = lambda: None
+    read_versions: Callable[[float], bool] = lambda since_s: False
+    was_fresh: bool = True
+    ticked_s: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.ticked_s = self.boot_time_s()
         self.beacons.handlers[TELL] = self.handle_told
         self.beacons.handlers[ASK] = self.handle_question
         self.beacons.handlers[REPLY] = self.handle_reply
 
     def update_versions(self) -> None:
         """Update the served versions; tell own streams if a second version came."""
-        grown = self.served.update(list(self.catalog.upstreams.values()))
+        self.handle_grown(self.served.update(list(self.catalog.upstreams.values())))
+
+    def add_versions(self, versions: Iterable[tuple[str, str]]) -> None:
+        """Add versions that the store has registered, each with its service."""
+        self.handle_grown(self.served.add(versions))
+
+    def handle_grown(self, grown: set[str]) -> None:
+        """Tell own streams if services have upstreams of a further version."""
         if not grown:
             return
         for service in grown:
@@ -109,21 +131,35 @@
     ) -> None:
         """Remember a stream of some services that began here at a software version.
 
-        Others are told if upstreams of several versions serve.
+        Others are told if upstreams of several versions serve, or may do so without
+        this host's knowledge.
         """
         now_s, origin = self.now_s(), origin_key(software)
         request = request_key(request_id)
         self.memory.record(request, origin, now_s, is_own=True)
-        if self.served.is_mixed(services):
+        if self.served.is_mixed(services) or not self.catalog.is_fresh():
             self.tell([OriginRow(request, origin, now_s)])
 
     def tick(self) -> None:
         """Tell what is pending once more, and forget old origins."""
         self.memory.expire(self.now_s())
+        self.check_continuity()
         with self.lock:
             rows, self.pending = self.pending, []
         self.send(rows)
 
+    def check_continuity(self) -> None:
+        """Give up what is known of the past if this host did not follow the store.
+
+        Others are then told the origins of its streams, as they can't find them out.
+        """
+        was_fresh, self.was_fresh = self.was_fresh, self.catalog.is_fresh()
+        before_s, self.ticked_s = self.ticked_s, self.boot_time_s()
+        if not self.was_fresh or self.ticked_s - before_s > SUSPENDED_S:
+            self.served.forget_past()
+        if was_fresh and not self.was_fresh:
+            self.tell(self.memory.own_rows(self.now_s()))
+
     def tell(self, rows: list[OriginRow]) -> None:
         """Tell origins now, and once more at the next tick."""
         self.send(rows)
@@ -156,31 +192,41 @@
         Others are asked if this host does not know. What serves alone is taken if
         nothing else has served since before the stream began.
         """
+        arrived_s = self.now_s()
         if request_id is not None:
             request = request_key(request_id)
-            known = self.memory.find(request, self.now_s())
+            known = self.memory.find(request, arrived_s)
             if known is not None:
                 source = OWN if known.is_own else TOLD
-                return Resolution(known.origin, source, self.now_s() - known.began_s)
-        if not self.served.knows_history():
-            self.read_past()
-        sole = self.find_sole(services)
-        if sole is not None and self.served.knows_history():
-            return Resolution(sole, SOLE)
+                return Resolution(known.origin, source, arrived_s - known.began_s)
+        may_be_sole = self.find_sole(services) is not None
+        if may_be_sole and self.knows_versions(arrived_s):
+            sole = self.find_sole(services)
+            if sole is not None:
+                return Resolution(sole, SOLE)
         everyone_replied = True
         if request_id is not None:
-            timeout_s = ASK_TIMEOUT_S if sole is None else ASK_TIMEOUT_IF_SOLE_S
+            timeout_s = ASK_TIMEOUT_IF_SOLE_S if may_be_sole else ASK_TIMEOUT_S
             row, everyone_replied = self.ask(request, timeout_s)
             if row is not None:
                 self.memory.learn([row])
                 return Resolution(row.origin, ASKED, self.now_s() - row.began_s)
-        knows_history = self.served.knows_history()
-        if sole is not None and knows_history:
-            return Resolution(sole, SOLE)
-        is_proved = everyone_replied and knows_history
+        is_current = self.knows_versions(arrived_s)
+        is_proved = everyone_replied and is_current
         earlier = self.find_earlier(services) if is_proved else None
         source = UNKNOWN if earlier is None else EARLIER
-        return Resolution(earlier, source)
+        return Resolution(earlier, source, is_current=is_current)
+
+    def knows_versions(self, since_s: float) -> bool:
+        """Return whether all versions that served until ``since_s`` are known.
+
+        The store is read for those that this host has not seen.
+        """
+        if not self.read_versions(since_s):
+            return False
+        if not self.served.knows_history():
+            self.read_past()
+        return self.served.knows_history()
 
     def find_sole(self, services: Sequence[str]) -> int | None:
         """Return the only origin that streams of some services can have."""
@@ -193,7 +239,10 @@
         return None if software is None else origin_key(software)
 
     def ask(self, request: int, timeout_s: float) -> tuple[OriginRow | None, bool]:
-        """Ask other hosts for an origin; return it, and whether all have replied."""
+        """Ask other hosts for an origin; return it, and whether all have replied.
+
+        Without any other host, none has.
+        """
         deadline_s = self.now_s() + timeout_s
         question = Question()
         try:
@@ -207,10 +256,10 @@
                     if question.row is not None:
                         return question.row, True
                     if not missing and not is_new:
-                        return None, True
+                        return None, bool(question.without)
                     left_s = deadline_s - self.now_s()
                     if left_s <= 0:
-                        return None, not missing
+                        return None, bool(question.without) and not missing
                     question.replied.wait(min(ASK_REPEAT_S, left_s))
         finally:
             with self.lock:
--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -48,8 +48,9 @@
     that changed are sent. The text is compressed: a relay answers all hosts of its data
     centre at the same moment, over a slow link.
     """
+    position = catalog.upstreams_position  # not newer than what follows
     current, upstreams = catalog.generation, catalog.upstreams
-    value = {"generation": current, "age_s": catalog.age_s()}
+    value = {"generation": current, "position": position, "age_s": catalog.age_s()}
     value["era"] = catalog.upstreams_era
     if current != generation:
         names = catalog.changed_upstreams(generation)
--- a/rosemaryyoke/hosts/tests/test_origin_exchange.py
+++ b/rosemaryyoke/hosts/tests/test_origin_exchange.py
@@ -15,6 +15,7 @@
     OWN,
     SOLE,
     START_S,
+    SUSPENDED_S,
     TOLD_HOSTS,
     UNKNOWN,
     OriginExchange,
@@ -46,8 +47,9 @@
             own_address=address,
             live_peers=lambda now_s: self.peers_of(address),
         )
-        catalog = SimpleNamespace(upstreams={})
+        catalog = SimpleNamespace(upstreams={}, is_fresh=lambda: True)
         exchange = OriginExchange(table, beacons, catalog)
+        exchange.read_versions = lambda since_s: True
         exchange.served.started_s -= START_S
         exchange.served.add_past(())
         self.exchanges[address] = exchange
@@ -257,6 +259,82 @@
     assert exchange.resolve([SERVICE], b"unknown").origin is None
 
 
+# Guards against the only version in a view that is older than the stream.
+def test_sole_version_is_not_taken_without_an_answer_of_the_store():
+    fleet = Fleet(3)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    exchange.read_versions = lambda since_s: False
+    found = exchange.resolve([SERVICE], b"unknown")
+    assert (found.origin, found.is_current) == (None, False)
+
+
+def test_second_version_that_the_store_has_is_no_longer_sole():
+    fleet = Fleet(3)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    begun = begin_streams(fleet, (OLD,))
+
+    def read(since_s):
+        assert since_s <= time.monotonic()
+        exchange.add_versions([(SERVICE, NEW)])
+        return True
+
+    exchange.read_versions = read
+    # The other hosts are asked, and none has heard of the stream.
+    assert exchange.resolve([SERVICE], b"unknown").source == EARLIER
+    for request in begun:  # own streams are told once versions are mixed
+        assert fleet.hosts()[1].memory.find(request_key(request), time.monotonic())
+
+
+# Guards against a host that nobody contradicts, since it reaches no other one.
+def test_earlier_version_is_not_taken_by_an_isolated_host():
+    fleet = Fleet(3)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    exchange.served.seen[SERVICE][OLD].first_s -= 10.0
+    fleet.serve(OLD, NEW)
+    for other in fleet.hosts()[1:]:
+        fleet.stop(other)
+    assert exchange.resolve([SERVICE], b"unknown").origin is None
+
+
+# Guards against versions that came and left while a host did not follow the store.
+@pytest.mark.parametrize("suspended", (False, True))
+def test_past_is_read_again_after_a_gap(suspended):
+    fleet = Fleet(1)
+    fleet.serve(OLD)
+    exchange = fleet.hosts()[0]
+    assert exchange.resolve([SERVICE], b"unknown").origin == origin_key(OLD)
+    if suspended:
+        exchange.ticked_s -= SUSPENDED_S + 0.1
+    else:
+        exchange.catalog.is_fresh = lambda: False
+    exchange.tick()
+    exchange.catalog.is_fresh = lambda: True
+    exchange.tick()
+    assert exchange.resolve([SERVICE], b"unknown").origin is None
+    exchange.read_past = lambda: exchange.served.add_past([(SERVICE, NEW)])
+    assert exchange.resolve([SERVICE], b"unknown").origin is None
+    exchange.served.seen[SERVICE].pop(NEW)
+    assert exchange.resolve([SERVICE], b"unknown").origin == origin_key(OLD)
+
+
+# Guards against streams that nobody knows once their host stops during an outage.
+def test_streams_are_told_while_the_store_is_away():
+    fleet = Fleet(3)
+    fleet.serve(OLD)
+    begun = begin_streams(fleet, (OLD,))
+    for exchange in fleet.hosts():
+        exchange.catalog.is_fresh = lambda: False
+        exchange.read_versions = lambda since_s: False
+    fleet.tick()
+    fleet.hosts()[0].record_begin(b"later", [SERVICE], OLD)
+    fleet.stop(fleet.hosts()[0])
+    begun[b"later"] = OLD
+    assert resolve_all(fleet.hosts()[0], begun) == STREAMS + 1
+
+
 def test_origin_that_was_asked_for_is_remembered():
     fleet = Fleet(3)
     fleet.serve(OLD, NEW)
--- a/rosemaryyoke/hosts/tests/test_relay_answers.py
+++ b/rosemaryyoke/hosts/tests/test_relay_answers.py
@@ -7,7 +7,12 @@
 from attrs import define
 from result import Ok
 
-from rosemaryyoke.hosts.relay import MAX_CATALOG_BYTES, CatalogRelay, encode_changes
+from rosemaryyoke.hosts.relay import (
+    MAX_CATALOG_BYTES,
+    CatalogRelay,
+    decode_changes,
+    encode_changes,
+)
 from rosemaryyoke.hosts.tests.test_eras import (
     make_catalog,
     make_transfer,
@@ -54,3 +59,20 @@
     relay.client = BrokenHost(body, peer.peer_address)
     assert not relay.poll_peer(peer)
     assert transfer.roles.avoid_until_s[peer.host] > time.monotonic()
+
+
+# Guards against a position that the upstreams do not match, from hosts of any build.
+def test_position_is_that_of_the_upstreams_that_were_applied():
+    newer = make_catalog(make_upstream("e1"), make_upstream("e2"))
+    newer.upstreams_position = 7
+    catalog = make_catalog(make_upstream("e1"))
+    transfer = make_transfer(catalog)
+    whole = decode_changes(encode_changes(newer, "", 1))
+    assert transfer.apply(whole, 0.0) and catalog.upstreams_position == 7
+    newer.upstreams_position = 9
+    same = decode_changes(encode_changes(newer, newer.generation, 1))
+    assert transfer.apply(same, 0.0) and catalog.upstreams_position == 9
+    assert transfer.apply({**whole, "position": 11}, None)
+    assert catalog.upstreams_position == 9  # an old view is not taken
+    whole.pop("position")
+    assert transfer.apply(whole, 0.0) and catalog.upstreams_position is None
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -29,6 +29,7 @@
     return orjson.dumps(
         {
             "era": catalog.upstreams_era,
+            "position": catalog.upstreams_position,
             "configuration": catalog.configuration_source.decode(),
             "upstreams": [encode_upstream(i) for i in catalog.upstreams.values()],
             "wanted": catalog.wanted,
@@ -135,6 +136,9 @@
             upstreams = [decode_upstream(item) for item in value["upstreams"]]
             known.update({item.name: item for item in upstreams})
             self.set_upstreams(known, era)
+            self.catalog.upstreams_position = value.get("position")
+        elif "upstreams" not in value:  # the same as before, now at a later position
+            self.catalog.upstreams_position = value.get("position")
         if current:
             self.catalog.record_confirmation(age_s)
         return True
--- a/rosemaryyoke/hosts/version_register.py
+++ b/rosemaryyoke/hosts/version_register.py
@@ -7,6 +7,7 @@
 import hashlib
 import threading
 import time
+from typing import Callable
 
 import orjson
 from absl import logging
@@ -54,7 +55,11 @@
 
 @define(eq=False)
 class VersionRegister:
-    """Reads the versions of the store once, and keeps them up to date as a watcher.
+    """Reads the versions of the store, and keeps them up to date as a watcher.
+
+    They are read at the start, and again after this host did not follow the store for
+    a while: ``is_following`` tells whether it does. ``on_call`` takes the outcome of
+    such a read.
 
     A version is removed when hosts have not seen it for as long as they remember
     streams. In a new era of the store, versions that it may have lost are written
@@ -66,6 +71,8 @@
     roles: WatcherRoles
     served: ServedVersions
     eras: EraRecord = field(factory=EraRecord)
+    is_following: Callable[[], bool] = lambda: False
+    on_call: Callable[[bool], None] = lambda success: None
     stored: set[ServiceVersion] | None = None
     era: int = 0
     next_attempt_s: float = 0.0
@@ -80,7 +87,7 @@
             return
         try:
             due = time.monotonic() >= self.next_attempt_s
-            if self.stored is None and due and not self.load():
+            if not self.served.past_known and due and not self.load():
                 self.next_attempt_s = time.monotonic() + RETRY_S
         finally:
             self.lock.release()
@@ -96,13 +103,22 @@
             return
         is_watcher = self.roles.is_watcher(now_s)
         succeeded = True
-        if self.stored is None or (is_watcher and self.era != self.eras.current):
+        if (
+            self.stored is None
+            or self.is_gap()
+            or (is_watcher and self.era != self.eras.current)
+        ):
             succeeded = self.load()
+            self.on_call(succeeded)
         elif is_watcher:
             succeeded = self.write_changes()
         if not succeeded:
             self.next_attempt_s = now_s + RETRY_S
 
+    def is_gap(self) -> bool:
+        """Return whether this host follows the store anew, without its past."""
+        return not self.served.past_known and self.is_following()
+
     def load(self) -> bool:
         """Read the versions of the store; return whether it answered."""
         era = self.eras.current
@@ -118,7 +134,7 @@
                 versions.add(decode_version(stored.body))
             except ValueError as error:
                 logging.warning("version %s is malformed: %s", stored.name, error)
-        if self.stored is None:
+        if not self.served.past_known:
             self.served.add_past(versions)
             log_event("past software versions read", versions=sorted(versions))
         self.era, self.stored = era, versions
--- a/rosemaryyoke/origins/versions.py
+++ b/rosemaryyoke/origins/versions.py
@@ -28,8 +28,8 @@
 class ServedVersions:
     """Software versions by service, until ``RETENTION_S`` after they were last seen.
 
-    ``past_known`` says that the versions which served before this host started have
-    been added.
+    ``past_known`` says that the versions which served before ``started_s`` have been
+    added. That is when this host started, or last began to follow the store again.
     """
 
     now_s: Callable[[], float] = time.monotonic
@@ -61,13 +61,37 @@
                     known[software] = SeenVersion(software, first_s, now_s)
         return grown
 
+    def add(self, versions: Iterable[tuple[str, str]]) -> set[str]:
+        """Add versions, each with its service; return services with a further one."""
+        now_s, grown = self.now_s(), set()
+        with self.lock:
+            for service, software in versions:
+                known = self.seen.setdefault(service, {})
+                if known and software not in known:
+                    grown.add(service)
+                known.setdefault(software, SeenVersion(software, now_s, now_s))
+                known[software].last_s = now_s
+        return grown
+
+    def forget_past(self) -> None:
+        """Record that versions may have come and gone until now without being seen."""
+        with self.lock:
+            self.past_known = False
+            self.started_s = self.now_s()
+
     def add_past(self, versions: Iterable[tuple[str, str]]) -> None:
-        """Add versions that served before this host started, each with its service."""
+        """Add versions that served before this host started, each with its service.
+
+        The same goes for those that came and left while it did not follow the store.
+        """
         now_s = self.now_s()
         with self.lock:
             for service, software in versions:
                 known = self.seen.setdefault(service, {})
-                known[software] = SeenVersion(software, self.started_s, now_s)
+                first_s = self.started_s
+                if software in known:
+                    first_s = min(first_s, known[software].first_s)
+                known[software] = SeenVersion(software, first_s, now_s)
             self.past_known = True
 
     def all_versions(self) -> set[tuple[str, str]]:
@@ -98,7 +122,8 @@
     def knows_history(self) -> bool:
         """Return whether this host knows all versions that served lately.
 
-        It has run for long enough to have seen them, or learned of those before.
+        It has followed the store for long enough to have seen them, or has learned of
+        those before.
         """
         return self.past_known or self.now_s() - self.started_s >= RETENTION_S
 
