--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -82,6 +82,15 @@
                 return self._renew()
             return self._try_acquire()
 
+    def observe(self) -> None:
+        """Read a lease that is not held, from when on it may expire."""
+        with self.lock:
+            if self.remaining_s() > 0:
+                return
+            read = self.api.get(self.name)
+            if not isinstance(read, Err):
+                self._is_available(read.ok_value, now_s())
+
     def _renew(self) -> bool:
         started_at_s = now_s()
         written = self.api.put(self.name, self._encode_body(), self.version)
--- a/rosemaryyoke/platform/tests/test_restored_leases.py
+++ b/rosemaryyoke/platform/tests/test_restored_leases.py
@@ -97,7 +97,7 @@
     world.set_target_version(3)
     world.model.restore(0.1)
     first = world.hosts[0]
-    assert first.models["m1"].lease.remaining_s() > 0
+    assert first.leases.remaining_s(["m1"]) > 0
     first.catalog.eras.learn(world.model.era, "h2")
     assert not tick_for(world, 0, ROLLOUT_LEASE_S)
     assert tick_for(world, 0, 1.0)
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -1,14 +1,16 @@
-"""Roll out the target weights to engines, by orders under a lease per model.
+"""Roll out the target weights to engines, by orders under the leases of their models.
 
 Engines may not check fencing tokens, so orders of two lease holders must also be
 separated in time: a holder sends orders only in the first part of its lease, and the
-next holder starts after the whole lease has expired.
+next holder starts after the whole lease has expired. Models that share engines are
+rolled out by one host, which holds the leases of all of them.
 """
 
+import math
 import threading
 import time
 from concurrent.futures import Executor
-from typing import Callable
+from typing import Callable, Collection
 
 from absl import logging
 from attrs import define, field
@@ -24,6 +26,7 @@
     OrderOutcome,
     WeightsOrder,
 )
+from rosemaryyoke.rollout.order_leases import OrderLeases
 
 TICK_INTERVAL_S = 0.25
 ORDER_WINDOW_S = 1.6
@@ -48,11 +51,9 @@
 
 @define(eq=False)
 class ModelRollout:
-    """A model's lease, and this host's pending orders by engine."""
+    """This host's pending orders for a model, by engine."""
 
-    lease: Lease
     pending: dict[str, PendingOrder] = field(factory=dict)
-    lease_checked_s: float = 0.0
 
     def postpone(self, name: str, delay_s: float) -> None:
         """Retry an engine's order after a delay."""
@@ -79,21 +80,50 @@
     standing: Callable[[str], int | None]
     announce: Callable[[], None] = lambda: None
     models: dict[str, ModelRollout] = field(factory=dict)
+    leases: OrderLeases = field(init=False)
+    checked_s: dict[str, float] = field(factory=dict)
     running: threading.Lock = field(factory=threading.Lock)
     stopping: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        self.leases = OrderLeases(self.make_lease)
+
     def tick(self) -> None:
         """Advance the roll-out of each model that has outdated engines."""
         for model, version in list(self.catalog.wanted.items()):
             outdated = self.outdated(model, version)
-            if outdated and not self.stopping and self.may_order(model):
-                self.advance(model, version, outdated)
+            if not outdated or self.stopping:
+                continue
+            models = self.related_models(model)
+            if self.may_order(models):
+                self.advance(model, version, outdated, models)
 
-    def may_order(self, model: str) -> bool:
-        """Return whether this host holds the model's lease or is a candidate for it."""
-        rollout = self.models.get(model)
-        holds_lease = rollout is not None and rollout.lease.remaining_s() > 0
-        return holds_lease or self.standing(model) is not None
+    def related_models(self, model: str) -> frozenset[str]:
+        """Return the models that share engines with a model, also by way of others."""
+        with self.fleet.lock:
+            sets = [set(state.weights) for state in self.fleet.states.values()]
+        related = {model}
+        while True:
+            joined = related.union(*(item for item in sets if item & related))
+            if joined == related:
+                return frozenset(related)
+            related = joined
+
+    def may_order(self, models: Collection[str]) -> bool:
+        """Return whether this host holds the models' leases or may acquire them."""
+        return self.leases.remaining_s(models) > 0 or self.rank(models) is not None
+
+    def rank(self, models: Collection[str]) -> int | None:
+        """Return this host's rank among the candidates for the models' leases.
+
+        That of the first model counts. Hosts of earlier builds leave other models to
+        the candidates for these; they follow after the first.
+        """
+        first, *others = sorted(models)
+        rank = self.standing(first)
+        if rank is None and any(self.standing(model) is not None for model in others):
+            return 1
+        return rank
 
     def loading(self) -> tuple[str, ...]:
         """Return the engines with a pending order of this host."""
@@ -105,6 +135,19 @@
             if now_s < pending.retry_at_s
         )
 
+    def is_busy(self, state: UpstreamState, model: str, now_s: float) -> bool:
+        """Return whether an order for another model may still be carried out."""
+        name = state.upstream.name
+        orders = [
+            (other, rollout.pending[name])
+            for other, rollout in list(self.models.items())
+            if other != model and name in rollout.pending
+        ]
+        return any(
+            now_s < pending.retry_at_s and state.weights.get(other, 0) < pending.version
+            for other, pending in orders
+        )
+
     def serving(self, model: str) -> list[UpstreamState]:
         """Return the engines that serve a model."""
         with self.fleet.lock:
@@ -119,12 +162,16 @@
         engines = self.serving(model)
         return [state for state in engines if state.weights[model] < version]
 
-    def advance(self, model: str, version: int, outdated: list[UpstreamState]) -> None:
-        """Hold the lease, and send orders up to the limit of concurrent loads."""
-        rollout = self.models.get(model)
-        if rollout is None:
-            rollout = self.models[model] = ModelRollout(self.make_lease(model))
-        if not self.acquire_lease(rollout, model):
+    def advance(
+        self,
+        model: str,
+        version: int,
+        outdated: list[UpstreamState],
+        models: Collection[str],
+    ) -> None:
+        """Hold the leases, and send orders up to the limit of concurrent loads."""
+        rollout = self.models.setdefault(model, ModelRollout())
+        if not self.acquire_leases(models):
             return
         self.drop_completed_orders(rollout, model)
         engines = self.next_engines(rollout, model, outdated)
@@ -160,18 +207,19 @@
             eras=self.catalog.eras,
         )
 
-    def acquire_lease(self, rollout: ModelRollout, model: str) -> bool:
-        """Acquire or renew the lease.
+    def acquire_leases(self, models: Collection[str]) -> bool:
+        """Acquire or renew the leases of models.
 
         A candidate that is not the first one tries only every
         ``LEASE_CHECK_INTERVAL_S``.
         """
-        now_s = time.monotonic()
-        preferred = rollout.lease.remaining_s() > 0 or self.standing(model) == 0
-        if not preferred and now_s - rollout.lease_checked_s < LEASE_CHECK_INTERVAL_S:
+        now_s, first = time.monotonic(), min(models)
+        preferred = self.leases.remaining_s(models) > 0 or self.rank(models) == 0
+        checked_s = self.checked_s.get(first, -math.inf)
+        if not preferred and now_s - checked_s < LEASE_CHECK_INTERVAL_S:
             return False
-        rollout.lease_checked_s = now_s
-        return rollout.lease.acquire()
+        self.checked_s[first] = now_s
+        return self.leases.acquire(models)
 
     def drop_completed_orders(self, rollout: ModelRollout, model: str) -> None:
         """Remove completed orders, and orders of engines that have left."""
@@ -195,6 +243,7 @@
             for state in outdated
             if is_due(rollout.pending.get(state.upstream.name), now_s)
             and state.usable(now_s)
+            and not self.is_busy(state, model, now_s)
         ]
         ready.sort(key=lambda state: state.running(now_s))
         return ready[: max(0, free_slots)]
@@ -202,7 +251,7 @@
     def send_order(
         self, rollout: ModelRollout, state: UpstreamState, model: str, version: int
     ) -> None:
-        """Send an order to an engine if enough of the lease is left."""
+        """Send an order to an engine if enough of its models' leases is left."""
         name, address = state.upstream.name, state.upstream.address
         report = self.engines.report(address)
         if isinstance(report, Err):
@@ -214,10 +263,13 @@
         if report.ok_value.loading:
             self.retry_later(rollout, state, POLL_INTERVAL_S)
             return
-        lease = rollout.lease
-        if lease.remaining_s() < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
+        with self.fleet.lock:
+            models = report.ok_value.weights.keys() | state.weights.keys()
+        held_s = self.leases.remaining_s(models)
+        if held_s < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
             self.retry_later(rollout, state, 0.0)
             return
+        fencing = self.leases.fencing_token(models)
         outcome = self.engines.order(
             WeightsOrder(
                 name,
@@ -225,7 +277,7 @@
                 model,
                 version,
                 self.holder,
-                lease.fencing_token,
+                fencing,
                 report.ok_value.orders,
                 ORDER_TIMEOUT_S,
             )
@@ -235,7 +287,7 @@
             upstream=name,
             model=model,
             version=version,
-            fencing=lease.fencing_token,
+            fencing=fencing,
             outcome=outcome.value,
         )
         if outcome is not OrderOutcome.ACCEPTED:
