Decode what can be decoded of the store's entries (RECOVER)

Cause: a page, or all events of a watch, is decoded in one call, which one value fails; the handling of malformed entries comes after it.

Evidence: the hosts log "store unreachable", "malformed response", while the store answers each call. Ruled out: that the processes end; they live on.

An entry that lacks a field names no upstream, as before; one that lacks a field that nothing reads stays in use.

All tests of test_odd_entries.py in this commit failed before: starts, later writes, lists and watches of three kinds.

--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -3,11 +3,11 @@
 import socket
 import time
 
-import orjson
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.http1.errors import RequestError
+from rosemaryyoke.http1.lenient_json import decode_json
 from rosemaryyoke.http1.messages import Headers, encode_head
 from rosemaryyoke.http1.responses import ResponseMessage, ResponseParser
 from rosemaryyoke.http1.sockets import (
@@ -38,8 +38,11 @@
         return self.status in SUCCESS_STATUSES
 
     def json(self) -> object:
-        """Decode the body as JSON; raise ``ValueError`` if it is invalid."""
-        return orjson.loads(self.body)
+        """Decode the body as JSON; raise ``ValueError`` if it is invalid.
+
+        Members and elements that can't be decoded are left out.
+        """
+        return decode_json(self.body)
 
 
 @define(eq=False)
--- a/rosemaryyoke/objects/leases.py
+++ b/rosemaryyoke/objects/leases.py
@@ -28,6 +28,14 @@
 now_s = boot_time_s
 
 
+def token_of(stored: StoredObject) -> str | None:
+    """Return the token of who wrote a lease last, or ``None`` if it is malformed."""
+    try:
+        return orjson.loads(stored.body)["token"]
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 @define(eq=False)
 class Lease:
     """Local state of a process for one lease.
@@ -160,7 +168,7 @@
             return
         stored = read.ok_value
         is_same_era = era_of(stored.version) == era_of(self.version)
-        if is_same_era and orjson.loads(stored.body)["token"] == self.token:
+        if is_same_era and token_of(stored) == self.token:
             self._record_held(stored.version, started_at_s)
         else:
             self._record_lost()
--- a/rosemaryyoke/platform/store.py
+++ b/rosemaryyoke/platform/store.py
@@ -4,10 +4,12 @@
 from urllib.parse import quote
 
 import orjson
+from absl import logging
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.http1 import Address, HttpClient, RequestError, Response
+from rosemaryyoke.http1.lenient_json import encode_json
 from rosemaryyoke.objects.eras import EraRecord, era_of, make_version, revision_of
 from rosemaryyoke.objects.feed import (
     FeedChange,
@@ -104,14 +106,17 @@
                 return page
             value = page.ok_value
             try:
-                objects.extend(_parse_item(item, reply.era) for item in value["items"])
+                items = _parse_items(value["items"], reply.era)
                 if position is None:
                     position = make_version(reply.era, value["storeRevision"])
             except (KeyError, TypeError, ValueError) as error:
                 return Err(FeedError(f"malformed listing: {error!r}"))
+            objects.extend(items)
             if not value.get("hasMore"):
                 return Ok(Listing(position, objects))
-            after = f"?after={quote(objects[-1].name)}"
+            if not items:
+                return Err(FeedError("malformed listing: a page without an object"))
+            after = f"?after={quote(items[-1].name)}"
         return Err(FeedError("listing exceeds the page limit"))
 
     def watch(
@@ -137,12 +142,7 @@
         if isinstance(page, Err):
             return page
         try:
-            changes = [
-                FeedChange(
-                    _parse_item(event["object"], reply.era), bool(event.get("deleted"))
-                )
-                for event in page.ok_value["events"]
-            ]
+            changes = _parse_events(page.ok_value["events"], reply.era)
             after = make_version(reply.era, page.ok_value["storeRevision"])
         except (KeyError, TypeError, ValueError) as error:
             return Err(FeedError(f"malformed watch response: {error!r}"))
@@ -201,7 +201,31 @@
 def _parse_item(item: dict, era: int) -> StoredObject:
     metadata = item["metadata"]
     version = make_version(era, metadata["revision"])
-    return StoredObject(metadata["name"], version, orjson.dumps(item.get("spec")))
+    return StoredObject(metadata["name"], version, encode_json(item.get("spec")))
+
+
+def _parse_items(items: list, era: int) -> list[StoredObject]:
+    """Parse the objects of a page; skip malformed ones."""
+    parsed = [_try_parse(item, era) for item in items]
+    return [stored for stored in parsed if stored is not None]
+
+
+def _parse_events(events: list, era: int) -> list[FeedChange]:
+    """Parse the events of a watch; skip malformed ones."""
+    changes = []
+    for event in events:
+        stored = _try_parse(event["object"], era) if "object" in event else None
+        if stored is not None:
+            changes.append(FeedChange(stored, bool(event.get("deleted"))))
+    return changes
+
+
+def _try_parse(item: object, era: int) -> StoredObject | None:
+    try:
+        return _parse_item(item, era)
+    except (KeyError, TypeError, ValueError) as error:
+        logging.warning("object of the store is malformed: %r", error)
+        return None
 
 
 def _parse_object(reply: StoreReply) -> Result[StoredObject, str]:
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_odd_entries.py
@@ -0,0 +1,136 @@
+"""Entries of another writer among those of the upstreams, which name none to use."""
+
+import orjson
+import pytest
+from attrs import define, field
+from result import Err
+
+from rosemaryyoke.http1.tests.test_lenient_json import ODD
+from rosemaryyoke.objects import StoredObject
+from rosemaryyoke.platform.documents import PlatformSource
+from rosemaryyoke.platform.names import STORE_ERA
+from rosemaryyoke.platform.standins.documents import (
+    make_configuration,
+    make_registration,
+)
+from rosemaryyoke.platform.standins.servers import (
+    EngineStandin,
+    StoreStandin,
+    send_client_request,
+)
+from rosemaryyoke.platform.store import PlatformStore
+from rosemaryyoke.platform.tests.deployment import start_host, wait_for
+
+MARK = "written by another"  # replaced by bytes that JSON libraries don't write
+
+
+@define(eq=False)
+class OddStore(StoreStandin):
+    """A store that sends some bytes in place of a text, as another writer wrote it."""
+
+    odd: bytes = b"null"
+
+    def answer(self, message, caller):
+        """Handle a call."""
+        answer = self.call(
+            message.method.decode(), message.target.decode(), message.body
+        )
+        text = orjson.dumps(answer.value).replace(orjson.dumps(MARK), self.odd)
+        caller.send_response(answer.status, b"", [(STORE_ERA, b"1")], text)
+
+
+@define(eq=False)
+class OddDeployment:
+    """A store with odd entries, plain upstreams and a host."""
+
+    odd: bytes = b"null"
+    store: OddStore = field(init=False)
+    upstreams: list = field(factory=list)
+    hosts: list = field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.store = OddStore(odd=self.odd)
+        self.store.set("config", "main", make_configuration())
+        self.add_upstream()
+        self.add_upstream()
+
+    def add_upstream(self):
+        """Start an upstream and register it."""
+        upstream = EngineStandin(f"p{len(self.upstreams)}")
+        self.upstreams.append(upstream)
+        self.write(upstream.name, str(upstream.address))
+
+    def write(self, name, address, **changes):
+        """Write an entry of the plain service."""
+        entry = make_registration(address, "records", **changes)
+        self.store.set("servers", name, entry)
+
+    def start(self):
+        """Start a host and wait until it serves."""
+        self.hosts.append(start_host(self.store))
+        wait_for(self.hosts[0].is_ready)
+
+    def known(self):
+        """Return the upstreams that the host uses."""
+        return set(self.hosts[0].catalog.upstreams)
+
+    def send(self):
+        """Send a request and return its status."""
+        address = self.hosts[0].settings.callers
+        return send_client_request(address, "/read/1", "GET").responses[0].status
+
+    def stop(self):
+        """Stop all parts."""
+        for host in self.hosts:
+            host.kernel.stop()
+        for part in (self.store, *self.upstreams):
+            part.stop()
+
+
+@pytest.fixture(params=ODD.values(), ids=list(ODD))
+def deployment(request):
+    deployment = OddDeployment(request.param)
+    yield deployment
+    deployment.stop()
+
+
+# Guards against one odd entry that keeps a host from starting.
+def test_odd_entry_before_the_start_costs_itself_alone(deployment):
+    deployment.write("odd", "127.0.0.1:9", zone=MARK)
+    deployment.write("extra", str(deployment.upstreams[0].address), note=MARK)
+    deployment.start()
+    assert deployment.known() == {"p0", "p1", "extra"}
+    assert deployment.send() == 200
+
+
+# Guards against a host that follows no further change after one odd entry.
+def test_odd_entry_that_comes_later_costs_itself_alone(deployment):
+    deployment.start()
+    deployment.write("odd", "127.0.0.1:9", slots=MARK)
+    deployment.write("p0", str(deployment.upstreams[0].address), state=MARK)
+    wait_for(lambda: deployment.known() == {"p1"}, 2.0)
+    deployment.add_upstream()
+    wait_for(lambda: deployment.known() == {"p1", "p2"}, 2.0)
+    deployment.write("p0", str(deployment.upstreams[0].address))
+    wait_for(lambda: deployment.known() == {"p0", "p1", "p2"}, 2.0)
+    assert deployment.send() == 200
+
+
+def is_unusable(body):
+    """Return whether an entry names no upstream."""
+    stored = StoredObject("odd", 1, body)
+    return isinstance(PlatformSource(None).decode_upstream(stored), Err)
+
+
+# Guards against an entry that is odd as a whole, also in other kinds.
+@pytest.mark.parametrize("kind", ("servers", "versions", "entry-hosts"))
+def test_odd_object_is_skipped_in_lists_and_watches(deployment, kind):
+    store = PlatformStore(deployment.store.address)
+    first = store.list(kind).unwrap()
+    deployment.store.set(kind, "odd", MARK)
+    deployment.store.set(kind, "sound", {"a": 1})
+    listed = {item.name: item.body for item in store.list(kind).unwrap().objects}
+    assert is_unusable(listed["odd"]) and listed["sound"] == b'{"a":1}'
+    changes = store.watch(kind, first.position, 0.1).unwrap().changes
+    assert [change.object.name for change in changes] == ["odd", "sound"]
+    assert is_unusable(store.get(f"{kind}/odd").unwrap().body)
