--- a/rosemaryyoke/hosts/registration.py
+++ b/rosemaryyoke/hosts/registration.py
@@ -95,7 +95,7 @@
         for stored in listing.ok_value.objects:
             try:
                 address = Address.parse(orjson.loads(stored.body)["address"])
-            except (ValueError, KeyError, TypeError, OSError) as error:
+            except (AttributeError, ValueError, KeyError, TypeError) as error:
                 logging.warning(
                     "registration entry %s is malformed: %s", stored.name, error
                 )
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -61,6 +61,21 @@
     return Upstream(**{**known, "address": Address.parse(value["address"])})
 
 
+def decode_upstreams(values: list[dict], host: str) -> dict[str, Upstream]:
+    """Return upstreams by name; those that a host describes wrongly are left out."""
+    upstreams = {}
+    for value in values:
+        try:
+            upstream = decode_upstream(value)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            logging.warning(
+                "upstream received from host=%s is malformed: %s", host, error
+            )
+            continue
+        upstreams[upstream.name] = upstream
+    return upstreams
+
+
 def answer_state(
     catalog: Catalog, message: RequestMessage, caller: CallerConnection
 ) -> None:
@@ -133,8 +148,7 @@
             known = {} if is_complete else dict(self.catalog.registered)
             for name in value.get("removed", ()):
                 known.pop(name, None)
-            upstreams = [decode_upstream(item) for item in value["upstreams"]]
-            known.update({item.name: item for item in upstreams})
+            known.update(decode_upstreams(value["upstreams"], host))
             self.set_upstreams(known, era)
             self.catalog.upstreams_position = value.get("position")
         elif "upstreams" not in value:  # the same as before, now at a later position
--- a/rosemaryyoke/http1/sockets.py
+++ b/rosemaryyoke/http1/sockets.py
@@ -1,5 +1,7 @@
 """TCP sockets that detect dead peers quickly."""
 
+import functools
+import re
 import select
 import socket
 
@@ -12,6 +14,11 @@
 # A shorter TCP_USER_TIMEOUT would end a silent connection after the first lost probe.
 KEEPALIVE_TIMEOUT_S = KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S
 READ_BYTES = 65_536
+OCTET = r"(?:0|[1-9][0-9]{0,2})"
+ADDRESS = re.compile(rf"(?P<ip>{OCTET}(?:\.{OCTET}){{3}}):(?P<port>[0-9]{{1,5}})")
+MAX_PORT = 65_535
+ADDRESS_CACHE_SIZE = 2_048
+MAX_SHOWN = 32  # characters of a malformed value in an error message
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -25,14 +32,25 @@
     @classmethod
     def parse(cls, text: str) -> "Address":
         """Parse an address such as 10.0.0.1:80; raise ``ValueError``."""
-        ip, _, port = text.rpartition(":")
-        socket.inet_aton(ip)
-        return cls(ip, int(port))
+        return parse_address(text)
 
     def __str__(self) -> str:
         return f"{self.ip}:{self.port}"
 
 
+@functools.lru_cache(ADDRESS_CACHE_SIZE)
+def parse_address(text: str) -> Address:
+    """Parse an address; raise ``ValueError``."""
+    found = ADDRESS.fullmatch(text)
+    if found is None or int(found["port"]) > MAX_PORT:
+        raise ValueError(f"{text[:MAX_SHOWN]!r} is no address")
+    try:
+        socket.inet_aton(found["ip"])
+    except OSError as error:
+        raise ValueError(f"{text!r} is no address") from error
+    return Address(found["ip"], int(found["port"]))
+
+
 def set_tcp_options(connection: socket.socket, user_timeout_s: float) -> None:
     """Disable Nagle's algorithm and set timeouts for unresponsive peers."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/rosemaryyoke/platform/documents.py
+++ b/rosemaryyoke/platform/documents.py
@@ -30,6 +30,7 @@
 from rosemaryyoke.platform.store import PlatformStore
 
 MS_PER_S = 1_000
+MAX_EXACT_INT = 2**53 - 1  # of JSON numbers
 ROUTE_KINDS = {"safe": SAFE, "unsafe": UNSAFE, "streaming": STREAM}
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_PRIORITY = 5  # the least urgent
@@ -157,19 +158,22 @@
     return Upstream(
         name=name,
         service=require_text(value["service"]),
-        address=Address.parse(require_text(value["address"])),
+        address=require_address(value["address"]),
         data_centre=require_text(value["zone"]),
         slots=require_int(value["slots"]),
         draining=DRAINING_BY_STATE[value["state"]],
         cold_s=float(value.get("coldRemainingMs") or 0) / MS_PER_S,
-        weights={
-            require_text(item["name"]): require_int(item["version"]) for item in models
-        },
+        weights=read_weights(models),
         born_ms=require_int(value.get("born", 0)),
         software=software if isinstance(software, str) else "",
     )
 
 
+def read_weights(models: list[dict]) -> dict[str, int]:
+    """Read the version that an engine serves of each model."""
+    return {require_text(item["name"]): require_int(item["version"]) for item in models}
+
+
 def read_wanted(value: dict) -> WantedWeights:
     """Read the wanted weights of a model."""
     return WantedWeights(require_text(value["model"]), require_int(value["version"]))
@@ -182,8 +186,21 @@
     return value
 
 
+def require_address(value: object) -> Address:
+    """Return an address to connect to; raise ``TypeError`` or ``ValueError``."""
+    address = Address.parse(require_text(value))
+    if not address.port:
+        raise ValueError("no connection can be opened to port 0")
+    return address
+
+
 def require_int(value: object) -> int:
-    """Return a number truncated to an integer; raise ``TypeError`` for other types."""
+    """Return a number truncated to an integer; raise ``TypeError`` for other types.
+
+    Raise ``ValueError`` for numbers that not every program holds exactly.
+    """
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise TypeError(f"expected a number, got {value!r}")
+    if abs(value) > MAX_EXACT_INT:
+        raise ValueError(f"number {value!r} is too large")
     return int(value)
--- a/rosemaryyoke/platform/tests/test_odd_entries.py
+++ b/rosemaryyoke/platform/tests/test_odd_entries.py
@@ -5,6 +5,8 @@
 from attrs import define, field
 from result import Err
 
+from rosemaryyoke.hosts.tests.test_eras import make_catalog, make_transfer
+from rosemaryyoke.hosts.transfer import encode_upstream
 from rosemaryyoke.http1.tests.test_lenient_json import ODD
 from rosemaryyoke.objects import StoredObject
 from rosemaryyoke.platform.documents import PlatformSource
@@ -12,6 +14,7 @@
 from rosemaryyoke.platform.standins.documents import (
     make_configuration,
     make_registration,
+    store_object,
 )
 from rosemaryyoke.platform.standins.servers import (
     EngineStandin,
@@ -22,6 +25,9 @@
 from rosemaryyoke.platform.tests.deployment import start_host, wait_for
 
 MARK = "written by another"  # replaced by bytes that JSON libraries don't write
+REQUESTS = 20
+BAD_PORTS = ("70000", "65536", "-1", "99999999999999999999", "0", "8_0", "", "x")
+BAD_ADDRESSES = ("1:80", "127.1:80", "::1:80", "localhost:80", "127.0.0.256:80")
 
 
 @define(eq=False)
@@ -94,6 +100,13 @@
     deployment.stop()
 
 
+@pytest.fixture()
+def sound():
+    deployment = OddDeployment()
+    yield deployment
+    deployment.stop()
+
+
 # Guards against one odd entry that keeps a host from starting.
 def test_odd_entry_before_the_start_costs_itself_alone(deployment):
     deployment.write("odd", "127.0.0.1:9", zone=MARK)
@@ -134,3 +147,41 @@
     changes = store.watch(kind, first.position, 0.1).unwrap().changes
     assert [change.object.name for change in changes] == ["odd", "sound"]
     assert is_unusable(store.get(f"{kind}/odd").unwrap().body)
+
+
+# Guards against an entry that looks idle for ever, since connecting raises no OSError.
+@pytest.mark.parametrize(
+    "address", [*(f"127.0.0.1:{port}" for port in BAD_PORTS), *BAD_ADDRESSES]
+)
+def test_address_that_no_connection_can_have_is_not_used(sound, address):
+    sound.write("odd", address)
+    sound.start()
+    assert sound.known() == {"p0", "p1"}
+    assert [sound.send() for _ in range(REQUESTS)] == [200] * REQUESTS
+
+
+# Guards against numbers that hosts can't tell each other.
+@pytest.mark.parametrize("value", (b"1e300", b"-1e300", b"%d" % 2**60, b"9" * 25))
+@pytest.mark.parametrize("name", ("slots", "born"))
+def test_number_that_is_too_large_names_no_upstream(sound, name, value):
+    sound.store.odd = value
+    sound.write("odd", "127.0.0.1:9", **{name: MARK})
+    sound.start()
+    assert sound.known() == {"p0", "p1"}
+
+
+# Guards against a host of an earlier build that hands on what it took for sound.
+def test_upstream_that_a_host_describes_wrongly_is_left_out():
+    catalog = make_catalog()
+    transfer = make_transfer(catalog)
+    sound = encode_upstream(make_sound())
+    odd = {**sound, "name": "odd", "address": "127.0.0.1:70000"}
+    value = {"upstreams": [odd, sound, {}, None], "era": 0}
+    assert transfer.apply(value, 0.0, "h2")
+    assert set(catalog.upstreams) == {"e1"}
+
+
+def make_sound():
+    """Return an upstream as its entry is read."""
+    entry = make_registration("127.0.0.1:9", "records")
+    return PlatformSource(None).decode_upstream(store_object(entry, "e1")).unwrap()
--- a/rosemaryyoke/platform/upstream_calls.py
+++ b/rosemaryyoke/platform/upstream_calls.py
@@ -6,6 +6,7 @@
 
 from rosemaryyoke.http1 import Address, send_request
 from rosemaryyoke.platform import names
+from rosemaryyoke.platform.documents import read_weights, require_int
 from rosemaryyoke.rollout.messages import (
     REPORT_TIMEOUT_S,
     EngineReport,
@@ -38,8 +39,9 @@
             return Err(f"status {reply.ok_value.status}")
         try:
             value = reply.ok_value.json()
-            weights = {item["name"]: item["version"] for item in value["models"]}
-            return Ok(EngineReport(weights, bool(value["busy"]), value["seq"]))
+            weights = read_weights(value["models"])
+            orders = require_int(value["seq"])
+            return Ok(EngineReport(weights, bool(value["busy"]), orders))
         except (ValueError, KeyError, TypeError) as error:
             return Err(f"malformed report: {error!r}")
 
