--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field, frozen
 
+from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.exchanges.caller import (
     CallerConnection,
     CallerDisconnected,
@@ -27,6 +28,7 @@
 
 CONNECT_TIMEOUT_S = 0.3
 HTTP_OK = 200
+SUCCESS_STATUSES = range(200, 300)
 SUCCESS_START = b"HTTP/1.1 200"
 STALL_CHECK_INTERVAL_S = 0.25
 SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
@@ -125,7 +127,8 @@
     ``response_deadline_s`` is the deadline of the whole exchange. ``predecessor`` is
     the attempt that this one takes over from: which of them delivers first, goes on.
     ``on_sustained`` is called once when the response has gone on for ``SUSTAINED_S``
-    after its head.
+    after its head. Unless ``requires_id``, a response without an identifier is taken
+    for the one to this request, which then needs a connection of its own.
     """
 
     state: UpstreamState
@@ -160,6 +163,8 @@
     on_head: Callable[[ResponseMetadata], None] | None = None
     on_sustained: Callable[[], None] | None = None
     max_idle_s: float = math.inf
+    requires_id: bool = True
+    has_skipped: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.unsent = memoryview(self.request)
@@ -172,7 +177,10 @@
                 CONNECT_TIMEOUT_S, self.response_deadline_s - time.monotonic()
             )
             self.connection = self.pool.take(
-                self.state.upstream, max(0.001, timeout_s), self.max_idle_s
+                self.state.upstream,
+                max(0.001, timeout_s),
+                self.max_idle_s,
+                self.request_id,
             )
         except OSError as error:
             return AttemptFailed(
@@ -282,6 +290,8 @@
         )
         self._fits_in_memory(0)
         if clean:
+            if isinstance(outcome, NotRun):
+                self.connection.refused.add(self.request_id)
             self.pool.release(self.connection, message)
             self.connection = None
         else:
@@ -408,6 +418,8 @@
             outcome = self._process_response(message)
             if outcome is not None:
                 return outcome
+        elif self.reader.responses and not self.has_skipped:
+            self._log_skipped(self.reader.responses[0])
         if not data:
             reason, sent = "the upstream closed its connection", self._sent_whole()
             return AttemptFailed(
@@ -425,19 +437,44 @@
             )
         return None
 
+    def _log_skipped(self, message: ResponseMessage) -> None:
+        """Log the first response that is not the one to this request."""
+        if not message.head_complete:
+            return
+        self.has_skipped = True
+        metadata = self.codec.parse_response_headers(message.status, message.headers)
+        log_event(
+            "response skipped",
+            request=self.request_id,
+            upstream=self.state.upstream.name,
+            status=message.status,
+            response_request=metadata.request_id,
+            reused=self.connection.reused,
+        )
+
     def _matching_response(self) -> ResponseMessage | None:
-        """Return the response to this request, skipping late earlier ones."""
+        """Return the response to this request.
+
+        Late responses to earlier requests, and stray ones without an identifier, are
+        skipped.
+        """
         for message in self.reader.responses:
             if not message.head_complete:
                 return None
             metadata = self.codec.parse_response_headers(
                 message.status, message.headers
             )
-            if metadata.request_id in (None, self.request_id):
+            if self._is_own(metadata.request_id):
                 self.metadata = metadata
                 return message
         return None
 
+    def _is_own(self, request_id: bytes | None) -> bool:
+        """Return whether a response with an identifier is the one to this request."""
+        if request_id is None:
+            return not (self.requires_id and self.request_id)
+        return request_id == self.request_id
+
     def _process_response(self, message: ResponseMessage) -> Outcome | None:
         """Process new response data; return the outcome once it is complete."""
         self.last_byte_s = self.state.last_byte_s = time.monotonic()
@@ -453,6 +490,8 @@
             return None
         if self.metadata.not_run:
             return NotRun(message.status, self.metadata)
+        if message.status in SUCCESS_STATUSES and not self.metadata.sealed:
+            return AttemptFailed("the response is not sealed", may_have_run=True)
         return ResponseReceived(message, self.metadata)
 
     def _relay_stream(self, message: ResponseMessage) -> Outcome | None:
--- a/rosemaryyoke/exchanges/connections.py
+++ b/rosemaryyoke/exchanges/connections.py
@@ -23,6 +23,7 @@
 TCP_USER_TIMEOUT_S = KEEPALIVE_TIMEOUT_S
 DEFAULT_KEEP_ALIVE_S = 8.0
 KEEP_ALIVE_MARGIN_S = 0.8
+MAX_REFUSED = 256  # requests on one connection
 MAX_IDLE_PER_UPSTREAM = 24  # connections to one upstream
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -32,6 +33,8 @@
     """A connection to one incarnation of an upstream.
 
     ``round_trip_s`` is the shortest time that it took to connect to the upstream.
+    ``refused`` has the identifiers of requests that the upstream refused on it: a copy
+    of such a refusal can't be told from the response to the same request.
     """
 
     socket: socket.socket
@@ -40,6 +43,7 @@
     reused: bool = False
     reusable_until_s: float = 0.0
     idle_since_s: float = 0.0
+    refused: set[bytes] = field(factory=set)
 
 
 @define(eq=False)
@@ -52,13 +56,18 @@
     opened: int = 0
 
     def take(
-        self, upstream: Upstream, timeout_s: float, max_idle_s: float = math.inf
+        self,
+        upstream: Upstream,
+        timeout_s: float,
+        max_idle_s: float = math.inf,
+        request_id: bytes = b"",
     ) -> UpstreamConnection:
         """Return a connection idle for at most ``max_idle_s``, or a new one.
 
-        Raise ``OSError`` if none can be opened.
+        The request with ``request_id`` was never refused on it. Raise ``OSError`` if
+        none can be opened.
         """
-        connection = self._acquire_idle(upstream.name, max_idle_s)
+        connection = self._acquire_idle(upstream.name, max_idle_s, request_id)
         return connection or self.open(upstream, timeout_s)
 
     def open(self, upstream: Upstream, timeout_s: float) -> UpstreamConnection:
@@ -76,7 +85,9 @@
             self.round_trips_s[name] = shortest_s
         return shortest_s
 
-    def _acquire_idle(self, name: str, max_idle_s: float) -> UpstreamConnection | None:
+    def _acquire_idle(
+        self, name: str, max_idle_s: float, request_id: bytes = b""
+    ) -> UpstreamConnection | None:
         while True:
             oldest_s = time.monotonic() - max_idle_s
             with self.lock:
@@ -84,7 +95,8 @@
                 if not connections or connections[-1].idle_since_s < oldest_s:
                     return None
                 connection = connections.pop()
-            if time.monotonic() < connection.reusable_until_s:
+            is_expired = time.monotonic() >= connection.reusable_until_s
+            if not is_expired and request_id not in connection.refused:
                 if is_reusable(connection.socket):
                     connection.reused = True
                     connection.round_trip_s = self.round_trips_s.get(name, 0.0)
@@ -93,7 +105,7 @@
 
     def release(self, connection: UpstreamConnection, answer: ResponseMessage) -> None:
         """Return a connection to the pool if the upstream keeps it open."""
-        if not answer.keep_alive:
+        if not answer.keep_alive or len(connection.refused) > MAX_REFUSED:
             close(connection.socket)
             return
         connection.idle_since_s = time.monotonic()
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -313,9 +313,7 @@
             now_s + attempt_timeout_s(exchange, state, now_s),
             STREAM_STALL_TIMEOUT_S if exchange.route.resumable else 0.0,
             memory=self.memory,
-            max_idle_s=(
-                math.inf if exchange.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
-            ),
+            max_idle_s=max_idle_s(exchange),
         )
         if exchange.suspended is not None:
             attempt.predecessor = exchange.suspended.attempt
@@ -504,6 +502,17 @@
         return None
 
 
+def max_idle_s(exchange: Exchange) -> float:
+    """Return how long a connection may have been idle to send an exchange on it.
+
+    A response can be matched to a request without an identifier only on a connection
+    of its own.
+    """
+    if not exchange.metadata.request_id:
+        return 0.0
+    return math.inf if exchange.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
+
+
 def completes(exchange: Exchange, outcome: Outcome) -> bool:
     """Return whether an outcome completes the response to the caller."""
     if exchange.caller.streaming or not isinstance(outcome, ResponseReceived):
--- a/rosemaryyoke/exchanges/tests/builders.py
+++ b/rosemaryyoke/exchanges/tests/builders.py
@@ -15,7 +15,7 @@
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.forwarding import Reachability
 
-SEALED = ResponseMetadata(request_id=None, sealed=True, not_run=False)
+SEALED = ResponseMetadata(request_id=b"r1", sealed=True, not_run=False)
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/rosemaryyoke/forwarding/sender.py
+++ b/rosemaryyoke/forwarding/sender.py
@@ -65,7 +65,9 @@
     is lost to the close of an idle connection.
     """
 
-    def take(self, host, timeout_s: float, max_idle_s: float) -> UpstreamConnection:
+    def take(
+        self, host, timeout_s: float, max_idle_s: float, request_id: bytes
+    ) -> UpstreamConnection:
         """Return a new connection to a host; raise ``OSError`` if there is none."""
         opened = connect(host.address, timeout_s, TCP_USER_TIMEOUT_S)
         return UpstreamConnection(opened, host.name)
@@ -179,6 +181,7 @@
             now_s + LIVENESS_CHECK_S,
             LIVENESS_CHECK_S if exchange.route.resumable else 0.0,
             memory=self.memory,
+            requires_id=False,
         )
         attempt.on_stall = lambda: not self.hosts.is_live(state) and self.may_repeat(
             exchange
--- a/rosemaryyoke/platform/tests/cut_hosts.py
+++ b/rosemaryyoke/platform/tests/cut_hosts.py
@@ -43,14 +43,14 @@
     services: tuple[str, ...] = ("llm", "records")
     given: list = field(factory=list)
 
-    def take(self, upstream, timeout_s, max_idle_s=float("inf")):
+    def take(self, upstream, timeout_s, max_idle_s=float("inf"), request_id=b""):
         """Return a connection, unless this host is cut off from the upstream."""
         if self.mode is None or upstream.service not in self.services:
-            connection = super().take(upstream, timeout_s, max_idle_s)
+            connection = super().take(upstream, timeout_s, max_idle_s, request_id)
             self.given.append(connection.socket)
             return connection
         if self.mode == REFUSING:
-            kept = self._acquire_idle(upstream.name, max_idle_s)
+            kept = self._acquire_idle(upstream.name, max_idle_s, request_id)
             if kept is not None:
                 return kept
         return self.fail(timeout_s)
