--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -12,6 +12,7 @@
 HTTP_SERVER_ERROR = 500
 NOT_RUN_RETRY_AFTER_S = 0.2
 UNREACHABLE_RETRY_AFTER_S = 0.5  # hosts look for a way to upstreams more often
+LEAVING_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 OTHER_HOST_RETRY_AFTER_S = 0.1  # another host can serve the request now
 TIMEOUT_CODE = "timeout"
 UNREACHABLE_CODE = "unreachable"
@@ -75,6 +76,11 @@
     return ErrorResponse(503, UNREACHABLE_CODE, message, wait_s)
 
 
+def leaving_error() -> ErrorResponse:
+    """Return the error response of a host that shuts down."""
+    return ErrorResponse(503, "leaving", "this host is leaving", LEAVING_RETRY_AFTER_S)
+
+
 def unknown_origin_error(is_current: bool) -> ErrorResponse:
     """Return the error response for a stream that no known upstream began.
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -34,11 +34,11 @@
 from rosemaryyoke.exchanges.endings import Endings
 from rosemaryyoke.exchanges.error_responses import (
     is_server_error,
+    leaving_error,
     unknown_origin_error,
     unreachable_error,
 )
 from rosemaryyoke.exchanges.exchange import (
-    ErrorResponse,
     Exchange,
     RequestRejected,
     SentAttempt,
@@ -69,7 +69,6 @@
 from rosemaryyoke.rollout import EngineClient
 
 HTTP_OK = 200
-SHUTDOWN_RETRY_AFTER_S = 0.02  # another host can accept the request immediately
 STREAM_STALL_TIMEOUT_S = 1.0  # Longest gap between events of a resumable stream.
 HEALTH_CHECK_TIMEOUT_S = 0.25  # an engine that runs answers within milliseconds
 MIN_HEALTH_CHECK_S = 0.02
@@ -79,7 +78,10 @@
 
 @define(eq=False)
 class Forwarder:
-    """Forwards the exchanges of one host."""
+    """Forwards the exchanges of one host.
+
+    Requests that may last beyond ``ends_at_s``, when this host ends, are rejected.
+    """
 
     data_centre: str
     catalog: Catalog
@@ -93,6 +95,7 @@
     origins: OriginExchange
     reachability: Reachability
     hosts: ForwardingHosts
+    ends_at_s: float = math.inf
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     memory: ResponseMemory = field(factory=ResponseMemory)
@@ -142,6 +145,8 @@
         if envelope is not None:
             self.accept_forwarded(exchange, envelope)
         try:
+            if exchange.response_deadline_s > self.ends_at_s:
+                raise RequestRejected(leaving_error())
             self.forward(exchange)
         except RequestRejected as rejection:
             self.endings.reject_exchange(exchange, rejection.error)
@@ -164,9 +169,7 @@
 
     def reject_leaving(self, message: RequestMessage, caller: CallerConnection) -> None:
         """Reject a request because this host shuts down."""
-        error = ErrorResponse(
-            503, "leaving", "this host is leaving", SHUTDOWN_RETRY_AFTER_S
-        )
+        error = leaving_error()
         try:
             metadata = self.exchange_factory.parse_request_headers(message)
             caller.request_id = metadata.request_id
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -57,6 +57,8 @@
 STOP_SERVING_SHARE = (
     0.42  # of the grace period; later requests could not finish within it
 )
+# Requests that come later may still run when the host ends, so they must be short.
+ACCEPT_LONG_REQUESTS_S = 2.9
 EXIT_MARGIN_S = 0.3
 CLOSE_TIMEOUT_S = 0.15  # within the margin
 AUXILIARY_MAX_CONNECTIONS = 64
@@ -281,11 +283,14 @@
         callers.disable_keep_alive()
         stale_s = STALE_LOOKUP_LIFETIMES * LOOKUP_LIFETIME_S + EXIT_MARGIN_S
         grace_s = self.settings.grace_s
-        time.sleep(min(stale_s, STOP_SERVING_SHARE * grace_s))
+        deadline_s = started_s + grace_s - EXIT_MARGIN_S
+        serving_s = min(stale_s, STOP_SERVING_SHARE * grace_s)
+        time.sleep(min(ACCEPT_LONG_REQUESTS_S, serving_s))
+        self.forwarder.ends_at_s = deadline_s
+        time.sleep(max(0.0, started_s + serving_s - time.monotonic()))
         callers.reject_new_requests()
         callers.close_idle()
         self.forwarded.leaving = True
-        deadline_s = started_s + grace_s - EXIT_MARGIN_S
         idle = [server.wait_idle(deadline_s) for server in (callers, self.forwarded)]
         if not all(idle):
             logging.warning(
