Fetch a configuration that another host has before this one (CONFIG)

What callers saw: keys that had been revoked were served, and dropped routes answered, 2.0 to 2.9 s after the acknowledgement, at hosts whose watcher the store no longer answered.

Cause: a watcher's call to the store hangs for up to 1.8 s, after a pause of 0.4 s. Until then it tells the hosts that poll it that its view is current, and their own poll ends up to 0.8 s later. They heard in other hosts' beacons that a newer configuration was in force, and did not act on it.

Ruled out as the remedy: a shorter time until a call counts as lost, since a slow store takes several hundred milliseconds to answer.

Why this works: beacons name the version in force. A host that has known of a newer one for 0.2 s, longer than a poll takes, fetches the state from a host that has it. One that reads the store itself takes from it only what operators write.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -65,7 +65,8 @@
 # Of the connections for callers; each is one more task with its buffers.
 FORWARDED_SHARE = 0.5
 REACHABILITY_PERIOD_S = 0.25
-TRANSFER_PERIOD_S = 0.5
+REGISTERS_PERIOD_S = 0.5
+TRANSFER_PERIOD_S = 0.25
 POOL_SWEEP_PERIOD_S = 1.0
 ORIGINS_PERIOD_S = 0.2
 GAUGES_PERIOD_S = 2.0
@@ -250,12 +251,12 @@
         return (
             (TICK_INTERVAL_S, self.rollout.tick),
             (TRANSFER_PERIOD_S, self.transfer.fetch),
-            (TRANSFER_PERIOD_S, self.registration.tick),
-            (TRANSFER_PERIOD_S, self.ban_register.tick),
+            (REGISTERS_PERIOD_S, self.registration.tick),
+            (REGISTERS_PERIOD_S, self.ban_register.tick),
             (POOL_SWEEP_PERIOD_S, self.connections.close_expired),
             (POOL_SWEEP_PERIOD_S, self.update_host_count),
             (GAUGES_PERIOD_S, self.update_gauges),
-            (TRANSFER_PERIOD_S, self.follower.remove_expired),
+            (REGISTERS_PERIOD_S, self.follower.remove_expired),
             (ORIGINS_PERIOD_S, self.origins.tick),
             (ORIGINS_PERIOD_S, self.version_register.tick),
             (REACHABILITY_PERIOD_S, self.reachability.tick),
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -1,4 +1,4 @@
-"""Transfer of state from another host while the store is unreachable."""
+"""Transfer of state from another host that knows more of the store."""
 
 import random
 import time
@@ -18,6 +18,10 @@
 
 STATE_PATH = "/state"
 REQUEST_TIMEOUT_S = 1.0
+# The store, or the host that this one polls, usually tells within milliseconds.
+NEWER_CONFIGURATION_WAIT_S = 0.2
+# What operators write; the rest of a state is older than what the store tells.
+OPERATORS_KEYS = ("era", "configuration", "wanted")
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -88,21 +92,29 @@
 
 @define(eq=False)
 class StateTransfer:
-    """Fetches state from another host while the store is unreachable."""
+    """Fetches state from another host.
+
+    It does so while this host has no current view of the store, or if another host's
+    configuration is newer: the host that this one polls may have lost the store without
+    noticing. ``behind_since_s`` is since when another one has been known.
+    """
 
     source: CatalogSource
     catalog: Catalog
     roles: WatcherRoles
     set_upstreams: Callable[[dict[str, Upstream], int], None]
+    behind_since_s: float | None = None
 
     def fetch(self) -> None:
-        """Fetch and apply a live host's state if this one has no current view."""
+        """Fetch and apply a live host's state if it knows more than this one."""
         now_s = time.monotonic()
-        if self.catalog.is_fresh():
+        is_behind = self.is_behind(now_s)
+        if self.catalog.is_fresh() and not is_behind:
             return
-        peer = self.choose_peer(now_s)
+        peer = self.choose_newer(now_s) if is_behind else self.choose_peer(now_s)
         if peer is None:
             return
+        self.behind_since_s = None
         reply = send_request(
             peer.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
         )
@@ -110,20 +122,34 @@
             logging.warning("state transfer from host=%s failed", peer.host)
             return
         value = reply.ok_value.json()
+        if self.catalog.follows_store():
+            value = {key: value[key] for key in OPERATORS_KEYS if key in value}
         self.apply(value, value.get("age_s"), peer.host)
 
+    def is_behind(self, now_s: float) -> bool:
+        """Return whether another host has had a newer configuration for a while."""
+        if self.choose_newer(now_s) is None:
+            self.behind_since_s = None
+            return False
+        if self.behind_since_s is None:
+            self.behind_since_s = now_s
+        return now_s - self.behind_since_s >= NEWER_CONFIGURATION_WAIT_S
+
+    def choose_newer(self, now_s: float) -> HostState | None:
+        """Return a live host with a newer configuration than this one's."""
+        known = self.catalog.configuration
+        version = known.version if known is not None else 0
+        live = [peer.beacon for peer in self.roles.table.live_peers(now_s)]
+        newer = [state for state in live if state.configuration > version]
+        return random.choice(newer) if newer else None
+
     def choose_peer(self, now_s: float) -> HostState | None:
         """Return a watcher, else a host with a newer configuration.
 
         Without a watcher, a transfer is of use only if the other host knows more.
         """
-        known = self.catalog.configuration
-        version = known.version if known is not None else 0
-        live = [peer.beacon for peer in self.roles.table.live_peers(now_s)]
-        chosen = self.roles.watchers(now_s) or [
-            state for state in live if state.configuration > version
-        ]
-        return random.choice(chosen) if chosen else None
+        watchers = self.roles.watchers(now_s)
+        return random.choice(watchers) if watchers else self.choose_newer(now_s)
 
     def apply(self, value: dict, age_s: float | None, host: str = "") -> bool:
         """Apply another host's state, in which unchanged parts may be missing.
--- a/rosemaryyoke/platform/tests/test_stale_views.py
+++ b/rosemaryyoke/platform/tests/test_stale_views.py
@@ -2,12 +2,15 @@
 
 import time
 
+import orjson
 import pytest
 from attrs import define, field
 
 from rosemaryyoke.exchanges.server import ConnectionServer
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.http1.messages import find_header
+from rosemaryyoke.platform.names import STORE_ERA
+from rosemaryyoke.platform.standins.documents import make_configuration
 from rosemaryyoke.platform.standins.servers import StoreStandin, stop_server
 from rosemaryyoke.platform.tests.deployment import start_host, wait_for
 from rosemaryyoke.platform.tests.test_software_versions import (
@@ -26,6 +29,8 @@
 REJECTED_WITHIN_S = 0.5
 GOES_ON_WITHIN_S = 0.25
 RECOVERED_WITHIN_S = 4.0
+HOSTS = 5  # more than read the store
+CONFIGURATION_IN_FORCE_S = 2.0
 
 
 @define(eq=False)
@@ -49,8 +54,11 @@
     def answer(self, message, caller):
         """Answer a call, or hold it as long as the trouble lasts."""
         self.hold(message)
-        self.store.answer(message, caller)
+        method, target = message.method.decode(), message.target.decode()
+        answer = self.store.call(method, target, message.body)
         self.hold(message)
+        headers = [(STORE_ERA, b"%d" % answer.era)]
+        caller.send_response(answer.status, b"", headers, orjson.dumps(answer.value))
 
     def hold(self, message):
         """Wait for the end of the trouble, and lose the connection."""
@@ -155,3 +163,40 @@
     started_s = time.monotonic()
     wait_for(lambda: fleet.send(2, **unknown).status == 200, RECOVERED_WITHIN_S)
     print(f"taken up {time.monotonic() - started_s:.1f} s after the store answered")
+
+
+@pytest.fixture()
+def links():
+    store = StoreStandin()
+    store.set("config", "main", make_configuration(1))
+    links = [StoreLink(store) for _ in range(HOSTS)]
+    yield links
+    for part in (*links, store):
+        part.stop()
+
+
+# Guards against hosts that poll one which the store no longer answers, and which does
+# not know yet: they keep the older configuration, and keys that were revoked.
+def test_configuration_is_in_force_behind_a_silent_watcher(links):
+    hosts = []
+    for link in links:
+        hosts.append(start_host(link, [host.settings.peers for host in hosts]))
+    for host in hosts:
+        wait_for(host.is_ready, 10.0)
+        wait_for(lambda: len(host.table.live_peers(time.monotonic())) == HOSTS - 1)
+    wait_for(lambda: sum(host.relay.client is not None for host in hosts) == HOSTS - 3)
+    polled = {host.relay.client.address for host in hosts if host.relay.client}
+    time.sleep(LEARNED_S)
+    for host, link in zip(hosts, links):
+        if host.settings.peers in polled:
+            link.trouble = CUT
+    assert 0 < sum(link.trouble is not None for link in links) < HOSTS
+    started_s = time.monotonic()
+    links[0].store.set("config", "main", make_configuration(2))
+    wait_for(
+        lambda: all(host.catalog.configuration.version == 2 for host in hosts),
+        CONFIGURATION_IN_FORCE_S,
+    )
+    print(f"in force after {time.monotonic() - started_s:.2f} s")
+    for host in hosts:
+        host.kernel.stop()
