Learn from other hosts when weights were declared (VERSION)

Cause, by reading: a host that has just started takes the weights of its first listing for declared 11 s ago, and those that another host tells for declared just now, however long ago that was; it may use engines with older weights for 4 or 15 s more.

Why this works: hosts hand on when versions were declared, as ages, and a host whose times are assumed asks up to four others while some engine has older weights. Ages that are themselves assumed are not handed on. Earlier versions are learned, too, since each version is judged from its own declaration. Hosts of the build before name no ages, and ignore them.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -3,7 +3,7 @@
 import math
 import threading
 import time
-from typing import Callable
+from typing import Callable, Iterable
 
 from attrs import define, field, frozen
 
@@ -18,10 +18,14 @@
 
 @frozen
 class DeclaredVersion:
-    """A declared version of a model's weights and the time of its declaration."""
+    """A declared version of a model's weights and the time of its declaration.
+
+    A listing does not tell the time; it is then assumed.
+    """
 
     version: int
     declared_s: float
+    is_assumed: bool = False
 
 
 @define(eq=False)
@@ -112,13 +116,16 @@
         if self.departures.withheld:
             self.replace_upstreams(self.registered, self.upstreams_era)
 
-    def update_wanted(self, wanted: WantedWeights, age_s: float = 0.0) -> None:
+    def update_wanted(
+        self, wanted: WantedWeights, age_s: float = 0.0, is_assumed: bool = False
+    ) -> None:
         """Record a weights version declared ``age_s`` ago, if it is newer."""
         with self.changed:
             if wanted.version <= self.wanted.get(wanted.model, 0):
                 return
             self.wanted[wanted.model] = wanted.version
-            named = DeclaredVersion(wanted.version, time.monotonic() - age_s)
+            declared_s = time.monotonic() - age_s
+            named = DeclaredVersion(wanted.version, declared_s, is_assumed)
             versions = self.declared_versions.setdefault(wanted.model, [])
             self.declared_versions[wanted.model] = [*versions, named][
                 -MAX_VERSION_HISTORY:
@@ -130,6 +137,42 @@
         )
         self._notify_listeners()
 
+    def known_declarations(self) -> dict[str, list[tuple[int, float]]]:
+        """Return the versions of each model whose age is known, with the age in s."""
+        now_s = time.monotonic()
+        return {
+            model: [
+                (item.version, now_s - item.declared_s)
+                for item in versions
+                if not item.is_assumed
+            ]
+            for model, versions in list(self.declared_versions.items())
+        }
+
+    def learn_declarations(self, model: str, ages: Iterable[tuple[int, float]]) -> None:
+        """Learn the ages of declared versions in place of assumed ones."""
+        now_s = time.monotonic()
+        with self.changed:
+            known = {item.version: item for item in self.declared_versions[model]}
+            for version, age_s in ages:
+                if version not in known or known[version].is_assumed:
+                    known[version] = DeclaredVersion(version, now_s - age_s)
+            ordered = [known[version] for version in sorted(known)]
+            self.declared_versions[model] = ordered[-MAX_VERSION_HISTORY:]
+
+    def assumes_declarations(self) -> bool:
+        """Return whether it is assumed when weights were declared that some lack."""
+        assumed = {
+            model: versions[-1].version
+            for model, versions in list(self.declared_versions.items())
+            if versions[-1].is_assumed
+        }
+        return any(
+            upstream.weights.get(model, version) < version
+            for upstream in list(self.upstreams.values())
+            for model, version in assumed.items()
+        )
+
     def outdated_s(self, model: str, version: int, now_s: float) -> float:
         """Return how long ago the next newer version was declared, or 0."""
         for named in self.declared_versions.get(model, ()):
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -414,7 +414,7 @@
     def apply_wanted_listing(self, listing: Listing) -> None:
         """Apply the declared weights versions in a listing."""
         for stored in listing.objects:
-            self._update_wanted(stored, self.assumed_weights_age_s)
+            self._update_wanted(stored, self.assumed_weights_age_s, is_assumed=True)
 
     def apply_wanted_changes(self, changes: FeedChanges) -> None:
         """Apply changed weights versions."""
@@ -422,9 +422,11 @@
             if not change.removed:
                 self._update_wanted(change.object)
 
-    def _update_wanted(self, stored: StoredObject, age_s: float = 0.0) -> None:
+    def _update_wanted(
+        self, stored: StoredObject, age_s: float = 0.0, is_assumed: bool = False
+    ) -> None:
         decoded = self.source.decode_wanted(stored)
         if isinstance(decoded, Err):
             logging.error("declared weights are malformed: %s", decoded.err_value)
             return
-        self.catalog.update_wanted(decoded.ok_value, age_s)
+        self.catalog.update_wanted(decoded.ok_value, age_s, is_assumed)
--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -61,6 +61,7 @@
         value["upstreams"] = [encode_upstream(item) for item in found]
         value["removed"] = [name for name in names if name not in upstreams]
         value["wanted"] = catalog.wanted
+        value["declared"] = catalog.known_declarations()
         if catalog.configuration.version > configuration:
             value["configuration"] = catalog.configuration_source.decode()
     return zlib.compress(orjson.dumps(value), COMPRESSION_LEVEL)
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -6,7 +6,7 @@
 
 import orjson
 from absl import logging
-from attrs import define, fields_dict
+from attrs import define, field, fields_dict
 from result import Err
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Upstream, WantedWeights
@@ -20,8 +20,9 @@
 REQUEST_TIMEOUT_S = 1.0
 # The store, or the host that this one polls, usually tells within milliseconds.
 NEWER_CONFIGURATION_WAIT_S = 0.2
+MAX_ASKED = 4  # hosts, of which some may have just started, too
 # What operators write; the rest of a state is older than what the store tells.
-OPERATORS_KEYS = ("era", "configuration", "wanted")
+OPERATORS_KEYS = ("era", "configuration", "wanted", "declared")
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -37,6 +38,7 @@
             "configuration": catalog.configuration_source.decode(),
             "upstreams": [encode_upstream(i) for i in catalog.upstreams.values()],
             "wanted": catalog.wanted,
+            "declared": catalog.known_declarations(),
             "age_s": catalog.age_s() if catalog.is_fresh() else None,
         }
     )
@@ -96,7 +98,9 @@
 
     It does so while this host has no current view of the store, or if another host's
     configuration is newer: the host that this one polls may have lost the store without
-    noticing. ``behind_since_s`` is since when another one has been known.
+    noticing. A host that has just started asks some hosts when weights were declared,
+    which the store does not tell. ``behind_since_s`` is since when a newer
+    configuration has been known, and ``asked`` are the hosts asked.
     """
 
     source: CatalogSource
@@ -104,14 +108,18 @@
     roles: WatcherRoles
     set_upstreams: Callable[[dict[str, Upstream], int], None]
     behind_since_s: float | None = None
+    asked: set[str] = field(factory=set)
 
     def fetch(self) -> None:
         """Fetch and apply a live host's state if it knows more than this one."""
         now_s = time.monotonic()
         is_behind = self.is_behind(now_s)
-        if self.catalog.is_fresh() and not is_behind:
-            return
-        peer = self.choose_newer(now_s) if is_behind else self.choose_peer(now_s)
+        if is_behind:
+            peer = self.choose_newer(now_s)
+        elif not self.catalog.is_fresh():
+            peer = self.choose_peer(now_s)
+        else:
+            peer = self.choose_to_ask(now_s)
         if peer is None:
             return
         self.behind_since_s = None
@@ -143,6 +151,18 @@
         newer = [state for state in live if state.configuration > version]
         return random.choice(newer) if newer else None
 
+    def choose_to_ask(self, now_s: float) -> HostState | None:
+        """Return a host that may know when weights were declared, if that is needed."""
+        if len(self.asked) >= MAX_ASKED or not self.catalog.assumes_declarations():
+            return None
+        live = [peer.beacon for peer in self.roles.table.live_peers(now_s)]
+        left = [state for state in live if state.ready and state.host not in self.asked]
+        if not left:
+            return None
+        peer = random.choice(left)
+        self.asked.add(peer.host)
+        return peer
+
     def choose_peer(self, now_s: float) -> HostState | None:
         """Return a watcher, else a host with a newer configuration.
 
@@ -163,8 +183,12 @@
         source = value.get("configuration")
         if source is not None and not self.apply_configuration(source.encode()):
             return True
+        declared = value.get("declared", {})
         for model, version in value.get("wanted", {}).items():
-            self.catalog.update_wanted(WantedWeights(model, version))
+            ages = dict(declared.get(model, ()))
+            wanted, is_assumed = WantedWeights(model, version), version not in ages
+            self.catalog.update_wanted(wanted, ages.get(version, 0.0), is_assumed)
+            self.catalog.learn_declarations(model, ages.items())
         if era < self.catalog.upstreams_era:
             logging.warning("state of host=%s is of the older era %d", host, era)
             return False
