Free response bodies with their attempts (memory)

Cause: a response parser and its llhttp parser refer to each other, so that up to 8 MB of an abandoned response lived until the cyclic garbage collection, while ResponseMemory counted them as free.

Evidence: test_body_is_freed_with_its_attempt finds the parser alive after its attempt, with collections off; failed before in both cases.

Why this works: the attempt, and the client of the store and of other hosts, end the parsing once it has its outcome, which breaks the cycle.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -202,6 +202,7 @@
     def abandon(self) -> None:
         """Close the connection, which ends the upstream's work on the request."""
         self._fits_in_memory(0)
+        self.reader.close()
         if self.connection is not None:
             close(self.connection.socket)
             self.connection = None
@@ -289,6 +290,7 @@
             and self._sent_whole()
         )
         self._fits_in_memory(0)
+        self.reader.close()
         if clean:
             if isinstance(outcome, NotRun):
                 self.connection.refused.add(self.request_id)
--- a/rosemaryyoke/exchanges/tests/test_response_memory.py
+++ b/rosemaryyoke/exchanges/tests/test_response_memory.py
@@ -1,6 +1,8 @@
 """Responses of many attempts at once do not exhaust a host's memory."""
 
+import gc
 import threading
+import weakref
 
 import pytest
 
@@ -72,3 +74,20 @@
     outcome = make_attempt(sockets, streams=True, memory=memory).run()
     assert isinstance(outcome, AttemptFailed) and "memory" in outcome.reason
     assert memory.held_bytes == 4 * MIB
+
+
+# Guards against bodies of abandoned responses that live until the garbage collection.
+@pytest.mark.parametrize("limit_bytes", (4 * MIB, 64 * MIB))
+def test_body_is_freed_with_its_attempt(sockets, limit_bytes):
+    memory = ResponseMemory(limit_bytes=limit_bytes)
+    memory.resize(0, 3 * MIB)
+    send_and_close(sockets, 2 * MIB)
+    gc.disable()
+    try:
+        attempt = make_attempt(sockets, memory=memory)
+        attempt.run()
+        reader = weakref.ref(attempt.reader)
+        del attempt
+        assert reader() is None
+    finally:
+        gc.enable()
--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -105,6 +105,14 @@
 
     def _receive(self, deadline_s: float) -> Result[ResponseMessage, str]:
         reader = ResponseParser()
+        try:
+            return self._read_response(reader, deadline_s)
+        finally:
+            reader.close()
+
+    def _read_response(
+        self, reader: ResponseParser, deadline_s: float
+    ) -> Result[ResponseMessage, str]:
         while not (reader.responses and reader.responses[0].complete):
             if reader.error is not None:
                 return Err(reader.error)
--- a/rosemaryyoke/http1/responses.py
+++ b/rosemaryyoke/http1/responses.py
@@ -14,6 +14,7 @@
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 MALFORMED = "the response is malformed"
+CLOSED = "the parser is closed"
 TOO_LARGE = "the response is too large"
 
 
@@ -137,6 +138,11 @@
             last.complete = True
             last.keep_alive = False
 
+    def close(self) -> None:
+        """End the parsing, so that the bodies are freed with the last reference."""
+        self.parser = None
+        self.error = self.error or CLOSED
+
     def on_message_begin(self) -> None:
         """Start a new response."""
         if self.responses:
