--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -45,15 +45,17 @@
 
     The system takes ports of outgoing connections from a range above these. Each of
     the processes that run tests side by side has ports of its own, so that none takes
-    the port of a process that another has killed and will restart.
+    the port of a process that another has killed and will restart. Raise ``OSError``
+    if there are none.
     """
     first = FIRST_PORT + worker_number() % TEST_WORKERS * PORTS
-    while True:
+    for _ in range(2 * PORTS):
         numbers = [next(next_port) % PORTS for _ in range(count)]
         if numbers[-1] - numbers[0] == count - 1 and all(
             is_free(first + number) for number in numbers
         ):
             return first + numbers[0]
+    raise OSError(f"no {count} free ports from {first} on")
 
 
 def is_free(port: int) -> bool:
