Log that parts of a JSON document were left out

Entries that lack what could not be decoded were only seen by what they did not do. One line for each answer of the store that holds such a part, with the first error of the JSON library. No other change of behaviour; the tests of odd entries pass.

--- a/rosemaryyoke/http1/lenient_json.py
+++ b/rosemaryyoke/http1/lenient_json.py
@@ -8,6 +8,7 @@
 from typing import Iterator
 
 import orjson
+from absl import logging
 
 # A page of the store: the page, its items, an item, its content, and a field's value.
 MAX_SPLIT_DEPTH = 4
@@ -24,8 +25,10 @@
     """
     try:
         return orjson.loads(data)
-    except ValueError:
-        return decode_parts(data, MAX_SPLIT_DEPTH)
+    except ValueError as error:
+        found = decode_parts(data, MAX_SPLIT_DEPTH)
+        logging.warning("parts of a JSON document are left out: %s", error)
+        return found
 
 
 def decode_parts(data: bytes, depth: int) -> object:
