Log which weights a request was placed on, expects and got

What could not be told apart: two requests began on KV cache of another version of the model, and no log line named the version that the host believed, the one that the head expects, the text of Cache-Salt or where parts were to be fetched from.

`placed` now names expected_weights, cache_salt, fetch_from and save_to as the head has them, `answered` and `attempt failed` the version that the response names, and `upstream weights changed` each change of what the host believes, with its source. The head's options are made before they are encoded, so that the log has the same values; no decision changes.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -57,13 +57,15 @@
 
     ``framing`` and ``head_age_ms`` are ``None`` if no head arrived. The latter is the
     time from the head to the end. ``partial_event_bytes`` is the size of the incomplete
-    event at the end of a stream.
+    event at the end of a stream. ``weights`` is the version of the weights that the
+    head names.
     """
 
     framing: Framing | None
     connection: ConnectionState
     partial_event_bytes: int
     head_age_ms: int | None = None
+    weights: int | None = None
 
 
 @frozen
@@ -254,6 +256,7 @@
             connection=self.connection_state,
             partial_event_bytes=self._partial_event_bytes(),
             head_age_ms=self._head_age_ms(),
+            weights=self.metadata.weights_version if message is not None else None,
         )
 
     def _head_age_ms(self) -> int | None:
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -12,6 +12,7 @@
     ResponseReceived,
 )
 from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange
+from rosemaryyoke.exchanges.messages import ForwardingOptions
 from rosemaryyoke.fleet import ComparedQueue, Placement
 from rosemaryyoke.hosts.origin_exchange import Resolution
 from rosemaryyoke.quarantine import format_key, format_keys
@@ -25,8 +26,10 @@
 CUT_WITHOUT_UPSTREAM = "no upstream"
 
 
-def log_placement(exchange: Exchange, placement: Placement) -> None:
-    """Log the chosen upstream and the inputs of the choice."""
+def log_placement(
+    exchange: Exchange, placement: Placement, options: ForwardingOptions
+) -> None:
+    """Log the chosen upstream, the inputs of the choice and what the head names."""
     configuration = exchange.configuration
     log_event(
         "placed",
@@ -44,6 +47,10 @@
         resumed_from=exchange.resumed_from or exchange.metadata.last_event_id,
         resumes=exchange.metadata.resumes,
         left_ms=exchange.left_ms(),
+        expected_weights=options.weights_version,
+        cache_salt=options.cache_salt,
+        fetch_from=options.fetch_from,
+        save_to=options.save_to,
     )
 
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -339,9 +339,10 @@
         exchange.send_count += 1
         exchange.last_upstream = state.upstream.name
         exchange.excluded_upstreams.add(state.upstream.name)
-        log_placement(exchange, placement)
         saves_to_store = self.writer.saves_to_store(exchange, placement)
-        request = self.writer.encode(exchange, placement, saves_to_store)
+        options = self.writer.options(exchange, placement, saves_to_store)
+        log_placement(exchange, placement, options)
+        request = self.writer.encode(exchange, options)
         read = PromptPrefill(state.upstream.name, placement.parts, saves_to_store)
         now_s = time.monotonic()
         attempt = Attempt(
@@ -505,7 +506,7 @@
         version = outcome.metadata.weights_version
         model = exchange.metadata.model
         if version is not None and state.weights.get(model) != version:
-            state.update_weights(model, version, now_s)
+            state.update_weights(model, version, now_s, "refusal")
         else:
             state.record_failure(now_s, silent=False)
             if state.is_brittle(now_s):
--- a/rosemaryyoke/exchanges/request_writer.py
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -24,14 +24,14 @@
     codec: HeaderCodec
     urgency: Urgency = field(factory=Urgency)
 
-    def encode(
+    def options(
         self, exchange: Exchange, placement: Placement, saves_to_store: bool
-    ) -> bytes:
-        """Encode the head of the request for an upstream."""
+    ) -> ForwardingOptions:
+        """Return what the head of the request tells the upstream."""
         metadata, state = exchange.metadata, placement.state
         weights = state.weights.get(metadata.model) if metadata.model else None
         store = self.cache_store(exchange, placement)
-        directive = ForwardingOptions(
+        return ForwardingOptions(
             instance=state.upstream.name,
             deadline_s=exchange.deadline_s - time.monotonic(),
             account=exchange.account.name if exchange.account else None,
@@ -43,8 +43,11 @@
             save_to=store.address if store is not None and saves_to_store else None,
             last_event_id=exchange.resumed_from or metadata.last_event_id,
         )
+
+    def encode(self, exchange: Exchange, options: ForwardingOptions) -> bytes:
+        """Encode the head of the request for an upstream."""
         message = exchange.message
-        headers = self.codec.forward_headers(message.headers, directive)
+        headers = self.codec.forward_headers(message.headers, options)
         if exchange.body or message.method not in BODILESS_METHODS:
             headers.append((b"Content-Length", b"%d" % len(exchange.body)))
         first_line = b"%s %s HTTP/1.1" % (message.method, message.target)
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -147,7 +147,8 @@
         for model, version in upstream.weights.items():
             known = state.weights.get(model, 0)
             if version > known or now_s - state.weights_seen_s > REGISTRATION_LAG_S:
-                state.update_weights(model, version, state.weights_seen_s)
+                seen_s = state.weights_seen_s
+                state.update_weights(model, version, seen_s, "registration")
 
     def states_of_service(self, service: str) -> list[UpstreamState]:
         """Return the states of a service's upstreams."""
--- a/rosemaryyoke/fleet/state.py
+++ b/rosemaryyoke/fleet/state.py
@@ -262,9 +262,23 @@
         self.answers += 1
         self.error_share += ERROR_SMOOTHING * (float(not success) - self.error_share)
 
-    def update_weights(self, model: str, version: int, now_s: float) -> None:
-        """Update a model's version; a new version empties the cache estimate."""
-        if self.weights.get(model) != version:
+    def update_weights(
+        self, model: str, version: int, now_s: float, source: str = ""
+    ) -> None:
+        """Update a model's version; a new version empties the cache estimate.
+
+        ``source`` is what told this host of the version, for the log.
+        """
+        known = self.weights.get(model)
+        if known != version:
+            log_event(
+                "upstream weights changed",
+                upstream=self.upstream.name,
+                model=model,
+                old=known,
+                new=version,
+                source=source,
+            )
             self.weights[model] = version
             self.cache_estimate.clear()
             self.loading_until_s = 0.0
--- a/rosemaryyoke/platform/tests/test_causes_in_logs.py
+++ b/rosemaryyoke/platform/tests/test_causes_in_logs.py
@@ -100,6 +100,16 @@
     assert {fields["resumes"] for fields in placed} == {"c0"}
 
 
+# Guards against KV cache of other weights that the logs can't lay to a placement.
+def test_versions_of_weights_are_in_the_logs(deployment, logged):
+    deployment.stream(**{"Request-Id": "c12"})
+    events = logged("c12")
+    placed, answered = events[0].fields, events[-1].fields
+    assert (placed["expected_weights"], placed["cache_salt"]) == (1, "s:1")
+    assert (placed["fetch_from"], placed["save_to"]) == ("127.0.0.1:9",) * 2
+    assert answered["weights"] == 1
+
+
 # Guards against an ended stream whose log line does not tell what its engine sent.
 def test_end_of_an_answered_stream_is_in_the_logs(deployment, logged):
     events = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -344,7 +344,7 @@
         """Apply a report; return whether the engine serves the target version."""
         served = report.weights.get(model, 0)
         with self.fleet.lock:
-            state.update_weights(model, served, time.monotonic())
+            state.update_weights(model, served, time.monotonic(), "report")
         return served >= self.catalog.wanted.get(model, 0)
 
 
