Expect the version of the weights that a placement was made for

Cause: the salt of a prompt was made from the version that the host believed when it chose the engine, the version that the head expects was read again when the head was written. A registration, report or refusal in between gave a head with the salt of the old version that expects the new one. The engine has the expected version, so that it runs the request, and fetches parts of the old version under the old salt.

Change: a placement carries the version that its salt and parts are made for, and the head expects that one. If it is outdated by then, the engine refuses the request as not run, and it is placed again.

--- a/rosemaryyoke/exchanges/request_writer.py
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -27,16 +27,19 @@
     def options(
         self, exchange: Exchange, placement: Placement, saves_to_store: bool
     ) -> ForwardingOptions:
-        """Return what the head of the request tells the upstream."""
+        """Return what the head of the request tells the upstream.
+
+        The upstream must serve the version that the salt of the placement was made
+        for. What is known of the upstream may have changed since then.
+        """
         metadata, state = exchange.metadata, placement.state
-        weights = state.weights.get(metadata.model) if metadata.model else None
         store = self.cache_store(exchange, placement)
         return ForwardingOptions(
             instance=state.upstream.name,
             deadline_s=exchange.deadline_s - time.monotonic(),
             account=exchange.account.name if exchange.account else None,
             strip_api_key=bool(exchange.configuration.accounts),
-            weights_version=weights,
+            weights_version=placement.weights,
             priority=self.priority(exchange) if state.traits is not None else None,
             cache_salt=placement.salt or None,
             fetch_from=self.fetch_source(exchange, placement, store),
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -49,7 +49,11 @@
 
 @frozen
 class Placement:
-    """The upstream chosen for a request, with the predicted times and cost."""
+    """The upstream chosen for a request, with the predicted times and cost.
+
+    ``weights`` is the version of the model that the upstream serves as far as known,
+    ``None`` if it is not; ``salt`` and ``parts`` are made for it.
+    """
 
     state: UpstreamState
     salt: bytes
@@ -59,6 +63,7 @@
     cost_s: float
     prefill_s: float = 0.0
     loading: bool = False
+    weights: int | None = None
 
 
 @frozen
@@ -120,11 +125,14 @@
 
     request: PlacementRequest
     now_s: float
-    by_version: dict[int, HashedPrompt] = field(factory=dict)
+    by_version: dict[int | None, HashedPrompt] = field(factory=dict)
 
     def for_upstream(self, state: UpstreamState) -> HashedPrompt:
         """Return the prompt hashed with the salt of an upstream."""
-        version = state.weights.get(self.request.ask.model, 0)
+        return self.for_version(served_version(self.request, state))
+
+    def for_version(self, version: int | None) -> HashedPrompt:
+        """Return the prompt hashed with the salt of a version of the weights."""
         prompt = self.by_version.get(version)
         if prompt is None:
             salt = cache_salt(self.request, version)
@@ -254,10 +262,11 @@
     ) -> Placement:
         """Return the placement at an upstream with its predicted cost."""
         hit, parts, salt, prefill_s = 0, (), b"", 0.0
+        weights = served_version(request, state)
         wait_s = self.slot_wait_s(state, now_s)
         cost_s = self.penalty_s(request, state, now_s)
         if state.traits is not None and request.ask.parts:
-            prompt = prompts.for_upstream(state)
+            prompt = prompts.for_version(weights)
             salt, parts = prompt.salt, prompt.parts
             hit = state.cache_estimate.cached_prefix_tokens(parts)
             if state.upstream.name != home:
@@ -268,7 +277,9 @@
             cost_s += self.memory_wait_s(request, state, now_s)
         cost_s += wait_s
         loading = state.loading(now_s)
-        return Placement(state, salt, parts, hit, wait_s, cost_s, prefill_s, loading)
+        return Placement(
+            state, salt, parts, hit, wait_s, cost_s, prefill_s, loading, weights
+        )
 
     def slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
         """Return the wait for a slot or a load of weights, and the batching delay."""
@@ -379,9 +390,14 @@
     return chosen or usable
 
 
-def cache_salt(request: PlacementRequest, version: int) -> bytes:
+def served_version(request: PlacementRequest, state: UpstreamState) -> int | None:
+    """Return the version of the request's model at an upstream, if it is known."""
+    return state.weights.get(request.ask.model) if request.ask.model else None
+
+
+def cache_salt(request: PlacementRequest, version: int | None) -> bytes:
     """Return the salt that separates cache entries which may not be shared.
 
     Entries of other weights must not match, so the salt includes the version.
     """
-    return b"%s:%d" % (request.salt, version)
+    return b"%s:%d" % (request.salt, version or 0)
--- a/rosemaryyoke/fleet/tests/test_placement.py
+++ b/rosemaryyoke/fleet/tests/test_placement.py
@@ -155,3 +155,11 @@
     compared = {item.upstream: item for item in refused.err_value.compared}
     assert compared["e0"].running == 51 and 0.39 < compared["e0"].age_s < 0.41
     assert compared["e1"].age_s is None and compared["e1"].wait_s > 1.0
+
+
+# Guards against a request that expects another version than its salt was made for.
+def test_placement_names_the_version_of_its_salt():
+    state = make_state(weights=3)
+    placement = Chooser().choose(make_request(), [state], set(), NOW_S).unwrap()
+    state.update_weights("m1", 4, NOW_S)
+    assert (placement.weights, placement.salt) == (3, b"s:3")
