Share no cache entries at engines of an unknown version

Cause: if a host knows no version of the model at an engine, as its registration names none, the salt was that of version 0 and no version was expected. Entries of all versions were then shared under one salt, also by way of the KV cache store.

Evidence: test_unknown_versions_use_no_entries_of_other_weights failed before, with two stale entries in two requests; it passes now.

Change: the salt of an unknown version is used once, so that no other entry matches, and nothing is stored or fetched for it.

--- a/rosemaryyoke/exchanges/request_writer.py
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -97,8 +97,13 @@
     def cache_store(
         self, exchange: Exchange, placement: Placement
     ) -> StoreEstimate | None:
-        """Return the prompt's KV cache store, if its shared parts are long enough."""
+        """Return the prompt's KV cache store, if its shared parts are long enough.
+
+        Nothing is stored for an unknown version, since no other request could use it.
+        """
         if not placement.salt or exchange.metadata.shared_tokens < MIN_STORED_TOKENS:
             return None
+        if placement.weights is None:
+            return None
         with self.fleet.lock:
             return self.fleet.stores.store_for_prompt(placement.parts[:-1])
--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+import secrets
 from typing import Sequence
 
 from attrs import define, field, frozen
@@ -44,6 +45,7 @@
 MAX_WAIT_SHARE = 0.9  # of the time left
 NO_UPSTREAM_RETRY_S = 0.5
 NO_ROOM_RETRY_S = 0.3  # until running requests have made room
+NONCE_BYTES = 8  # of the salt for an unknown version
 PAUSE_RETRY_SPREAD_S = 0.3  # mean time between the end of a pause and the retries
 
 
@@ -398,6 +400,9 @@
 def cache_salt(request: PlacementRequest, version: int | None) -> bytes:
     """Return the salt that separates cache entries which may not be shared.
 
-    Entries of other weights must not match, so the salt includes the version.
+    Entries of other weights must not match, so the salt includes the version. If that
+    is unknown, the salt is used once: no other entry may match.
     """
-    return b"%s:%d" % (request.salt, version or 0)
+    if version is None:
+        return b"%s:?%s" % (request.salt, secrets.token_hex(NONCE_BYTES).encode())
+    return b"%s:%d" % (request.salt, version)
--- a/rosemaryyoke/platform/tests/test_cache_versions.py
+++ b/rosemaryyoke/platform/tests/test_cache_versions.py
@@ -43,3 +43,16 @@
     selector.chooser = LearningChooser(selector.chooser, 2)
     caching.send(host)
     assert caching.network.stale_uses == []
+
+
+# Guards against entries that engines of all versions share, as their registrations name
+# no version of the model.
+def test_unknown_versions_use_no_entries_of_other_weights(caching):
+    caching.start(engines=2, hosts=1, models=[])
+    host, (first, second) = caching.hosts[0], caching.engines
+    second.replace_weights(2)
+    for engine in (first, second):
+        engine.busy = True
+        assert caching.send(host) == 200
+        engine.busy = False
+    assert caching.network.stale_uses == []
