Send a cache salt also for services that declare no engine

What callers could see: with a service whose configuration has no field engine, prompts of an isolated account were cached under the text that all share (rule WALL), and without a version in it. Found by looking for the cause of stale prefixes elsewhere; no record shows it.

Cause: the salt was made with the estimates of caches, which need the engine's figures. Engines cache prompts whether or not a configuration describes them.

Evidence: test_prompts_have_a_salt_if_the_service_declares_no_engine failed before (no salt in either request) and passes now. Estimates still need the figures.

--- a/rosemaryyoke/fleet/placement.py
+++ b/rosemaryyoke/fleet/placement.py
@@ -267,9 +267,11 @@
         weights = served_version(request, state)
         wait_s = self.slot_wait_s(state, now_s)
         cost_s = self.penalty_s(request, state, now_s)
-        if state.traits is not None and request.ask.parts:
+        if request.ask.parts:
+            salt = prompts.for_version(weights).salt
+        if salt and state.traits is not None:
             prompt = prompts.for_version(weights)
-            salt, parts = prompt.salt, prompt.parts
+            parts = prompt.parts
             hit = state.cache_estimate.cached_prefix_tokens(parts)
             if state.upstream.name != home:
                 cost_s += NON_HOME_PENALTY_S
--- a/rosemaryyoke/platform/tests/test_routing_host.py
+++ b/rosemaryyoke/platform/tests/test_routing_host.py
@@ -7,7 +7,9 @@
 
 from attrs import evolve
 
+from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform.standins.documents import (
+    make_configuration,
     make_registration,
 )
 from rosemaryyoke.platform.standins.servers import (
@@ -276,3 +278,17 @@
         send_client_request(deployment.callers, "/issue/1").responses[0].status == 200
     )
     assert deployment.host.connections.opened == opened + 1
+
+
+# Guards against accounts that share cached prompts since their service declares no
+# engine: entries without a salt are found by everyone.
+def test_prompts_have_a_salt_if_the_service_declares_no_engine(deployment):
+    document = make_configuration(2)
+    del document["services"][0]["engine"]
+    deployment.store.set("config", "main", document)
+    wait_for(lambda: deployment.host.catalog.configuration.version == 2)
+    for key in ("k1", "k2"):
+        deployment.stream(**{"Authorization": f"Bearer {key}"})
+    received = [item for engine in deployment.engines for item in engine.received]
+    salts = {find_header(message.headers, b"cache-salt") for message in received}
+    assert salts == {b"s:1", b"a:t2:1"}
