Soak: check that requests begin on cache entries of their own weights

The soak's engines cached nothing, so that it could not show the incident of stale prefixes. They now read prompts, keep the parts, and fetch and save them as asked, and callers' prompts differ. A new invariant reports each request that begins on an entry of another version of its model.

--- a/rosemaryyoke/platform/standins/caching_engines.py
+++ b/rosemaryyoke/platform/standins/caching_engines.py
@@ -6,7 +6,7 @@
 from attrs import define, field, frozen
 
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.http1 import RequestMessage
+from rosemaryyoke.http1 import Address, RequestMessage
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform import names
 from rosemaryyoke.platform.standins.simulated_upstreams import SimulatedUpstream
@@ -82,6 +82,7 @@
     """
 
     network: KvNetwork = field(factory=KvNetwork)
+    fetch_address: Address | None = None
     read_s: float = 0.0
     load_s: float = 0.05
     gates: dict[str, threading.Event] = field(factory=dict)
@@ -93,8 +94,8 @@
 
     @property
     def own_address(self) -> bytes:
-        """Return the address as requests name it."""
-        return str(self.address).encode()
+        """Return the address from which other engines fetch, as requests name it."""
+        return str(self.fetch_address or self.address).encode()
 
     def accept_order(self, order: dict) -> int:
         """Start loading weights in the mode of the order."""
@@ -197,7 +198,7 @@
         ]
         with self.network.lock:
             self.network.uses += len(used)
-            self.network.stale_uses += stale
+            self.network.stale_uses.extend(stale)
 
 
 def cache_keys(message: RequestMessage) -> list[CacheKey]:
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -10,6 +10,7 @@
 from attrs import asdict, define, evolve, field, fields_dict, frozen
 from attrs.filters import exclude
 
+from rosemaryyoke.platform.standins.caching_engines import StaleUse
 from rosemaryyoke.platform.standins.simulated_upstreams import NOT_CONNECTED
 
 SAFE = "safe"
@@ -139,6 +140,7 @@
     limits: list[NamedLimit] = field(factory=list)
     cuts: list[CutOff] = field(factory=list)
     brittle_times: list[BrittleTime] = field(factory=list)
+    stale_uses: list[StaleUse] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -209,6 +211,7 @@
                     evolve(item, falls_s=list(item.falls_s))
                     for item in self.brittle_times
                 ],
+                list(self.stale_uses),
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -329,3 +329,9 @@
         if len(falls) > MAX_FALLS + FALLS_PER_UPSTREAM * item.upstreams:
             violations.append(f"{item}")
     return violations
+
+
+@invariants.register("a request begins on cache entries of its own weights alone")
+def check_cache_versions(history: History) -> list[str]:
+    """Find requests that began on entries of another version of their model."""
+    return [f"{use}" for use in history.stale_uses]
--- a/rosemaryyoke/soak/testbed.py
+++ b/rosemaryyoke/soak/testbed.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from rosemaryyoke.http1 import Address, send_request
+from rosemaryyoke.platform.standins.caching_engines import CachingEngine, KvNetwork
 from rosemaryyoke.platform.standins.documents import (
     MODEL,
     make_registration,
@@ -22,7 +23,6 @@
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     OrderRecord,
     RunRecord,
-    SimulatedUpstream,
     make_wanted_weights,
 )
 from rosemaryyoke.soak.configurations import SERVICES, make_soak_configuration
@@ -46,6 +46,7 @@
 # Orders held back by a suspended sender or a blocked link arrive within this time
 # after the sender is resumed or the link is healed.
 DELAYED_ORDER_S = 0.3
+READ_S = 0.02  # to read a part of a prompt that is not cached
 GRACE_S = 4  # longer than a caller's deadline
 STOP_TIMEOUT_S = 2.0 * GRACE_S
 POLL_INTERVAL_S = 0.05
@@ -111,7 +112,7 @@
 class UpstreamNode:
     """An upstream, the link to it and its service."""
 
-    upstream: SimulatedUpstream
+    upstream: CachingEngine
     link: Link
     service: str
     state: str = READY
@@ -133,6 +134,7 @@
     hosts: list[HostProcess] = field(factory=list)
     nodes: list[UpstreamNode] = field(factory=list)
     store: StoreStandin = field(factory=StoreStandin)
+    network: KvNetwork = field(init=False)
     store_lock: threading.Lock = field(factory=threading.Lock)
     partition_lock: threading.Lock = field(factory=threading.Lock)
     configuration: int = 0
@@ -142,6 +144,9 @@
     crashing_targets: set[str] = field(factory=set)
     resumed_s: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        self.network = KvNetwork(stale_uses=self.history.stale_uses)
+
     def __enter__(self) -> "Testbed":
         try:
             self.build()
@@ -181,15 +186,18 @@
 
     def add_upstream(self, name: str, service: str) -> None:
         """Start an upstream and register it."""
-        upstream = SimulatedUpstream(
+        upstream = CachingEngine(
             name,
             on_run=self.record_run,
             on_order=self.record_order,
             make_event=event_text,
             make_body=body_text,
             events=EVENTS,
+            network=self.network,
+            read_s=READ_S,
         )
         link = Link(upstream.address, Address("127.0.0.1", free_port()))
+        upstream.fetch_address = link.address
         link.start()
         node = UpstreamNode(upstream, link, service)
         upstream.crashing_parts = self.crashing_parts
@@ -278,7 +286,7 @@
         node.generation += 1
         upstream.name = f"{upstream.name.partition('.')[0]}.{node.generation}"
         upstream.orders = 0
-        upstream.version = max(upstream.version, self.weights)
+        upstream.replace_weights(max(upstream.version, self.weights))
 
     def publish(self, document: dict) -> None:
         """Publish a configuration as the next version."""
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -27,6 +27,7 @@
     limits=(),
     cuts=(),
     brittle_times=(),
+    stale_uses=(),
 ):
     """Return a history with the given entries."""
     history = History(
@@ -36,6 +37,7 @@
         limits=list(limits),
         cuts=list(cuts),
         brittle_times=list(brittle_times),
+        stale_uses=list(stale_uses),
     )
     for item in calls:
         history.record_call(item)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -3,6 +3,11 @@
 import pytest
 from attrs import evolve
 
+from rosemaryyoke.platform.standins.caching_engines import (
+    CachedPart,
+    CacheKey,
+    StaleUse,
+)
 from rosemaryyoke.platform.standins.simulated_upstreams import (
     ABANDONED,
     NOT_CONNECTED,
@@ -43,6 +48,10 @@
 LOST = "an accepted request is not lost"
 CUT = "hosts cut off from upstreams serve by way of others"
 BRITTLE = "brittle upstreams seldom fall over"
+STALE = "a request begins on cache entries of its own weights alone"
+STALE_USE = StaleUse(
+    b"stream-1", "e1", 2, CacheKey(b"s:1", b"m1", "aa"), CachedPart("e2", 1)
+)
 THREE_FALLS_S = [5.0, 6.0, 7.0]
 CUT_HOST = CutOff(["front-0"], 1.0, 9.0)
 
@@ -152,6 +161,7 @@
     ),
     (CUT, make_history(make_compared_calls(failed=8), cuts=[CUT_HOST])),
     (BRITTLE, make_history(brittle_times=[BrittleTime(2, 1.0, 9.0, THREE_FALLS_S)])),
+    (STALE, make_history(stale_uses=[STALE_USE])),
 ]
 
 VALID_HISTORY = make_history(
--- a/rosemaryyoke/soak/traffic.py
+++ b/rosemaryyoke/soak/traffic.py
@@ -17,6 +17,7 @@
 
 DEADLINE_S = 3.0
 CALL_TIMEOUT_S = 5.0  # the deadline, plus slack for the answer
+SESSIONS = 60  # whose requests share a part of the prompt
 THINK_TIME_S = (0.0, 0.1)
 KEPT_CONNECTIONS_SHARE = 0.7
 PATHS = {
@@ -71,11 +72,13 @@
         self, host: HostProcess, kind: str, account: str, client: Client
     ) -> CallResult:
         """Send one request to a host and record the result."""
-        request = f"{kind}-{next(self.request_numbers)}"
+        number = next(self.request_numbers)
+        request = f"{kind}-{number}"
         path, method = PATHS[kind]
         streams = kind == STREAM
         key = API_KEYS[account]
-        data = encode_request(request, path, method, key, DEADLINE_S, streams)
+        parts = f"aa:600,{number % SESSIONS:x}b:900,{number:x}c:100"
+        data = encode_request(request, path, method, key, DEADLINE_S, streams, parts)
         sent_s = now_s()
         exchange = client.exchange(data, CALL_TIMEOUT_S)
         call = CallResult(
