Let requests go on over an order only while no prompt is being read

Cause: orders let running requests go on under the new weights. A prompt that is read meanwhile is kept, and saved to the store, under the salt of the older version, by an engine of the newer one. Engines that still have the older version fetch it.

Evidence: test_parts_read_across_a_roll_out_are_not_fetched failed before (an entry that e0 made under version 2 was used at e2, version 1) and passes now.

Change: the report that is asked for right before an order tells how many prompts are queued or being read. With any, the order waits for up to 0.8 s while the engine is marked as loading, so that hosts send it nothing; after that running requests are to finish first.

--- a/rosemaryyoke/platform/standins/caching_engines.py
+++ b/rosemaryyoke/platform/standins/caching_engines.py
@@ -3,12 +3,14 @@
 import threading
 import time
 
+import orjson
 from attrs import define, field, frozen
 
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.http1 import Address, RequestMessage
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform import names
+from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.standins.simulated_upstreams import SimulatedUpstream
 
 FINISH_FIRST = "queue"
@@ -87,18 +89,37 @@
     load_s: float = 0.05
     gates: dict[str, threading.Event] = field(factory=dict)
     reading: set[str] = field(factory=set)
+    refuses_orders: bool = False
     swap_mode: str = ""
     swaps: int = 0
     active: int = 0
+    begun: int = 0
     changed: threading.Condition = field(factory=threading.Condition)
 
+    def parts_being_read(self) -> list[str]:
+        """Return the parts whose reading has not ended."""
+        with self.changed:
+            return sorted(self.reading)
+
     @property
     def own_address(self) -> bytes:
         """Return the address from which other engines fetch, as requests name it."""
         return str(self.fetch_address or self.address).encode()
 
+    def answer_report(self, caller: CallerConnection) -> None:
+        """Respond with the current state, and the requests that are read or run."""
+        models = [{"name": MODEL, "version": self.version, "adapters": []}]
+        value = {"models": models, "busy": self.loading, "seq": self.orders}
+        with self.changed:
+            runs = [[f"run-{number}", 0, 1, 5] for number in range(self.begun)]
+            value |= {"queued": 0, "active": self.active, "runs": runs}
+        headers = self.notice_headers()
+        caller.send_response(200, b"", headers, orjson.dumps(value))
+
     def accept_order(self, order: dict) -> int:
         """Start loading weights in the mode of the order."""
+        if self.refuses_orders:
+            return 409
         with self.changed:
             if not self.loading:
                 self.swap_mode = order["swapMode"]
@@ -128,20 +149,28 @@
         with self.changed:
             admitted = not self.loading and self.has_weights(message)
             self.active += admitted
+            swaps = self.swaps
         if not admitted:
             self.reply(message, caller, 503 if self.loading else 421, not_run)
             return
+        begun = False
         try:
-            self.read_prompt(message)
+            self.read_prompt(message, swaps)
+            with self.changed:
+                begun = True
+                self.begun += 1
             super().run_request(message, caller)
         finally:
             with self.changed:
                 self.active -= 1
+                self.begun -= begun
                 self.changed.notify_all()
 
-    def read_prompt(self, message: RequestMessage) -> None:
-        """Find or read each part, and record uses of entries of other weights."""
-        swaps = self.swaps
+    def read_prompt(self, message: RequestMessage, swaps: int) -> None:
+        """Find or read each part, and record uses of entries of other weights.
+
+        ``swaps`` is how often weights were replaced before the request was admitted.
+        """
         keys = cache_keys(message)
         used = self.find_prefix(message, keys)
         for key in keys[len(used) :]:
@@ -154,12 +183,13 @@
 
     def read_part(self, key: CacheKey) -> None:
         """Read a part, and keep it as made by the weights that are there then."""
-        self.reading.add(key.part)
+        with self.changed:
+            self.reading.add(key.part)
         time.sleep(self.read_s)
         if key.part in self.gates:
             self.gates[key.part].wait(GATE_TIMEOUT_S)
-        self.reading.discard(key.part)
         with self.changed:
+            self.reading.discard(key.part)
             made = CachedPart(self.name, self.version)
             self.network.add(self.own_address, key, made)
 
--- a/rosemaryyoke/platform/tests/test_cache_versions.py
+++ b/rosemaryyoke/platform/tests/test_cache_versions.py
@@ -1,12 +1,22 @@
 """Requests begin only on KV cache that their own weights have made."""
 
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 from attrs import frozen
 from result import Ok
 
 from rosemaryyoke.fleet import Chooser
 from rosemaryyoke.platform.standins.documents import MODEL
-from rosemaryyoke.platform.tests.caching_deployment import CachingDeployment
+from rosemaryyoke.platform.tests.caching_deployment import (
+    CachingDeployment,
+    shared_part,
+)
+from rosemaryyoke.platform.tests.deployment import wait_for
+
+MAX_PROMPTS = 9
 
 
 @pytest.fixture()
@@ -31,6 +41,12 @@
         return chosen
 
 
+def gated(engines, gates):
+    """Return the parts that engines read and that a test holds."""
+    parts = [part for engine in engines for part in engine.parts_being_read()]
+    return [part for part in parts if part in gates]
+
+
 # Guards against a prompt that is looked up under the version believed when its engine
 # was chosen, while the head expects the version believed when it is written.
 def test_belief_that_changes_after_the_choice_uses_no_entries_of_other_weights(caching):
@@ -45,6 +61,38 @@
     assert caching.network.stale_uses == []
 
 
+# Guards against parts whose reading began under one version and ended under the next,
+# and which engines that still have the first version fetch from the store.
+def test_parts_read_across_a_roll_out_are_not_fetched(caching):
+    caching.start(engines=3, hosts=1)
+    host, gates = caching.hosts[0], {}
+    for engine in caching.engines:
+        engine.gates = gates
+    with ThreadPoolExecutor(MAX_PROMPTS) as pool:
+        for prompt in range(MAX_PROMPTS):
+            gates[shared_part(prompt)] = threading.Event()
+            pool.submit(caching.send, host, prompt)
+            wait_for(lambda: len(gated(caching.engines, gates)) > prompt)
+            if all(gated([engine], gates) for engine in caching.engines):
+                break
+        caching.declare(2)
+        wait_for(lambda: any(engine.orders for engine in caching.engines))
+        ordered = next(engine for engine in caching.engines if engine.orders)
+        for engine in caching.engines:
+            engine.refuses_orders = True
+        time.sleep(2 * ordered.load_s)
+        ordered.busy = True
+        parts = gated([ordered], gates)
+        for part in parts:
+            gates[part].set()
+        wait_for(lambda: not ordered.active)
+        statuses = [caching.send(host, int(part[:-1], 16)) for part in parts]
+        for gate in gates.values():
+            gate.set()
+    assert parts and set(statuses) == {200}
+    assert caching.network.stale_uses == []
+
+
 # Guards against entries that engines of all versions share, as their registrations name
 # no version of the model.
 def test_unknown_versions_use_no_entries_of_other_weights(caching):
--- a/rosemaryyoke/platform/upstream_calls.py
+++ b/rosemaryyoke/platform/upstream_calls.py
@@ -41,8 +41,9 @@
             value = reply.ok_value.json()
             weights = read_weights(value["models"])
             orders = require_int(value["seq"])
-            return Ok(EngineReport(weights, bool(value["busy"]), orders))
-        except (ValueError, KeyError, TypeError) as error:
+            loading, prefilling = bool(value["busy"]), count_prefilling(value)
+            return Ok(EngineReport(weights, loading, orders, prefilling))
+        except (ValueError, LookupError, TypeError) as error:
             return Err(f"malformed report: {error!r}")
 
     def order(self, order: WeightsOrder) -> OrderOutcome:
@@ -71,3 +72,14 @@
         if status in (HTTP_ACCEPTED, HTTP_OK):
             return OrderOutcome.ACCEPTED
         return OrderOutcome.BUSY if status == HTTP_CONFLICT else OrderOutcome.REFUSED
+
+
+def count_prefilling(report: dict) -> int:
+    """Return how many requests of a report have no event yet.
+
+    ``active`` has all requests with a slot. ``runs`` lists those that have begun, each
+    with its number of events third.
+    """
+    admitted = report.get("queued", 0) + report.get("active", 0)
+    begun = sum(run[2] > 0 for run in report.get("runs", ()))
+    return max(0, admitted - begun)
--- a/rosemaryyoke/rollout/messages.py
+++ b/rosemaryyoke/rollout/messages.py
@@ -13,11 +13,15 @@
 
 @frozen
 class EngineReport:
-    """An engine's state: versions by model, and the number of accepted orders."""
+    """An engine's state: versions by model, and the number of accepted orders.
+
+    ``prefilling`` is the number of requests whose prompts are queued or being read.
+    """
 
     weights: dict[str, int]
     loading: bool
     orders: int
+    prefilling: int = 0
 
 
 class RunningRequests(enum.Enum):
--- a/rosemaryyoke/rollout/rollout.py
+++ b/rosemaryyoke/rollout/rollout.py
@@ -24,6 +24,7 @@
     EngineClient,
     EngineReport,
     OrderOutcome,
+    RunningRequests,
     WeightsOrder,
 )
 from rosemaryyoke.rollout.order_leases import OrderLeases
@@ -37,6 +38,8 @@
 POLL_INTERVAL_S = 0.4
 UNKNOWN_OUTCOME_DELAY_S = 2.5  # an unanswered order may take effect this late
 LEASE_CHECK_INTERVAL_S = 1.0
+PREFILL_POLL_S = 0.2
+MAX_PREFILL_WAIT_S = 0.8  # long prompts may take longer; the order then waits for them
 ENGINES_PER_LOAD = 3  # of the usable engines, one in this many loads at a time
 
 
@@ -51,9 +54,13 @@
 
 @define(eq=False)
 class ModelRollout:
-    """This host's pending orders for a model, by engine."""
+    """This host's pending orders for a model, by engine.
+
+    ``prefilling_since_s`` has the engines whose orders wait until prompts are read.
+    """
 
     pending: dict[str, PendingOrder] = field(factory=dict)
+    prefilling_since_s: dict[str, float] = field(factory=dict)
 
     def postpone(self, name: str, delay_s: float) -> None:
         """Retry an engine's order after a delay."""
@@ -235,11 +242,16 @@
                     rollout.pending.pop(name, None)
             for name in set(self.reported) - self.fleet.states.keys():
                 self.reported.pop(name, None)
+                rollout.prefilling_since_s.pop(name, None)
 
     def next_engines(
         self, rollout: ModelRollout, model: str, outdated: list[UpstreamState]
     ) -> list[UpstreamState]:
-        """Return the engines to send orders to now, the least loaded first."""
+        """Return the engines to send orders to now.
+
+        Those whose orders wait already come first, then those that read no prompts,
+        then the least loaded.
+        """
         now_s = time.monotonic()
         loading = [item for item in rollout.pending.values() if now_s < item.retry_at_s]
         usable = [item for item in self.serving(model) if item.usable(now_s)]
@@ -252,7 +264,13 @@
             and state.usable(now_s)
             and not self.is_busy(state, model, now_s)
         ]
-        ready.sort(key=lambda state: state.running(now_s))
+        ready.sort(
+            key=lambda state: (
+                state.upstream.name not in rollout.prefilling_since_s,
+                state.waiting_prefill(now_s) > 0,
+                state.running(now_s),
+            )
+        )
         return ready[: max(0, free_slots)]
 
     def send_order(
@@ -273,11 +291,14 @@
             return
         with self.fleet.lock:
             models = report.ok_value.weights.keys() | state.weights.keys()
+        if self.wait_for_prefill(rollout, state, report.ok_value):
+            return
         held_s = self.leases.remaining_s(models)
         if held_s < self.lease_s + ORDER_TIMEOUT_S + ORDER_MARGIN_S:
             self.retry_later(rollout, state, 0.0)
             return
         fencing = self.leases.fencing_token(models)
+        running = treat_running(report.ok_value)
         outcome = self.engines.order(
             WeightsOrder(
                 name,
@@ -288,6 +309,7 @@
                 fencing,
                 report.ok_value.orders,
                 ORDER_TIMEOUT_S,
+                running,
             )
         )
         log_event(
@@ -296,6 +318,8 @@
             model=model,
             version=version,
             fencing=fencing,
+            running=running.value,
+            prefilling=report.ok_value.prefilling,
             outcome=outcome.value,
         )
         if outcome is not OrderOutcome.ACCEPTED:
@@ -306,6 +330,22 @@
                 UNKNOWN_OUTCOME_DELAY_S if is_unknown else 2 * POLL_INTERVAL_S,
             )
 
+    def wait_for_prefill(
+        self, rollout: ModelRollout, state: UpstreamState, report: EngineReport
+    ) -> bool:
+        """Postpone an order while prompts are read; return whether it was.
+
+        Hosts place no requests on the engine meanwhile, since it is marked as loading.
+        """
+        name, now_s = state.upstream.name, time.monotonic()
+        if report.prefilling:
+            since_s = rollout.prefilling_since_s.setdefault(name, now_s)
+            if now_s - since_s < MAX_PREFILL_WAIT_S:
+                rollout.postpone(name, PREFILL_POLL_S)
+                return True
+        rollout.prefilling_since_s.pop(name, None)
+        return False
+
     def retry_later(
         self, rollout: ModelRollout, state: UpstreamState, delay_s: float
     ) -> None:
@@ -351,3 +391,14 @@
 def is_due(pending: PendingOrder | None, now_s: float) -> bool:
     """Return whether an engine has no order that may still take effect."""
     return pending is None or now_s >= pending.retry_at_s
+
+
+def treat_running(report: EngineReport) -> RunningRequests:
+    """Return how an engine should treat its running requests when it loads weights.
+
+    A prompt that was read under both versions would be cached, and saved to the KV
+    cache store, under the salt of the older one.
+    """
+    if report.prefilling:
+        return RunningRequests.FINISH_FIRST
+    return RunningRequests.CONTINUE
