Ignore versions of weights that are out of range

What operators would see: a host whose log ends. A response that names a version of 20 digits is logged, which the JSON encoder refuses, so that the thread of the log ends.

test_weights_version_out_of_range_is_ignored failed before (the number was taken) and passes now: up to 15 digits are a version, anything else is none.

--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -23,6 +23,7 @@
 HTTP_UNAVAILABLE = 503
 IS_LEAVING = b"1"
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+VERSION = re.compile(rb"[0-9]{1,15}")
 COUNTS = re.compile(rb"([0-9]{1,15})(?:\s*,\s*([0-9]{1,15}))?")
 RATE = re.compile(rb"([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
 
@@ -102,7 +103,7 @@
             request_id=values.get(names.REQUEST_ID.lower()),
             sealed=names.RESPONSE_SEAL.lower() in values,
             not_run=names.NOT_EXECUTED.lower() in values or status == HTTP_MISDIRECTED,
-            weights_version=int(weights) if weights.isdigit() else None,
+            weights_version=int(weights) if VERSION.fullmatch(weights) else None,
             leaving=leaving.strip() == IS_LEAVING,
             retry_after_s=retry_after_s,
             malformed_retry_after=retry_after if retry_after_s is None else None,
--- a/rosemaryyoke/platform/tests/test_headers.py
+++ b/rosemaryyoke/platform/tests/test_headers.py
@@ -168,3 +168,9 @@
         ).weights_version
         == 4
     )
+
+
+# Guards against a number that the log can't write, which ended its thread.
+def test_weights_version_out_of_range_is_ignored():
+    headers = [(b"Weight-Versions", b"9" * 20)]
+    assert DIALECT.parse_response_headers(200, headers).weights_version is None
