Fetch prompts only from engines that serve the same weights

Cause: the first event of a response made the host take the prompt for cached under the salt of the placement, also when the response named another version; and sources for parts were chosen by their cache estimate alone, which a late beacon fills again after a replacement.

Evidence: test_parts_read_across_a_replacement_are_not_fetched_from_the_engine failed before (two parts of version 2 used at an engine of version 1) and passes now.

Change: a response that names another version leaves no parts in the estimates, and the host learns the version from it, if it is newer. Engines are sources only if they serve the version of the placement and load no weights. A refusal for the version is still no failure of the engine (test_refusal_for_the_version_is_no_failure).

--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -45,7 +45,7 @@
     SentAttempt,
 )
 from rosemaryyoke.exchanges.exchange_factory import ExchangeFactory
-from rosemaryyoke.exchanges.messages import HeaderCodec
+from rosemaryyoke.exchanges.messages import HeaderCodec, ResponseMetadata
 from rosemaryyoke.exchanges.outcome_reporter import OutcomeReporter
 from rosemaryyoke.exchanges.request_writer import RequestWriter
 from rosemaryyoke.exchanges.response_memory import ResponseMemory
@@ -368,15 +368,24 @@
 
         def first_event() -> None:
             self.record_origin(exchange, software)
-            self.fleet.prefilled(state, sent.work, read)
+            served = attempt.metadata.weights_version
+            is_current = served is None or served == placement.weights
+            # Else weights were replaced while the prompt was read under its salt.
+            cached = read if is_current else evolve(read, parts=())
+            self.fleet.prefilled(state, sent.work, cached)
             self.metrics.observe(
                 "first_event_seconds", time.monotonic() - exchange.started_s
             )
 
         attempt.on_first_event = first_event
-        attempt.on_head = partial(
-            self.fleet.record_notices, state, sent_s=attempt.started_s
-        )
+
+        def head(metadata: ResponseMetadata) -> None:
+            self.fleet.record_notices(state, metadata, sent_s=attempt.started_s)
+            if not metadata.not_run:
+                model, version = exchange.metadata.model, metadata.weights_version
+                self.fleet.record_served_weights(state, model, version)
+
+        attempt.on_head = head
         attempt.on_first_stall = lambda: self.record_stall(exchange, attempt)
         attempt.on_stall = lambda: self.selector.reserve_alternative(exchange)
         attempt.on_sustained = partial(self.reporter.record_success, exchange, sent)
--- a/rosemaryyoke/exchanges/request_writer.py
+++ b/rosemaryyoke/exchanges/request_writer.py
@@ -76,7 +76,8 @@
     ) -> Address | None:
         """Return an engine that holds more of the prompt, else the prompt's store.
 
-        Engines are preferred because their links are faster than those of stores.
+        Engines are preferred because their links are faster than those of stores. What
+        an engine of other weights holds under this salt may have been made by these.
         """
         shared = exchange.metadata.shared_tokens
         fallback = store.address if store is not None else None
@@ -89,6 +90,8 @@
                 for state in self.fleet.states_of_service(own.upstream.service)
                 if state is not own
                 and state.usable(now_s)
+                and not state.loading(now_s)
+                and state.weights.get(exchange.metadata.model) == placement.weights
                 and state.cache_estimate.cached_prefix_tokens(placement.parts[:-1])
                 >= shared
             ]
--- a/rosemaryyoke/fleet/fleet.py
+++ b/rosemaryyoke/fleet/fleet.py
@@ -190,6 +190,17 @@
             if store is not None:
                 store.add(prefill.parts[:-1], self.now_s())
 
+    def record_served_weights(
+        self, state: UpstreamState, model: str, version: int | None
+    ) -> None:
+        """Record the version that the response to a request names, if it is newer.
+
+        An older one may have been sent before the weights were replaced.
+        """
+        with self.lock:
+            if model and version is not None and version > state.weights.get(model, 0):
+                state.update_weights(model, version, self.now_s(), "response")
+
     def record_remote_prefill(self, prefill: PromptPrefill) -> None:
         """Record a prefill that another host reports, and the time of the report."""
         with self.lock:
--- a/rosemaryyoke/platform/tests/caching_deployment.py
+++ b/rosemaryyoke/platform/tests/caching_deployment.py
@@ -20,6 +20,7 @@
 from rosemaryyoke.platform.tests.deployment import start_host, wait_for
 
 DEADLINE_MS = 10_000
+FIRST_PART = "aa"  # of all prompts
 
 
 @define(eq=False)
@@ -81,7 +82,7 @@
     def send(self, host: RoutingHost, prompt: int = 0) -> int:
         """Send a request with a shared prompt; return the status."""
         number = next(self.numbers)
-        parts = f"aa:600,{shared_part(prompt)}:900,c{number:x}:100"
+        parts = f"{FIRST_PART}:600,{shared_part(prompt)}:900,c{number:x}:100"
         reader = send_client_request(
             host.settings.callers,
             headers=stream_headers(parts),
--- a/rosemaryyoke/platform/tests/test_cache_versions.py
+++ b/rosemaryyoke/platform/tests/test_cache_versions.py
@@ -11,6 +11,7 @@
 from rosemaryyoke.fleet import Chooser
 from rosemaryyoke.platform.standins.documents import MODEL
 from rosemaryyoke.platform.tests.caching_deployment import (
+    FIRST_PART,
     CachingDeployment,
     shared_part,
 )
@@ -41,6 +42,18 @@
         return chosen
 
 
+@frozen
+class AvoidingChooser:
+    """Chooser that never chooses one upstream."""
+
+    chooser: Chooser
+    avoided: str
+
+    def choose(self, request, states, excluded, now_s):
+        """Choose among the other upstreams."""
+        return self.chooser.choose(request, states, {*excluded, self.avoided}, now_s)
+
+
 def gated(engines, gates):
     """Return the parts that engines read and that a test holds."""
     parts = [part for engine in engines for part in engine.parts_being_read()]
@@ -93,6 +106,37 @@
     assert caching.network.stale_uses == []
 
 
+# Guards against parts that an engine has read across a replacement of its weights, as
+# another host ordered it, and that engines of the first version fetch from it.
+def test_parts_read_across_a_replacement_are_not_fetched_from_the_engine(caching):
+    caching.start(engines=3, hosts=1, has_kv_store=False)
+    host, gate = caching.hosts[0], threading.Event()
+    for engine in caching.engines:
+        engine.gates = {FIRST_PART: gate}
+    with ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(caching.send, host)
+        wait_for(lambda: gated(caching.engines, [FIRST_PART]))
+        reader = next(item for item in caching.engines if item.parts_being_read())
+        reader.replace_weights(2)
+        gate.set()
+        assert sent.result() == 200
+    selector = host.forwarder.selector
+    selector.chooser = AvoidingChooser(selector.chooser, reader.name)
+    assert caching.send(host) == 200
+    assert caching.network.stale_uses == []
+
+
+# Guards against an engine that is suspected since it refused a request for its version.
+def test_refusal_for_the_version_is_no_failure(caching):
+    caching.start(engines=1, hosts=1)
+    host, engine = caching.hosts[0], caching.engines[0]
+    engine.replace_weights(2)
+    assert caching.send(host) == 503
+    state = host.fleet.states[engine.name]
+    assert (state.weights, state.failures) == ({MODEL: 2}, 0)
+    assert caching.send(host) == 200
+
+
 # Guards against entries that engines of all versions share, as their registrations name
 # no version of the model.
 def test_unknown_versions_use_no_entries_of_other_weights(caching):
