Placement: decide about weights from one reading of the engines' versions

A stream on /v1 that continues on another engine must do so under the weights of its tokens. Placement first kept the engines that were believed to have these weights, then read the beliefs again to choose a version. A load report between the two readings made it send the stream to an engine under the new version, and the caller got tokens of two versions.

place() now takes one reading, under the directory's lock, and both steps use it. The engine still refuses a request that expects other weights than it has, so that a reading that is out of date costs an attempt.

Evidence: test_weights_change_while_a_stream_is_placed gives an engine whose weights differ from one reading to the next; both cases failed before ('v2' == 'v1'). Seven cases on the hash of the blocks and on unknown weights passed before, too: they were made of one reading.

--- a/rosemaryyoke/placement/service.py
+++ b/rosemaryyoke/placement/service.py
@@ -75,14 +75,18 @@
         """
         allowed = rules.engines_of(route)
         usable = self.directory.usable(allowed, excluded)
+        believed = self.read_weights(usable)
         if required_weights:
-            usable = self.filter_by_weights(usable, required_weights)
+            usable = [
+                item for item in usable if believed[item.name] == required_weights
+            ]
         if not usable:
             return Err(
                 NoEngineAvailable("no engine of the model takes work", False, 1.0)
             )
         wanted = rules.models[route.model].weights
-        weights, group = self.choose_weights_version(usable, wanted, account, text)
+        groups = group_by_weights(usable, believed, wanted)
+        weights, group = choose_weights_version(groups, account, text)
         chain = hash_blocks(Scope(account, route.model, weights), text)
         names = tuple(upstream.name for upstream in group)
         fleet = self.directory.fleet
@@ -108,34 +112,14 @@
         )
         return Ok(decision)
 
-    def filter_by_weights(self, usable: list[Upstream], weights: str) -> list[Upstream]:
-        """Return the engines that have the given weights version loaded."""
-        engines = self.directory.fleet.engines
-        return [item for item in usable if engines[item.name].weights == weights]
+    def read_weights(self, upstreams: list[Upstream]) -> dict[str, str]:
+        """Return the weights that each engine is believed to have, or "" if unknown.
 
-    def choose_weights_version(
-        self, usable: list[Upstream], wanted: str, account: str, text: str
-    ) -> tuple[str, list[Upstream]]:
-        """Return the weights version for a prompt and the engines that have it.
-
-        During a rollout, prompts are divided among versions in proportion to their
-        engines. The choice depends on a hash of the account and the prompt's first
-        characters, so that prompts with a shared prefix go to the same version.
+        A decision is made from one reading, since reports change the beliefs meanwhile.
         """
-        groups: dict[str, list[Upstream]] = {}
-        for upstream in usable:
-            weights = self.directory.fleet.engines[upstream.name].weights or wanted
-            groups.setdefault(weights, []).append(upstream)
-        if len(groups) == 1:
-            return next(iter(groups.items()))
-        head = f"{account}\0{text[:256]}".encode()
-        digest = hashlib.blake2b(head, digest_size=4).digest()
-        position = int.from_bytes(digest, "big") / 2**32 * len(usable)
-        for weights, group in sorted(groups.items()):
-            position -= len(group)
-            if position < 0:
-                return weights, group
-        return next(iter(groups.items()))
+        with self.directory.lock:
+            engines = self.directory.fleet.engines
+            return {item.name: engines[item.name].weights for item in upstreams}
 
     def record_response_start(
         self,
@@ -161,3 +145,35 @@
         """Record that a request at its engine has ended."""
         with self.directory.lock:
             self.directory.fleet.record_completion(decision.choice.engine)
+
+
+def group_by_weights(
+    upstreams: list[Upstream], believed: dict[str, str], wanted: str
+) -> dict[str, list[Upstream]]:
+    """Return the engines by weights version; unknown ones count as the wanted one."""
+    groups: dict[str, list[Upstream]] = {}
+    for upstream in upstreams:
+        groups.setdefault(believed[upstream.name] or wanted, []).append(upstream)
+    return groups
+
+
+def choose_weights_version(
+    groups: dict[str, list[Upstream]], account: str, text: str
+) -> tuple[str, list[Upstream]]:
+    """Return the weights version for a prompt and the engines that have it.
+
+    During a rollout, prompts are divided among versions in proportion to their
+    engines. The choice depends on a hash of the account and the prompt's first
+    characters, so that prompts with a shared prefix go to the same version.
+    """
+    if len(groups) == 1:
+        return next(iter(groups.items()))
+    head = f"{account}\0{text[:256]}".encode()
+    digest = hashlib.blake2b(head, digest_size=4).digest()
+    engines = sum(len(group) for group in groups.values())
+    position = int.from_bytes(digest, "big") / 2**32 * engines
+    for weights, group in sorted(groups.items()):
+        position -= len(group)
+        if position < 0:
+            return weights, group
+    return next(iter(groups.items()))
