Relay: take no answer under other weights than the request expects

On /v1 a request names the weights that it expects, and its blocks are hashed and imported under them. An engine that replaces its weights between admission and prefill names the new ones in the first event of its answer. The relay took that event as it came: it passed the answer on, recorded that the engine (and the kept-KV store) holds the prompt's blocks under the old version, and went on with the new version as that of the stream. After a resumption, the caller's tokens of the old version were continued under the new one at the same engine, and a further attempt generated the stream again under the new one, so that the rest did not belong to what the caller had.

The first event is now compared with the version in the request or in the signed identifier. Where they differ the attempt ends, it is not resumed at that engine, and another engine of the expected version goes on, or the stream ends with an explicit error. An engine that changes its weights while a connection lasts can't be told, since tokens bear no version.

Evidence: four cases in test_relay.py, all of which failed before. The scripted engine answered under v1 to requests that expect v2, which no engine does; it now answers under the weights of the request unless a script says otherwise. No condition of an existing test has changed.

--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -4,7 +4,7 @@
 import time
 from functools import cached_property
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
 from rosemaryyoke.calls.retry import RetryBudget
@@ -104,6 +104,10 @@
     """Raised when an engine's stream is missing tokens or was restarted."""
 
 
+class WeightsChanged(StreamIncomplete):
+    """Raised when an engine's stream is under other weights than expected."""
+
+
 class Relay:
     """Place and relay completions; on failure continue on another engine."""
 
@@ -396,6 +400,8 @@
         self.ended = False
         try:
             outcome = call(self.on_event)
+        except WeightsChanged as error:
+            return Err(UpstreamError(str(error), sent=True, missing=True))
         except StreamIncomplete as error:
             return Err(UpstreamError(str(error), sent=True))
         except CallerDisconnected:
@@ -435,13 +441,13 @@
             )
         self.progress.sent = True
         self.started_s = self.started_s or time.monotonic()
+        if event.weights != self.identifier.weights:
+            raise WeightsChanged(
+                f"engine runs weights {event.weights!r}; "
+                f"the stream is under {self.identifier.weights!r}"
+            )
         self.progress.weights = event.weights
-        self.identifier = StreamIdentifier(
-            self.identifier.engine,
-            event.incarnation,
-            self.identifier.request,
-            event.weights,
-        )
+        self.identifier = evolve(self.identifier, incarnation=event.incarnation)
         if self.decision is not None:
             self.relay.placement.record_response_start(
                 self.decision, event.incarnation, event.waiting_s, event.blocks_stored
--- a/rosemaryyoke/streams/tests/builders.py
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -23,13 +23,18 @@
 
 @define
 class ScriptedEngineAdapter:
-    """Engine adapter whose calls follow scripts of steps, one script per call."""
+    """Engine adapter whose calls follow scripts of steps, one script per call.
+
+    Streams are under the weights that their request expects, or the given ones.
+    """
 
     scripts: list
     calls: int = 0
+    weights: str = "v1"
 
     def complete(self, address, request, on_event, wait):
         """Run the next script from the request's first token."""
+        self.weights = request.weights
         return self._follow(request.request, request.first_index, on_event)
 
     def resume(self, address, request, after, on_event, wait):
@@ -41,7 +46,8 @@
         self.calls += 1
         if "refuse" in script[:1]:
             return Err(UpstreamError("refused", refused=True))
-        on_event(Started(request, "i", "v1", 0, 0, 0.0, 0))
+        weights = "other" if "other weights" in script[:1] else self.weights
+        on_event(Started(request, "i", weights, 0, 0, 0.0, 0))
         tokens = expected_tokens()
         for step in script:
             if step == "cut":
@@ -88,9 +94,12 @@
 
     engines: list
     weights: dict = field(factory=dict)
+    required: list = field(factory=list)
+    started: list = field(factory=list)
 
     def place(self, rules, route, account, text, excluded, required_weights):
         """Return the first engine that is not excluded and has the weights."""
+        self.required.append(required_weights)
         for name in self.engines:
             weights = self.weights.get(name, "v1")
             if name not in excluded and required_weights in ("", weights):
@@ -98,8 +107,9 @@
                 return Ok(PlacementDecision(upstream, weights, [], Choice(name)))
         return Err(NoEngineAvailable("none", False, 1.0))
 
-    def record_response_start(self, *_):
-        """Do nothing."""
+    def record_response_start(self, decision, *_):
+        """Store the engine."""
+        self.started.append(decision.upstream.name)
 
     def record_completion(self, decision):
         """Do nothing."""
--- a/rosemaryyoke/streams/tests/test_relay.py
+++ b/rosemaryyoke/streams/tests/test_relay.py
@@ -1,6 +1,8 @@
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from rosemaryyoke.calls.retry import MAX_RETRY_BALANCE, RETRY_SHARE
+from rosemaryyoke.rules.model import RuleSet, Upstream
 from rosemaryyoke.streams import StreamIdentifier, StreamPosition
 from rosemaryyoke.streams.tests.builders import (
     NO_RULES,
@@ -128,3 +130,40 @@
     make_relay([[]]).resume(NO_RULES, make_completion(), position, sink)
     assert sink.failure is not None
     assert sink.texts == []
+
+
+# Guards against a request that was admitted under one version and runs under another,
+# on blocks of the first one: its answer, and a belief that the engine now has them.
+def test_relay_takes_no_answer_under_other_weights_than_expected():
+    sink = RecordingSink()
+    relay = make_relay([["other weights"], []])
+    relay.run(NO_RULES, make_completion(), sink)
+    assert is_complete(sink)
+    assert relay.directory.engine_adapter.calls == 2
+    assert relay.placement.started == ["b"]
+
+
+# Guards against a stream that its engine goes on with under other weights, which the
+# caller then takes for those of the whole stream.
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_relay_resume_at_an_engine_whose_weights_changed(repeatable):
+    sink = RecordingSink(first=3)
+    position = StreamPosition(StreamIdentifier("a", "i", "r", "v1"), 3)
+    relay = make_relay([["other weights", "token", "cut"], []])
+    rules = RuleSet((Upstream("a", "engine", "a", "d", "m"),))
+    relay.resume(rules, make_completion(repeatable), position, sink)
+    if repeatable:
+        assert sink.texts == [word + " " for word in expected_tokens()][3:]
+        assert relay.placement.required == ["v1"]
+    else:
+        assert sink.failure.code == "stream_lost"
+        assert sink.texts == []
+
+
+# Guards against a stream that was cut and that its engine resumes under other weights.
+def test_relay_resumes_after_disconnect_under_same_weights_only():
+    relay = make_relay([["token", "cut"], ["other weights"], []])
+    sink = RecordingSink()
+    relay.run(NO_RULES, make_completion(), sink)
+    assert is_complete(sink)
+    assert relay.placement.required == ["", "v1"]
