Service calls: name the account when a key's outcome is looked up

Idempotency keys are scoped to a client account and a service: a claim's digest covers both, and a call names its account to the service in X-Client-Account. The lookup of a key's outcome named the key alone. Where two accounts use the same key, a caller whose first call is in doubt was given what the service told about the key, which may be the outcome of the other account's call; a service that scopes its keys by account had nothing to tell them apart.

The lookup now bears X-Client-Account as calls do. A service that ignores it answers as before.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -165,7 +165,9 @@
             path = call.service.lookup.replace("{key}", call.key)
             for upstream in self.directory.usable(upstreams, set()):
                 url = f"http://{upstream.address}{path}"
-                answer = send(HttpRequest("GET", url, timeout_s=LOOKUP_TIMEOUT_S))
+                headers = {"X-Client-Account": call.account}  # scopes the key
+                request = HttpRequest("GET", url, headers, timeout_s=LOOKUP_TIMEOUT_S)
+                answer = send(request)
                 if isinstance(answer, Ok) and answer.ok_value.ok:
                     return Ok(_stored_response(answer.ok_value))
         message = "the outcome of the first call with this key is unknown"
