Service calls: encode the key in the URL of an outcome's lookup

A caller whose first call is in doubt could be given the outcome of another key. The lookup put the key into the URL as it is, so that a part of it was read as a query, a fragment, a step up in the path or an encoded character: the lookup of "k1?x" asked for "k1". The key is now percent-encoded as one segment of the path.

Evidence: six cases of test_lookup_of_an_outcome_is_for_the_whole_key failed before. The keys "." and ".." are left: encoded or not, they are steps of a path.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -6,6 +6,7 @@
 import time
 from functools import cached_property
 from typing import Callable
+from urllib.parse import quote
 
 from attrs import field, frozen
 from result import Err, Ok, Result
@@ -162,7 +163,7 @@
         """Ask the service for a key's outcome if its rule has a lookup path."""
         upstreams = rules.upstreams_of(SERVICE_KIND, call.service.name)
         if call.service.lookup:
-            path = call.service.lookup.replace("{key}", call.key)
+            path = call.service.lookup.replace("{key}", quote(call.key, safe=""))
             for upstream in self.directory.usable(upstreams, set()):
                 url = f"http://{upstream.address}{path}"
                 headers = {"X-Client-Account": call.account}  # scopes the key
--- a/rosemaryyoke/calls/tests/test_claimed_calls.py
+++ b/rosemaryyoke/calls/tests/test_claimed_calls.py
@@ -1,5 +1,7 @@
 """Calls with an idempotency key, with claims that tests script."""
 
+from urllib.parse import unquote
+
 import pytest
 from attrs import define, field
 from result import Ok
@@ -85,6 +87,17 @@
     assert accounts == ["t1", "t2"]
 
 
+# Guards against the outcome of another key, as a part of the key is read as a part of
+# the URL.
+@pytest.mark.parametrize("key", ["k1?x", "k1#x", "x/../k1", "k 1", "k%31", "\u00e9"])
+def test_lookup_of_an_outcome_is_for_the_whole_key(sent, key):
+    calls = make_calls(StubClaims(UNKNOWN))
+    assert calls.run(make_rules(), make_call(key=key)).is_ok()
+    path = sent[0].url.removeprefix("http://a:1/outcomes/")
+    assert unquote(path) == key
+    assert not set(path) & set("/?# ") and path.isascii()
+
+
 # Guards against a claim, a call and a recorded outcome under different rules, as newer
 # ones come between them.
 def test_newer_rules_between_claim_and_send(sent):
