Orders: fence engines with the weights that they have now

A new lease holder gives its fencing number to the engines in an order to load the weights that they have already. It took these from the last report, which in a large fleet may be minutes old. If the previous holder's order was carried out since then, the engine was ordered back to its older weights: it dropped its cache, answered under the older version and was ordered forward again. An engine that had not reported yet was ordered to load weights named "".

The holder now reads the engine's report just before the order. An engine whose weights stay unknown gets no order; as for engines that don't check numbers, the longest order is then waited out. A load that begins and ends between report and order can still be undone, since orders bear no expected version; an engine that is loading refuses the order and takes the number.

--- a/rosemaryyoke/upstreams/orders.py
+++ b/rosemaryyoke/upstreams/orders.py
@@ -127,8 +127,9 @@
     ) -> bool:
         """Prevent further orders by the previous holder; return whether this is done.
 
-        Engines that check fencing tokens get the new token. With other engines, orders
-        are held back for ``MAX_ORDER_DURATION_S`` after the lease was acquired.
+        Engines that check fencing tokens get the new token, in an order to keep their
+        weights. With other engines, and those whose weights are unknown, orders are
+        held back for ``MAX_ORDER_DURATION_S`` after the lease was acquired.
         """
         lease = rollout.lease
         if rollout.fenced_since_s == lease.acquired_at_s:
@@ -136,11 +137,18 @@
         for state in engines:
             if not state.upstream.fencing or state.failures:
                 continue
+            # The previous holder may have changed the weights since the last report.
+            self.directory.poll_upstream(state.upstream.name)
+            if state.failures or not state.weights:
+                continue
             order = WeightsLoadOrder(
                 state.weights, lease.fencing_token, FENCE_TIMEOUT_S
             )
             self.directory.engine_adapter.load_weights(state.upstream.address, order)
-        unfenced = any(not state.upstream.fencing for state in engines)
+        unfenced = any(
+            not state.upstream.fencing or not (state.failures or state.weights)
+            for state in engines
+        )
         if unfenced and now_s() - lease.acquired_at_s < MAX_ORDER_DURATION_S:
             return False
         for state in engines:
