Relay: ask for no import if the store was lost after the placement

Placement decides that the engine looks for blocks in the kept-KV store, and the store's address is read when the request is made. If the store was lost in between, the request named an import from the address "". It now names none.

Evidence: test_relay_imports_nothing_without_a_store failed before. A second case shows that the import has the account, the model and the weights of the request; it passed before.

--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -290,12 +290,10 @@
     ) -> EngineRequest:
         first_index = len(progress.token_texts)
         kv_import = None
-        if decision.choice.queries_kv_store:
+        store = self.directory.kv_store_address()  # may be lost since the placement
+        if decision.choice.queries_kv_store and store:
             kv_import = KvImport(
-                completion.account,
-                completion.route.model,
-                decision.weights,
-                self.directory.kv_store_address(),
+                completion.account, completion.route.model, decision.weights, store
             )
         return EngineRequest(
             request=secrets.token_hex(12),
--- a/rosemaryyoke/streams/tests/builders.py
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -31,10 +31,12 @@
     scripts: list
     calls: int = 0
     weights: str = "v1"
+    requests: list = field(factory=list)
 
     def complete(self, address, request, on_event, wait):
         """Run the next script from the request's first token."""
         self.weights = request.weights
+        self.requests.append(request)
         return self._follow(request.request, request.first_index, on_event)
 
     def resume(self, address, request, after, on_event, wait):
@@ -78,6 +80,11 @@
 
     engine_adapter: ScriptedEngineAdapter
     failures: list = field(factory=list)
+    store: str = ""
+
+    def kv_store_address(self):
+        """Return the address of the store that is usable now."""
+        return self.store
 
     def record_failure(self, name):
         """Store the failed engine."""
@@ -94,6 +101,7 @@
 
     engines: list
     weights: dict = field(factory=dict)
+    queries_kv_store: bool = False
     required: list = field(factory=list)
     started: list = field(factory=list)
 
@@ -104,7 +112,8 @@
             weights = self.weights.get(name, "v1")
             if name not in excluded and required_weights in ("", weights):
                 upstream = Upstream(name, "engine", "a", "d", "m")
-                return Ok(PlacementDecision(upstream, weights, [], Choice(name)))
+                choice = Choice(name, queries_kv_store=self.queries_kv_store)
+                return Ok(PlacementDecision(upstream, weights, [], choice))
         return Err(NoEngineAvailable("none", False, 1.0))
 
     def record_response_start(self, decision, *_):
--- a/rosemaryyoke/streams/tests/test_relay.py
+++ b/rosemaryyoke/streams/tests/test_relay.py
@@ -12,6 +12,7 @@
     make_completion,
     make_relay,
 )
+from rosemaryyoke.upstreams import KvImport
 
 EXAMPLES = 1_000
 STEPS = ["token", "crossed", "double", "skip", "cut", "silent", "refuse"]
@@ -167,3 +168,24 @@
     relay.run(NO_RULES, make_completion(), sink)
     assert is_complete(sink)
     assert relay.placement.required == ["", "v1"]
+
+
+def run_with_imports(store):
+    relay = make_relay([[]])
+    relay.placement.weights = {"a": "v7"}
+    relay.placement.queries_kv_store = True
+    relay.directory.store = store
+    relay.run(NO_RULES, make_completion(), RecordingSink())
+    return relay.directory.engine_adapter.requests[0]
+
+
+# Guards against an import under other weights than those that the request expects.
+def test_relay_imports_blocks_of_the_expected_weights():
+    request = run_with_imports("store:1")
+    assert request.weights == "v7"
+    assert request.kv_import == KvImport("account", "m", "v7", "store:1")
+
+
+# Guards against an import from no store, as the store was lost after the placement.
+def test_relay_imports_nothing_without_a_store():
+    assert run_with_imports("").kv_import is None
