Directory: forget what is believed of an engine that moves to another address

Rules may give the name of an engine to another address. The directory then began a new state, but kept the engine's view for placement, with weights, cache and queue of the machine before; a report that was on its way from the old address was applied to the new engine. Requests were placed by these and expected the old machine's weights, so that the new engine refused them until its next report, which in a large fleet takes minutes.

The view now loses its weights and incarnation with the state, and a report counts only if it is from the address that the engine has.

--- a/rosemaryyoke/upstreams/directory.py
+++ b/rosemaryyoke/upstreams/directory.py
@@ -76,13 +76,17 @@
         with self.lock:
             for upstream in rules.upstreams.values():
                 state = self.states.get(upstream.name)
-                if state is None or state.upstream.address != upstream.address:
+                is_other = state is None or state.upstream.address != upstream.address
+                if is_other:
                     self.states[upstream.name] = UpstreamState(upstream)
                 else:
                     state.upstream = upstream
                 if upstream.kind == ENGINE_KIND:
                     view = EngineView(upstream.name)
-                    self.fleet.engines.setdefault(upstream.name, view)
+                    view = self.fleet.engines.setdefault(upstream.name, view)
+                    if is_other:
+                        view.weights = ""
+                        self.fleet.set_incarnation(view, "")
             for name in set(self.states) - set(rules.upstreams):
                 self.states.pop(name)
                 self.fleet.engines.pop(name, None)
@@ -143,10 +147,11 @@
         """Poll the load of one upstream and apply its report."""
         with self.lock:
             state = self.states.get(name)
-        if state is None:
-            return
+            if state is None:
+                return
+            address = state.upstream.address
         requested_at_s = time.monotonic()
-        answer = self.engine_adapter.get_load_report(state.upstream.address)
+        answer = self.engine_adapter.get_load_report(address)
         if isinstance(answer, Err):
             if state.failures == 0:
                 logging.warning(
@@ -154,13 +159,18 @@
                 )
             self.record_failure(name)
             return
-        self.apply_load_report(name, answer.ok_value, requested_at_s)
+        self.apply_load_report(name, answer.ok_value, requested_at_s, address)
 
-    def apply_load_report(self, name: str, report: LoadReport, as_of_s: float) -> None:
-        """Apply an upstream's load report, and notify peers if it is now leaving."""
+    def apply_load_report(
+        self, name: str, report: LoadReport, as_of_s: float, address: str = ""
+    ) -> None:
+        """Apply an upstream's load report, and notify peers if it is now leaving.
+
+        A report from an address that the upstream no longer has is ignored.
+        """
         with self.lock:
             state = self.states.get(name)
-            if state is None:
+            if state is None or address not in ("", state.upstream.address):
                 return
             restarted = report.incarnation != state.incarnation
             newly_leaving = report.leaving and not state.leaving
