Stand-in engine: keep blocks under the weights that computed them

The stand-in checked a request's weights as it arrived and kept its blocks under them, whatever was loaded by the time that the prompt was read. With an order in between, requests that waited, and the one whose prompt was being read, were computed under the new weights, on blocks kept for the old ones, and were kept and saved to the kept-KV store under the old ones. The store drops nothing for a new version, so that engines which still have the old one imported them. Check and admission were two steps as well. A finished stream named the weights loaded at the moment of its resumption.

By docs/design/placement.md blocks hash from the weights version. The check and the admission are now under one lock, a chain is kept and saved once its prefill has ended, and an order refuses with 503 the requests that have not started, the one in its prefill included. The head of an answer is sent with its first event, so that these get a status. Streams that run go on under the new weights, as before, and name them when they are resumed; finished ones name their own.

No case shows callers of the product reading such blocks; see the relay's check of the first event.

--- a/rosemaryyoke/standins/engine.py
+++ b/rosemaryyoke/standins/engine.py
@@ -66,6 +66,7 @@
         self.sequences: dict[str, Sequence] = {}
         self.running: dict[str, Sequence] = {}
         self.waiting: list[tuple[int, int, Sequence]] = []
+        self.prefilling: Sequence | None = None
         self.numbers = itertools.count()
         self.lock = threading.Condition()
         self.prefilling_until_s = 0.0
@@ -96,17 +97,20 @@
     def complete(self, exchange: Exchange) -> Response | None:
         """Admit a request and stream its tokens."""
         body = exchange.json()
-        refusal = self._refusal(body)
+        sequence = self._sequence(body)
+        crashes = self.fault.crash_text and self.fault.crash_text in body["prompt"]
+        with self.lock:  # no order comes between the check and the admission
+            refusal = self._refusal(body)
+            if refusal is None and not crashes:
+                self._admit(sequence, body.get("priority", 1))
         if refusal is not None:
             self.refused += 1
             return refusal
         self.admitted_at.append(time.time())
-        if self.fault.crash_text and self.fault.crash_text in body["prompt"]:
+        if crashes:
             exchange.begin_response(SSE_HEADERS)
             raise ConnectionError("crashed by the prompt")
-        sequence = self._admit(body)
-        self._stream(exchange, sequence, sequence.first_index)
-        return None
+        return self._stream(exchange, sequence, sequence.first_index)
 
     def _refusal(self, body: dict) -> Response | None:
         if self.loading or self.leaving:
@@ -122,12 +126,13 @@
             return error_response(409, "wrong_kv", "the KV is of another scope")
         return None
 
-    def _admit(self, body: dict) -> Sequence:
+    def _sequence(self, body: dict) -> Sequence:
         scope = Scope(body["cache_salt"], body["model"], body["weights"])
         prompt, continued = body["prompt"], body.get("continued", "")
-        sequence = Sequence(
+        return Sequence(
             request=body["request"],
             account=body["cache_salt"],
+            weights=body["weights"],
             chain=hash_blocks(scope, prompt + continued),
             source=TokenSource(prompt + continued),
             max_tokens=body["max_tokens"],
@@ -135,12 +140,11 @@
             store=(body.get("kv_import") or {}).get("store", ""),
             reader=queue.SimpleQueue(),
         )
-        item = (-body.get("priority", 1), next(self.numbers), sequence)
-        with self.lock:
-            self.sequences[sequence.request] = sequence
-            heapq.heappush(self.waiting, item)
-            self.lock.notify_all()
-        return sequence
+
+    def _admit(self, sequence: Sequence, priority: int) -> None:
+        self.sequences[sequence.request] = sequence
+        heapq.heappush(self.waiting, (-priority, next(self.numbers), sequence))
+        self.lock.notify_all()
 
     def resume(self, exchange: Exchange, request: str) -> Response | None:
         """Stream a known request's tokens again from an index."""
@@ -153,8 +157,7 @@
             sequence.detached_s = 0.0
             if sequence.prefilled:
                 sequence.reader.put(None)
-        self._stream(exchange, sequence, after)
-        return None
+        return self._stream(exchange, sequence, after)
 
     def cancel(self, exchange: Exchange, request: str) -> Response:
         """Give up a request."""
@@ -164,11 +167,16 @@
                 self._drop(sequence)
         return json_response({})
 
-    def _stream(self, exchange: Exchange, sequence: Sequence, index: int) -> None:
+    def _stream(
+        self, exchange: Exchange, sequence: Sequence, index: int
+    ) -> Response | None:
         reader = sequence.reader
-        write = exchange.begin_response(SSE_HEADERS)
         try:
             reader.get()
+            if sequence.refused:
+                self.refused += 1
+                return error_response(503, "not_accepting", "other weights are loaded")
+            write = exchange.begin_response(SSE_HEADERS)
             write(self._started(sequence))
             sent = 0
             while True:
@@ -181,7 +189,7 @@
                 index = max(index, end)
                 if sequence.done and index == sequence.end:
                     write(self._finished(sequence, index))
-                    return
+                    return None
                 if sequence.cancelled or reader is not sequence.reader:
                     raise ConnectionError("the stream was taken over or cancelled")
                 if index == sequence.end:
@@ -198,7 +206,7 @@
             {
                 "kind": "started",
                 "incarnation": self.incarnation,
-                "weights": self.weights,
+                "weights": sequence.weights,
                 "cached_blocks": sequence.cached,
                 "prompt_blocks": len(sequence.chain),
                 "waiting_s": self.waiting_s(),
@@ -232,38 +240,49 @@
                 sequence = heapq.heappop(self.waiting)[2]
                 if sequence.cancelled:
                     continue
-                seconds = self._prefill(sequence)
+                seconds = self._begin_prefill(sequence)
+                self.prefilling = sequence
                 self.prefilling_until_s = time.monotonic() + seconds
             time.sleep(seconds)
             with self.lock:
+                self.prefilling = None
+                if sequence.refused:
+                    continue
+                self._store(sequence)
                 sequence.prefilled = True
                 self._produce(sequence)
                 self.running[sequence.request] = sequence
                 self.lock.notify_all()
 
-    def _prefill(self, sequence: Sequence) -> float:
+    def _begin_prefill(self, sequence: Sequence) -> float:
         cached = self.cache.match(sequence.chain)
         imported = 0
         if sequence.store and cached < len(sequence.chain):
             imported = max(0, self._kept(sequence) - cached)
         sequence.cached = cached + imported
-        stored = self.cache.insert(sequence.chain)
-        self.blocks_stored += len(stored.added)
-        self._publish(stored.added, stored.evicted)
+        sequence.saves = bool(sequence.store) and cached < len(sequence.chain)
         missed = len(sequence.chain) - cached - imported
         seconds = missed * self.options.prefill_s_per_block
         if imported:
             seconds += IMPORT_S + imported * IMPORT_S_PER_BLOCK
         return seconds
 
-    def _kept(self, sequence: Sequence) -> int:
-        """Return how much the store holds of a chain, and leave the chain there."""
+    def _store(self, sequence: Sequence) -> None:
+        """Keep a chain that was computed, here and, if asked to, in the store."""
+        stored = self.cache.insert(sequence.chain)
+        self.blocks_stored += len(stored.added)
+        self._publish(stored.added, stored.evicted)
+        if sequence.saves:
+            self._call_store(sequence, "/kv")
+
+    def _call_store(self, sequence: Sequence, path: str):
         chain = {"chain": [block.hex() for block in sequence.chain]}
-        url = f"http://{sequence.store}/kv"
-        match = send(
-            json_request("POST", f"{url}/match", chain, timeout_s=STORE_TIMEOUT_S)
-        )
-        send(json_request("POST", url, chain, timeout_s=STORE_TIMEOUT_S))
+        url = f"http://{sequence.store}{path}"
+        return send(json_request("POST", url, chain, timeout_s=STORE_TIMEOUT_S))
+
+    def _kept(self, sequence: Sequence) -> int:
+        """Return how much the store holds of a chain."""
+        match = self._call_store(sequence, "/kv/match")
         if isinstance(match, Err) or not match.ok_value.ok:
             return 0
         return match.ok_value.json()["blocks"]
@@ -370,14 +389,27 @@
             record = {**order, "began_at": time.time(), "ended_at": 0.0}
             self.orders.append(record)
             self.loading = True
+            self._refuse_waiting()
         time.sleep(self.options.load_s)
         with self.lock:
             self.weights = order["weights"]
             self.cache.clear()
+            for sequence in self.running.values():
+                sequence.weights = self.weights
             self.loading = False
             record["ended_at"] = time.time()
         return json_response({"weights": self.weights})
 
+    def _refuse_waiting(self) -> None:
+        """Refuse the requests that have not started; their weights are replaced."""
+        waiting = [item[2] for item in self.waiting]
+        if self.prefilling is not None:
+            waiting.append(self.prefilling)
+        self.waiting.clear()
+        for sequence in waiting:
+            sequence.refused = True
+            self._drop(sequence)
+
     def show_orders(self, exchange: Exchange) -> Response:
         """Return the orders that were carried out, in order."""
         return json_response({"orders": self.orders, "weights": self.weights})
--- a/rosemaryyoke/standins/sequences.py
+++ b/rosemaryyoke/standins/sequences.py
@@ -41,21 +41,27 @@
 
 @define(eq=False)
 class Sequence:
-    """One request in the engine."""
+    """One request in the engine.
+
+    ``weights`` are those under which it runs, or ran to its end.
+    """
 
     request: str
     account: str
+    weights: str
     chain: list[bytes]
     source: TokenSource
     max_tokens: int
     first_index: int
     store: str = ""
+    saves: bool = False
     cached: int = 0
     tokens: list[str] = field(factory=list)
     reader: queue.SimpleQueue | None = None
     detached_s: float = 0.0
     finished_s: float = 0.0
     cancelled: bool = False
+    refused: bool = False
     prefilled: bool = False
 
     @property
