Test of unused grants: wait until the granting host has the whole quota

The test is at fault, not the quotas.

It took the first host that grants. A host lends its share of a quota only once it has run for a second, as an earlier process of its name may have lent it before. Where the host that was started first also ranks first for the shard, it begins to grant with its own share alone: half the quota of two hosts. The short window then has room for 4689.5, of which one request leaves exactly 3069.495. If the other share arrives between the test's change of grown_s and its first request, a share that grows counts as used, and the request gets 429. Load widens both gaps; without load they are there, too.

The test now waits until one host has the loans of all hosts. Everything that it checks stays as it was: the level, the refusals and the number of returns. With a granting host that takes nothing back (trial) it fails with 429. wait_for returns the value that it waited for.

--- a/rosemaryyoke/platform/tests/deployment.py
+++ b/rosemaryyoke/platform/tests/deployment.py
@@ -32,11 +32,12 @@
 
 
 def wait_for(condition, timeout_s=5.0):
-    """Wait until a condition holds; fail after the timeout."""
+    """Wait until a condition holds and return its value; fail after the timeout."""
     deadline_s = time.monotonic() + timeout_s
-    while not condition():
+    while not (value := condition()):
         assert time.monotonic() < deadline_s, "condition not met before the timeout"
         time.sleep(0.01)
+    return value
 
 
 @define(eq=False)
--- a/rosemaryyoke/platform/tests/test_quotas.py
+++ b/rosemaryyoke/platform/tests/test_quotas.py
@@ -21,6 +21,7 @@
 )
 from rosemaryyoke.platform.tests.cut_hosts import RESETTING, STREAMING, CutFleet
 from rosemaryyoke.platform.tests.deployment import script_all, start_host, wait_for
+from rosemaryyoke.quotas.leases import shard_of
 
 WINDOW_S = 2.0
 COST = 1620  # of a request with the headers of ``stream_headers``
@@ -87,6 +88,17 @@
         granting = [host for host in self.hosts if host.quotas.roles_held()]
         return granting[0] if granting else None
 
+    def whole_holder(self):
+        """Return the host that is lent the account's whole quota, if there is one."""
+        for host in self.hosts:
+            with host.quotas.lock:
+                now_s = host.quotas.now_s()
+                claim = host.quotas.node.claims.get(shard_of("t1"))
+                lenders = 0 if claim is None else claim.lenders * claim.share(now_s)
+                if lenders == len(self.hosts):
+                    return host
+        return None
+
     def kill(self, host):
         """End a host without a farewell."""
         host.beacons.stop()
@@ -253,7 +265,8 @@
 # Guards against an account that pays for requests which no upstream took.
 def test_unused_grants_are_returned(start):
     fleet = start(2, burst=4 * COST, rate=COST / 10)
-    holder = fleet.granting_host()
+    # A host lends its share only when it has run for a second.
+    holder = wait_for(fleet.whole_holder)
 
     def level():
         with holder.quotas.lock:
