--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -6,6 +6,7 @@
 import time
 from functools import cached_property
 from typing import Callable
+from urllib.parse import quote
 
 from attrs import field, frozen
 from result import Err, Ok, Result
@@ -162,10 +163,12 @@
         """Ask the service for a key's outcome if its rule has a lookup path."""
         upstreams = rules.upstreams_of(SERVICE_KIND, call.service.name)
         if call.service.lookup:
-            path = call.service.lookup.replace("{key}", call.key)
+            path = call.service.lookup.replace("{key}", quote(call.key, safe=""))
             for upstream in self.directory.usable(upstreams, set()):
                 url = f"http://{upstream.address}{path}"
-                answer = send(HttpRequest("GET", url, timeout_s=LOOKUP_TIMEOUT_S))
+                headers = {"X-Client-Account": call.account}  # scopes the key
+                request = HttpRequest("GET", url, headers, timeout_s=LOOKUP_TIMEOUT_S)
+                answer = send(request)
                 if isinstance(answer, Ok) and answer.ok_value.ok:
                     return Ok(_stored_response(answer.ok_value))
         message = "the outcome of the first call with this key is unknown"
--- a/rosemaryyoke/streams/tests/builders.py
+++ b/rosemaryyoke/streams/tests/builders.py
@@ -23,13 +23,20 @@
 
 @define
 class ScriptedEngineAdapter:
-    """Engine adapter whose calls follow scripts of steps, one script per call."""
+    """Engine adapter whose calls follow scripts of steps, one script per call.
+
+    Streams are under the weights that their request expects, or the given ones.
+    """
 
     scripts: list
     calls: int = 0
+    weights: str = "v1"
+    requests: list = field(factory=list)
 
     def complete(self, address, request, on_event, wait):
         """Run the next script from the request's first token."""
+        self.weights = request.weights
+        self.requests.append(request)
         return self._follow(request.request, request.first_index, on_event)
 
     def resume(self, address, request, after, on_event, wait):
@@ -41,7 +48,8 @@
         self.calls += 1
         if "refuse" in script[:1]:
             return Err(UpstreamError("refused", refused=True))
-        on_event(Started(request, "i", "v1", 0, 0, 0.0, 0))
+        weights = "other" if "other weights" in script[:1] else self.weights
+        on_event(Started(request, "i", weights, 0, 0, 0.0, 0))
         tokens = expected_tokens()
         for step in script:
             if step == "cut":
@@ -72,6 +80,11 @@
 
     engine_adapter: ScriptedEngineAdapter
     failures: list = field(factory=list)
+    store: str = ""
+
+    def kv_store_address(self):
+        """Return the address of the store that is usable now."""
+        return self.store
 
     def record_failure(self, name):
         """Store the failed engine."""
@@ -88,18 +101,24 @@
 
     engines: list
     weights: dict = field(factory=dict)
+    queries_kv_store: bool = False
+    required: list = field(factory=list)
+    started: list = field(factory=list)
 
     def place(self, rules, route, account, text, excluded, required_weights):
         """Return the first engine that is not excluded and has the weights."""
+        self.required.append(required_weights)
         for name in self.engines:
             weights = self.weights.get(name, "v1")
             if name not in excluded and required_weights in ("", weights):
                 upstream = Upstream(name, "engine", "a", "d", "m")
-                return Ok(PlacementDecision(upstream, weights, [], Choice(name)))
+                choice = Choice(name, queries_kv_store=self.queries_kv_store)
+                return Ok(PlacementDecision(upstream, weights, [], choice))
         return Err(NoEngineAvailable("none", False, 1.0))
 
-    def record_response_start(self, *_):
-        """Do nothing."""
+    def record_response_start(self, decision, *_):
+        """Store the engine."""
+        self.started.append(decision.upstream.name)
 
     def record_completion(self, decision):
         """Do nothing."""
