Tests: hostile clients are in place only once they are connected

A load of 600 clients was taken for placed while they were still connecting: the time without progress counted from the start, and only bytes sent were progress. A crowd that connects for more than 0.4 s was checked before it had sent anything (600 clients against a host of 150 MB: "in place" after 0.40 s with 0 bytes sent). A connection counts as progress now.

--- a/rosemaryyoke/testing/hostile_clients.py
+++ b/rosemaryyoke/testing/hostile_clients.py
@@ -265,6 +265,7 @@
             return
         connection.setblocking(False)
         client.connection = connection
+        self.progress_s = time.monotonic()
 
     def send(self, client: Client) -> None:
         """Send on until the server takes no more, or for one piece with a pause."""
