Server: parse bodies of very many small chunks one at a time

Callers got no answer while others sent bodies in chunks of 2 bytes at a route: with 600 connections at a host of 150 MB none in 27 s (tries of 5 s each), with 200 one after 7.6 s, with 60 after 1.3 s. Memory held (115 MB).

Cause: contention for the interpreter. A stack dump under load shows the tasks of the crowd in RequestParser.on_body or waiting to run behind poll and recv. A chunk of 2 bytes takes 0.38 us, so 32 KiB from the socket keep the interpreter for 1.8 ms (50 ns a byte, 1.6 ns in large chunks), and whoever reads, writes or takes a lock waits for hundreds of such tasks, a dozen times for each ordinary request.

A body that has come in more than 256 parts of less than 64 bytes on average is now parsed in pieces of 4 KiB, one connection of the process at a time (TurnQueue). No such body is refused for it. Its connection counts as one with little progress when slots or memory are short; otherwise a crowd that is parsed slowly, but steadily keeps every slot. Connections that are evicted leave the queue at once.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -35,6 +35,7 @@
     store_no_body,
 )
 from rosemaryyoke.exchanges.settings import RoutingSettings
+from rosemaryyoke.exchanges.turns import TurnQueue
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.forwarding.envelope import MAX_ENVELOPE_BYTES
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
@@ -267,6 +268,7 @@
         known = settings.memory_mb is not None
         self.socket_buffer_bytes = SOCKET_BUFFER_BYTES if known else 0
         self.memory = MemoryBudget(self.plan.budget_bytes)
+        self.costly_turns = TurnQueue()
 
     def make_follower(self) -> Follower:
         """Return the tasks that follow the store or a watcher."""
@@ -509,6 +511,7 @@
             rejection_handler=self.forwarder.reject_leaving,
             needs_body=self.forwarder.needs_body,
             budget=self.memory,
+            costly_turns=self.costly_turns,
             write_stall_s=self.settings.write_stall_s,
             socket_buffer_bytes=self.socket_buffer_bytes,
         )
@@ -552,6 +555,7 @@
             limits=self.forwarded_limits,
             needs_body=self.forwarded.needs_body,
             budget=self.memory,
+            costly_turns=self.costly_turns,
             write_stall_s=self.settings.write_stall_s,
             socket_buffer_bytes=self.socket_buffer_bytes,
         )
@@ -586,6 +590,7 @@
             name,
             needs_body=store_no_body,
             budget=self.memory,
+            costly_turns=self.costly_turns,
             write_stall_s=self.settings.write_stall_s,
             socket_buffer_bytes=self.socket_buffer_bytes,
         )
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -17,6 +17,7 @@
     ResponseAborted,
 )
 from rosemaryyoke.exchanges.refusal_log import RefusalLog
+from rosemaryyoke.exchanges.turns import TurnQueue
 from rosemaryyoke.http1 import (
     Address,
     MalformedMessage,
@@ -25,6 +26,7 @@
     RequestMessage,
     RequestParser,
 )
+from rosemaryyoke.http1.messages import COSTLY_PIECE_BYTES
 from rosemaryyoke.http1.sockets import (
     close,
     listen,
@@ -90,7 +92,7 @@
 
     ``needs_body`` decides from the head whether a body is stored or dropped.
     ``socket_buffer_bytes`` limits what the system buffers for each connection and
-    direction, if it is not 0.
+    direction, if it is not 0. The servers of a process share ``costly_turns``.
     """
 
     address: Address
@@ -112,6 +114,7 @@
     budget: MemoryBudget = field(factory=MemoryBudget)
     write_stall_s: float = WRITE_STALL_S
     socket_buffer_bytes: int = 0
+    costly_turns: TurnQueue = field(factory=TurnQueue)
     reservations: set[Reservation] = field(factory=set)
     next_slot_search_s: float = 0.0
     refusal_log: RefusalLog = field(factory=RefusalLog)
@@ -242,7 +245,7 @@
         close(connection)
 
     def _serve_connection(self, connection: socket.socket, peer: str) -> None:
-        reservation = self.budget.reserve(lambda: wake(connection, reservation))
+        reservation = self.budget.reserve(lambda: self._evict(connection, reservation))
         reservation.begin_phase(Phase.HEAD, time.monotonic())
         with self.lock:
             self.reservations.add(reservation)
@@ -269,6 +272,10 @@
                 self.reservations.discard(reservation)
                 self.open_connections -= 1
 
+    def _evict(self, connection: socket.socket, reservation: Reservation) -> None:
+        wake(connection, reservation)
+        self.costly_turns.leave(reservation)
+
     def _serve_requests(self, caller: CallerConnection) -> None:
         limits = self.limits()
         reader = RequestParser(limits.message)
@@ -395,23 +402,39 @@
 
     def _read_size(self, reader: RequestParser) -> int:
         """Return how much to read, without what follows a body of known length."""
+        size = COSTLY_PIECE_BYTES if reader.is_costly else REQUEST_READ_BYTES
         if not reader.in_body or reader.body_length is None:
-            return REQUEST_READ_BYTES
-        return min(REQUEST_READ_BYTES, reader.body_length - reader.body_bytes)
+            return size
+        return min(size, reader.body_length - reader.body_bytes)
 
     def _parse(
         self, caller: CallerConnection, reader: RequestParser, data: bytes
     ) -> None:
         """Parse bytes, and account for what is held of the request."""
         was_in_body = reader.in_body
-        reader.feed(data)
+        self._feed(caller, reader, data)
         if reader.in_body and not was_in_body:
             self._decide_on_body(caller, reader)
             if reader.rest:
-                reader.feed(b"")
+                self._feed(caller, reader, b"")
         if not caller.reservation.resize(reader.held_bytes):
             raise OutOfMemory("memory")
 
+    def _feed(
+        self, caller: CallerConnection, reader: RequestParser, data: bytes
+    ) -> None:
+        """Parse bytes, those of a costly body in turn with other connections."""
+        if not reader.is_costly:
+            reader.feed(data)
+            data = b""
+        caller.reservation.is_costly = reader.is_costly
+        while reader.is_costly and (data or reader.rest):
+            with self.costly_turns.turn(caller.reservation) as granted:
+                if not granted:
+                    raise OutOfMemory("evicted")
+                reader.feed(data)
+            data = b""
+
     def _decide_on_body(self, caller: CallerConnection, reader: RequestParser) -> None:
         """Decide from the head what becomes of the body."""
         now_s, length = time.monotonic(), reader.body_length
--- a/rosemaryyoke/exchanges/tests/test_hostile_connections.py
+++ b/rosemaryyoke/exchanges/tests/test_hostile_connections.py
@@ -9,13 +9,15 @@
 from rosemaryyoke.exchanges.refusal_log import MAX_LINES_PER_S, RefusalLog
 from rosemaryyoke.exchanges.server import ConnectionServer, RequestLimits
 from rosemaryyoke.http1 import Address, MessageLimits, send_request
-from rosemaryyoke.memory import MemoryBudget
+from rosemaryyoke.memory import MemoryBudget, Reservation
 from rosemaryyoke.memory.budget import STEP_BYTES
 from rosemaryyoke.memory.eviction import STALLED_S
 from rosemaryyoke.platform.tests.deployment import wait_for
 from rosemaryyoke.testing.builders import free_port
 
 BODY_BYTES = 4 * STEP_BYTES
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY_CHUNKS = b"2\r\nxx\r\n" * 2_000
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -157,3 +159,31 @@
     admitted = [log.admit(10.0 + step / 1_000) for step in range(100)]
     assert admitted.count(0) == MAX_LINES_PER_S
     assert log.admit(11.0) == 100 - MAX_LINES_PER_S and log.admit(11.1) == 0
+
+
+# Guards against clients that keep every slot by bodies that are costly to parse.
+def test_costly_connection_is_closed_for_a_new_one(started):
+    server = started(connections=1)
+    with connect(server, CHUNKED_HEAD + TINY_CHUNKS) as costly:
+        wait_for(lambda: any(item.is_costly for item in server.reservations))
+        assert send_request(server.address, "GET", "/", timeout_s=3).ok_value.ok
+        assert read_all(costly).startswith(b"HTTP/1.1 503")
+
+
+# Guards against an evicted connection that waits for its turn and keeps its slot.
+def test_evicted_connection_does_not_wait_for_its_turn(started):
+    server = started(connections=1)
+    with server.costly_turns.turn(Reservation(server.budget)) as granted:
+        assert granted
+        with connect(server, CHUNKED_HEAD + TINY_CHUNKS) as costly:
+            wait_for(lambda: server.costly_turns.waiting)
+            assert send_request(server.address, "GET", "/", timeout_s=3).ok_value.ok
+            assert read_all(costly).startswith(b"HTTP/1.1 503")
+
+
+# Guards against refusing what a single client may send.
+def test_costly_body_is_served_in_calm(started):
+    server = started()
+    with connect(server, CHUNKED_HEAD + TINY_CHUNKS * 10 + b"0\r\n\r\n") as connection:
+        assert b"40000 40000" in connection.recv(1_000)
+    wait_for(lambda: not server.costly_turns.busy)
--- a/rosemaryyoke/http1/messages.py
+++ b/rosemaryyoke/http1/messages.py
@@ -19,6 +19,13 @@
 END_OF_FIELDS = b"\r\n\r\n"
 # A chunk of one byte takes five bytes of framing.
 MAX_FRAMING_PER_BODY_BYTE = 8
+# Parsing a chunk takes 0.35 us of processor besides 1.6 ns for each byte, so chunks of
+# 64 bytes take four times as much for a byte as large ones, and chunks of two 30 times.
+CHEAP_CHUNK_BYTES = 64
+# Bodies of so few chunks are cheap whatever their size.
+CHEAP_CHUNKS = 256
+# What is parsed at a time of a body whose chunks are small, or not known yet.
+COSTLY_PIECE_BYTES = 4 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -103,7 +110,8 @@
     Bytes behind a complete request stay unparsed until the request is taken out of
     ``requests`` and ``feed`` is called again. ``feed`` also returns behind each head
     whose body is to come, so that the caller can decide about the body; it then calls
-    ``feed`` again, with further bytes or none.
+    ``feed`` again, with further bytes or none. Of a body that is costly to parse,
+    ``feed`` takes one piece at a time.
     """
 
     def __init__(self, limits: MessageLimits):
@@ -115,6 +123,7 @@
         self.head_bytes = 0
         self.fields = 0
         self.body_bytes = 0
+        self.body_parts = 0
         self.fed_bytes = 0
         self.body_length: int | None = None
         self.buffer = bytearray()  # the body so far
@@ -127,6 +136,12 @@
         """Return whether part of a request has been received."""
         return self.message is not None or self.fed_bytes > 0 or bool(self.rest)
 
+    @property
+    def is_costly(self) -> bool:
+        """Return whether the body so far came in very many small chunks."""
+        cheap_parts = CHEAP_CHUNKS + self.body_bytes // CHEAP_CHUNK_BYTES
+        return self.in_body and self.body_parts > cheap_parts
+
     @property
     def held_bytes(self) -> int:
         """Return the memory taken by the request so far and the unparsed bytes."""
@@ -155,7 +170,7 @@
             end = self._piece_end(data, start)
             self._parse(view[start:end])
             start = end
-            if self.in_body and not was_in_body:
+            if self.in_body and not was_in_body or self.is_costly:
                 break
         if start < len(data):
             self.rest = data[start:]
@@ -167,14 +182,17 @@
         """
         if self.in_body and self.body_length is not None:
             return min(len(data), start + self.body_length - self.body_bytes)
+        limit = len(data)
+        if self.in_body and self.body_bytes <= self.body_parts * CHEAP_CHUNK_BYTES:
+            limit = min(limit, start + COSTLY_PIECE_BYTES)
         kept = len(END_OF_FIELDS) - 1
         seam = self.last_bytes + data[start : start + kept]
         found = seam.find(END_OF_FIELDS) if self.last_bytes else -1
         if found >= 0:
             end = start + found + len(END_OF_FIELDS) - len(self.last_bytes)
         else:
-            found = data.find(END_OF_FIELDS, start)
-            end = len(data) if found < 0 else found + len(END_OF_FIELDS)
+            found = data.find(END_OF_FIELDS, start, limit)
+            end = limit if found < 0 else found + len(END_OF_FIELDS)
         self.last_bytes = (self.last_bytes + data[max(start, end - kept) : end])[-kept:]
         return end
 
@@ -208,6 +226,7 @@
         self.head_bytes = 0
         self.fields = 0
         self.body_bytes = 0
+        self.body_parts = 0
         self.body_length = None
 
     def on_url(self, url: bytes) -> None:
@@ -242,6 +261,7 @@
     def on_body(self, body: bytes) -> None:
         """Append part of the body, or drop it."""
         self.body_bytes += len(body)
+        self.body_parts += 1
         if self.body_bytes > self.limits.body_bytes:
             raise MessageTooLarge(413, "the body is too large")
         self.message.body_bytes = self.body_bytes
--- a/rosemaryyoke/http1/tests/test_messages.py
+++ b/rosemaryyoke/http1/tests/test_messages.py
@@ -1,6 +1,7 @@
 """Parsing of requests and responses."""
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from rosemaryyoke.http1 import (
     MalformedMessage,
@@ -9,7 +10,13 @@
     RequestParser,
     ResponseParser,
 )
-from rosemaryyoke.http1.messages import end_to_end_headers
+from rosemaryyoke.http1.messages import (
+    CHEAP_CHUNK_BYTES,
+    CHEAP_CHUNKS,
+    COSTLY_PIECE_BYTES,
+    encode_chunk,
+    end_to_end_headers,
+)
 
 LIMITS = MessageLimits(head_bytes=512, body_bytes=1_000)
 GET = b"GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
@@ -144,3 +151,66 @@
     reader = RequestParser(MessageLimits(head_bytes=16_384))
     reader.feed(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 1_900)
     assert reader.held_bytes > 1_900 * 100
+
+
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+LARGE_LIMITS = MessageLimits(body_bytes=1_000_000)
+
+
+def chunked_reader():
+    """Return a parser that has read the head of a chunked request."""
+    reader = RequestParser(LARGE_LIMITS)
+    reader.feed(CHUNKED_HEAD)
+    return reader
+
+
+# Guards against clients whose bodies take the processor for as long as they send.
+def test_body_of_tiny_chunks_is_parsed_by_pieces():
+    reader, data = chunked_reader(), encode_chunk(b"xx") * 10_000
+    reader.feed(data)
+    assert reader.is_costly and len(data) - len(reader.rest) <= COSTLY_PIECE_BYTES
+    left = len(reader.rest)
+    reader.feed(b"")
+    assert left - len(reader.rest) == COSTLY_PIECE_BYTES
+
+
+# Guards against a limit that ordinary bodies meet.
+@pytest.mark.parametrize("size", [CHEAP_CHUNK_BYTES, 1_000, 64 * 1024])
+def test_body_of_ordinary_chunks_is_parsed_at_once(size):
+    reader = chunked_reader()
+    reader.feed(encode_chunk(b"x" * size) * (256 * 1024 // size))
+    assert not reader.is_costly and not reader.rest
+
+
+def test_short_body_of_tiny_chunks_is_not_costly():
+    reader = chunked_reader()
+    reader.feed(encode_chunk(b"xx") * CHEAP_CHUNKS)
+    assert not reader.is_costly and not reader.rest
+
+
+@settings(deadline=None)
+@given(
+    chunks=st.lists(
+        st.tuples(st.integers(1, 900), st.sampled_from([1, 2, 63, 64, 5_000])),
+        min_size=1,
+        max_size=3,
+    ),
+    read_bytes=st.sampled_from([61, 4_095, 4_096, 32_768]),
+)
+def test_body_is_the_same_however_it_is_chunked(chunks, read_bytes):
+    reader = RequestParser(MessageLimits(body_bytes=20_000_000))
+    sent = b"".join(
+        encode_chunk(bytes([65 + n % 26]) * size) * count
+        for n, (count, size) in enumerate(chunks)
+    )
+    body = b"".join(
+        bytes([65 + n % 26]) * size * count for n, (count, size) in enumerate(chunks)
+    )
+    data = CHUNKED_HEAD + sent + b"0\r\n\r\n" + GET
+    for start in range(0, len(data), read_bytes):
+        reader.feed(data[start : start + read_bytes])
+        while reader.rest and not reader.requests:
+            reader.feed(b"")
+    assert reader.requests.popleft().body == body
+    reader.feed(b"")
+    assert reader.requests.popleft().target == b"/a/1"
--- a/rosemaryyoke/memory/budget.py
+++ b/rosemaryyoke/memory/budget.py
@@ -43,7 +43,8 @@
     """The memory held for one connection.
 
     ``needed_bytes`` is what the connection holds, ``granted_bytes`` what is reserved
-    for it beyond its allowance. ``received_bytes`` counts since ``phase_began_s``.
+    for it beyond its allowance. ``received_bytes`` counts since ``phase_began_s``;
+    ``is_costly`` says that these bytes take very much processor time.
     ``evict`` wakes the connection's task, which then closes the connection.
     """
 
@@ -55,6 +56,7 @@
     phase_began_s: float = field(factory=time.monotonic)
     progress_s: float = field(factory=time.monotonic)
     received_bytes: int = 0
+    is_costly: bool = False
     evicted: bool = False
 
     def begin_phase(self, phase: Phase, now_s: float) -> None:
@@ -62,6 +64,7 @@
         self.phase = phase
         self.phase_began_s = self.progress_s = now_s
         self.received_bytes = 0
+        self.is_costly = False
 
     def protect(self, now_s: float) -> bool:
         """Begin to wait for the upstream; return false if evicted before."""
--- a/rosemaryyoke/memory/eviction.py
+++ b/rosemaryyoke/memory/eviction.py
@@ -19,6 +19,7 @@
     progress_s: float
     received_bytes: int
     granted_bytes: int
+    is_costly: bool
     evicted: bool
 
 
@@ -26,7 +27,12 @@
 
 
 def makes_little_progress(client: Client, now_s: float) -> bool:
-    """Return whether a client stalls, or sends or reads very slowly."""
+    """Return whether a client stalls, or sends or reads very slowly.
+
+    So does one whose body is costly to parse: its bytes bring hardly any content.
+    """
+    if client.is_costly:
+        return True
     if now_s - client.progress_s >= STALLED_S:
         return True
     age_s = now_s - client.phase_began_s
--- a/rosemaryyoke/platform/tests/test_hostile_clients.py
+++ b/rosemaryyoke/platform/tests/test_hostile_clients.py
@@ -42,8 +42,9 @@
 MEMORY_MB = 80  # of the machine; a host without load takes 37 to 45
 BODY_LIMIT = 1024 * 1024
 CLIENTS = 48  # whose bodies together exceed the machine's memory
-# A client's connection, one to an upstream for it, and what the host opens itself.
-MAX_DESCRIPTORS = 2 * CLIENTS + 160
+OWN_DESCRIPTORS = 160  # that the host opens itself
+LARGER_MEMORY_MB = 150
+CROWDS = (60, 600)  # clients; a host of that memory takes about 400 callers
 SLOTS = 400  # of each upstream, so that the upstreams' capacity refuses nothing
 LOAD_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 8.0  # for a request that is sent again after it was refused
@@ -147,14 +148,14 @@
         part.stop()
 
 
-def start_process(store, folder, number):
+def start_process(store, folder, network, memory_mb=MEMORY_MB):
     """Start the process of a host with the memory of a small machine."""
     # An address of its own, since the port of the metrics is not in the settings file.
-    ip = f"127.0.{number % 2}.{20 + worker_number()}"
+    ip = f"127.0.{network}.{20 + worker_number()}"
     port = free_port(6)
     name = f"front-{port}"
     settings = make_settings(name, ip, port, str(store.address))
-    settings["limits"] = {"memoryMb": MEMORY_MB}
+    settings["limits"] = {"memoryMb": memory_mb}
     path = folder / f"{name}.json"
     path.write_bytes(orjson.dumps(settings))
     command = [sys.executable, "-m", "rosemaryyoke", "route", "--settings", str(path)]
@@ -178,7 +179,7 @@
     started = []
 
     def start_next():
-        started.append(start_process(upstreams, folder, len(started)))
+        started.append(start_process(upstreams, folder, len(started) % 2))
 
     def take():
         start_next()
@@ -195,10 +196,8 @@
     host.process.wait()
 
 
-@pytest.fixture()
-def host(processes):
-    """Return a host's process that is ready, and end it."""
-    host = processes()
+def ready(host):
+    """Yield a host's process once it is ready, and end it."""
     try:
         wait_for(host.is_ready, 15.0)
         yield host
@@ -206,6 +205,18 @@
         stop_process(host)
 
 
+@pytest.fixture()
+def host(processes):
+    """Return a host's process that is ready, and end it."""
+    yield from ready(processes())
+
+
+@pytest.fixture()
+def larger_host(upstreams, tmp_path):
+    """Return a host's process on a larger machine that is ready, and end it."""
+    yield from ready(start_process(upstreams, tmp_path, 2, LARGER_MEMORY_MB))
+
+
 GET_FIELDS = ("Host: a.example",)
 FORWARDED = "Rosemaryyoke-Forwarded: host=front-0&configuration=1&runs=0"
 TARGETS = {
@@ -259,10 +270,10 @@
         time.sleep(RETRY_PAUSE_S)
 
 
-def check(host, form, port, request):
+def check(host, form, port, request, count=CLIENTS, memory_mb=MEMORY_MB):
     """Check a host while clients with a form of load stay connected to a port."""
     address = host.address_of[port]
-    with HostileClients(address, form, request, BODY_LIMIT, CLIENTS) as clients:
+    with HostileClients(address, form, request, BODY_LIMIT, count) as clients:
         clients.wait_in_place(LOAD_TIMEOUT_S)
         descriptors = open_descriptors(host.process.pid)
         assert host.process.poll() is None, "the host has ended"
@@ -271,8 +282,9 @@
         assert_answered(address, port)
         peak_mb = peak_memory_bytes(host.process.pid) / MB
         print(f"peak={peak_mb:.1f} MB sent={clients.sent_bytes / MB:.1f} MB")
-        assert peak_mb < MEMORY_MB
-        assert descriptors < MAX_DESCRIPTORS
+        assert peak_mb < memory_mb
+        # Of each client its connection and one to an upstream for it.
+        assert descriptors < 2 * count + OWN_DESCRIPTORS
 
 
 # Guards against a host that is ended for its memory, or answers no one, under requests
@@ -295,3 +307,11 @@
 @pytest.mark.parametrize("form", READER_FORMS, ids=lambda form: form.name)
 def test_host_withstands_unread_responses(host, form, port):
     check(host, form, port, LARGE_TARGETS[port])
+
+
+# Guards against clients that take the processor from ordinary callers by bodies that
+# are costly to parse.
+@pytest.mark.parametrize("count", CROWDS)
+def test_host_answers_beside_many_tiny_chunks(larger_host, count):
+    (form,) = (form for form in LOAD_FORMS if form.name == "body_in_tiny_chunks")
+    check(larger_host, form, "route", TARGETS["route"], count, LARGER_MEMORY_MB)
