Tests: hostile clients are in place only once all have begun

A crowd of 600 connects more slowly than it stalls while the host accepts slowly: one check of many_header_fields began after 1.8 MB, another after 806 MB. The wait ends only after every client has tried to connect, or at its time limit as before.

--- a/rosemaryyoke/testing/hostile_clients.py
+++ b/rosemaryyoke/testing/hostile_clients.py
@@ -209,10 +209,11 @@
             self.disconnect(client)
 
     def wait_in_place(self, timeout_s: float) -> None:
-        """Wait until no client makes progress, for a limited time."""
+        """Wait until all have begun and none makes progress, for a limited time."""
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
-            if time.monotonic() - self.progress_s > STALLED_S:
+            begun = all(client.attempts for client in self.clients)
+            if begun and time.monotonic() - self.progress_s > STALLED_S:
                 return
             time.sleep(POLL_S)
 
