Tests: complete bodies, small pieces and slow readers at every port

Cells of the issue that no test covered: complete bodies of legal size from many clients at once, whole and in small pieces; bodies in small pieces that stop short of their end at /v1, /services and the port for hosts; responses and event streams that are read slowly, but steadily, at routes, /v1 and /services. Tests of unread responses now wait for 3 s until buffers are full; before they checked after 0.4 s.

--- a/rosemaryyoke/entry/tests/hostile_loads.py
+++ b/rosemaryyoke/entry/tests/hostile_loads.py
@@ -20,7 +20,9 @@
 OVERSIZED_BYTES = 39 * 1024 * 1024
 MISSING_BYTES = 7
 PIECE_BYTES = 65_536
+SMALL_PIECE_BYTES = 4_096
 SLOW_PIECE_BYTES = 8_192
+SLOW_READ_BYTES = 512
 SMALL_CHUNKS = b"2\r\nab\r\n" * 50_000
 LARGE_CHUNK = b"10000\r\n" + b"c" * PIECE_BYTES + b"\r\n"
 SHORT_FIELDS = 1_900
@@ -81,6 +83,19 @@
     send_some(connection, with_length(target, BODY_BYTES) + body)
 
 
+def whole_body(connection: socket.socket, target: Target) -> None:
+    """Send a whole body of legal size."""
+    send_some(connection, with_length(target, BODY_BYTES) + b"x" * BODY_BYTES)
+
+
+def short_body_in_pieces(connection: socket.socket, target: Target) -> None:
+    """Send a body in small pieces, but for its last bytes."""
+    send_some(connection, with_length(target, BODY_BYTES))
+    with suppress(OSError):
+        for _ in range(BODY_BYTES // SMALL_PIECE_BYTES - 1):
+            connection.sendall(b"x" * SMALL_PIECE_BYTES)
+
+
 def oversized_body(connection: socket.socket, target: Target) -> None:
     """Send much of a body over the limit."""
     body = b"x" * (BODY_BYTES * 2)
@@ -138,6 +153,8 @@
     load.__name__: load
     for load in (
         short_body,
+        short_body_in_pieces,
+        whole_body,
         oversized_body,
         small_chunks,
         large_chunks,
@@ -160,8 +177,18 @@
         time.sleep(SLOW_PAUSE_S)
 
 
+def read_slowly(connections: list[socket.socket], duration_s: float) -> None:
+    """Read a little from all connections in turn, with pauses, for a while."""
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        for connection in connections:
+            with suppress(OSError):
+                connection.recv(SLOW_READ_BYTES, socket.MSG_DONTWAIT)
+        time.sleep(SLOW_PAUSE_S)
+
+
 def ask_for_stream(connection: socket.socket) -> None:
-    """Ask for a long stream, of which nothing is read."""
+    """Ask for a long stream."""
     body = (
         b'{"model":"m","stream":true,"max_tokens":8192,"messages":'
         b'[{"role":"user","content":"%b"}]}' % os.urandom(8).hex().encode()
--- a/rosemaryyoke/entry/tests/test_hostile_clients.py
+++ b/rosemaryyoke/entry/tests/test_hostile_clients.py
@@ -19,6 +19,7 @@
     ask_ordinary,
     descriptors,
     peak_mb,
+    read_slowly,
     reset_peak,
     send_slowly,
     send_some,
@@ -42,6 +43,7 @@
 MORE_THAN_SLOTS = MAX_CONNECTIONS + 20
 MORE_THAN_PEER_SLOTS = PEER_CONNECTIONS + 20
 SETTLE_S = 0.15
+SLOW_READ_S = 3.0  # until the buffers of the connections are full
 
 
 @pytest.fixture(scope="module")
@@ -152,6 +154,22 @@
         assert_unharmed(system)
 
 
+# Guards against events and responses that are kept for clients that read slowly, but
+# steadily enough to keep their connection.
+@pytest.mark.parametrize("kind", ["stream", "large_response"])
+def test_responses_read_slowly(system, kind):
+    request = Target("GET", "/services/large/x", True).head() + b"\r\n"
+    port = system.processes["host0"].port
+    with Clients(port, READERS, READER_BUFFER_BYTES) as clients:
+        for connection in clients.connections:
+            if kind == "stream":
+                ask_for_stream(connection)
+            else:
+                send_some(connection, request)
+        read_slowly(clients.connections, SLOW_READ_S)
+        assert_unharmed(system)
+
+
 # Guards against limits that refuse what a single client may send when nothing competes.
 @pytest.mark.parametrize("size", [1_000, BODY_BYTES])
 def test_single_request_within_the_limits(system, size):
--- a/rosemaryyoke/platform/tests/test_hostile_clients.py
+++ b/rosemaryyoke/platform/tests/test_hostile_clients.py
@@ -49,6 +49,7 @@
 LOAD_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 8.0  # for a request that is sent again after it was refused
 RETRY_PAUSE_S = 0.2
+RESPONSE_S = 3.0
 LARGE_RESPONSE_BYTES = 1024 * 1024
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 8_192)
 LARGE_EVENTS = 2_000
@@ -272,11 +273,17 @@
         time.sleep(RETRY_PAUSE_S)
 
 
-def check(host, form, port, request, count=CLIENTS, memory_mb=MEMORY_MB):
-    """Check a host while clients with a form of load stay connected to a port."""
+def check(
+    host, form, port, request, count=CLIENTS, memory_mb=MEMORY_MB, response_s=0.0
+):
+    """Check a host while clients with a form of load stay connected to a port.
+
+    ``response_s`` is for responses to fill the buffers of the connections.
+    """
     address = host.address_of[port]
     with HostileClients(address, form, request, BODY_LIMIT, count) as clients:
         clients.wait_in_place(LOAD_TIMEOUT_S)
+        time.sleep(response_s)
         descriptors = open_descriptors(host.process.pid)
         assert host.process.poll() is None, "the host has ended"
         peak_mb = peak_memory_bytes(host.process.pid) / MB
@@ -304,11 +311,12 @@
     check(host, form, port, TARGETS[port])
 
 
-# Guards against a host that keeps the responses that clients do not read.
+# Guards against a host that keeps the responses and event streams that clients do not
+# read, or read slowly.
 @pytest.mark.parametrize("port", LARGE_TARGETS)
 @pytest.mark.parametrize("form", READER_FORMS, ids=lambda form: form.name)
 def test_host_withstands_unread_responses(host, form, port):
-    check(host, form, port, LARGE_TARGETS[port])
+    check(host, form, port, LARGE_TARGETS[port], response_s=RESPONSE_S)
 
 
 # Guards against clients that take the processor from ordinary callers by requests that
--- a/rosemaryyoke/testing/hostile_clients.py
+++ b/rosemaryyoke/testing/hostile_clients.py
@@ -28,7 +28,8 @@
 TRAILER_FIELDS = 100_000
 PIPELINED_REQUESTS = 4_000
 SMALL_RECEIVE_BYTES = 4 * KIB  # of a client that does not read
-READ_PAUSE_S = 0.02  # between two reads of one byte
+LARGE_READ_BYTES = 64 * KIB
+READ_PAUSE_S = 0.02  # between two small reads
 SLOW_PAUSE_S = 0.02
 STALLED_S = 0.4  # without progress of any client, the load is in place
 RECONNECTIONS = 2  # per client, after the server closed its connection
@@ -62,7 +63,12 @@
     pieces: Callable[[Request, int], Iterable[bytes]]
     pause_s: float = 0.0
     reading: bool = True
-    read_bytes: int = 64 * KIB
+    read_bytes: int = LARGE_READ_BYTES
+
+    @property
+    def reads_slowly(self) -> bool:
+        """Return whether a client pauses after each read."""
+        return self.reading and self.read_bytes < LARGE_READ_BYTES
 
 
 def body_in_one_piece(request: Request, limit: int) -> Iterator[bytes]:
@@ -78,6 +84,17 @@
     yield from itertools.repeat(piece, limit // SMALL_PIECE_BYTES - 1)
 
 
+def complete_body(request: Request, limit: int) -> Iterator[bytes]:
+    """Send a whole body of legal size at once."""
+    yield request.head(f"Content-Length: {limit}") + b"x" * limit
+
+
+def complete_body_in_small_pieces(request: Request, limit: int) -> Iterator[bytes]:
+    """Send a whole body of legal size in small pieces."""
+    yield request.head(f"Content-Length: {limit}")
+    yield from itertools.repeat(b"x" * SMALL_PIECE_BYTES, limit // SMALL_PIECE_BYTES)
+
+
 def body_sent_slowly(request: Request, limit: int) -> Iterator[bytes]:
     """Send a body of legal size without its last bytes, with pauses between pieces."""
     yield request.head(f"Content-Length: {limit}")
@@ -158,10 +175,14 @@
     LoadForm("slow_sender", body_sent_slowly, pause_s=SLOW_PAUSE_S),
     LoadForm("half_a_head", half_a_head),
     LoadForm("half_a_body", half_a_body),
+    LoadForm("complete_body", complete_body),
+    LoadForm("complete_body_in_small_pieces", complete_body_in_small_pieces),
 )
 # For requests whose responses are larger than the buffers of a connection.
 READER_FORMS = (
     LoadForm("slow_reader", one_request, read_bytes=1, pause_s=READ_PAUSE_S),
+    # Faster than the limit for a stalled write, so that the connection stays open.
+    LoadForm("steady_slow_reader", one_request, read_bytes=512, pause_s=READ_PAUSE_S),
     LoadForm("half_a_response", one_request, reading=False),
 )
 
@@ -254,7 +275,7 @@
         client.pieces = iter(self.form.pieces(self.request, self.body_limit))
         client.unsent, client.sent_all = memoryview(b""), False
         connection = socket.socket()
-        if not self.form.reading or self.form.read_bytes == 1:
+        if not self.form.reading or self.form.reads_slowly:
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BYTES
             )
@@ -302,7 +323,7 @@
         if not data:
             self.disconnect(client)
             self.closed_by_server += 1
-        elif self.form.read_bytes == 1:
+        elif self.form.reads_slowly:
             client.next_read_s = time.monotonic() + self.form.pause_s
 
     def disconnect(self, client: Client) -> None:
