--- a/rosemaryyoke/exchanges/tests/test_hostile_connections.py
+++ b/rosemaryyoke/exchanges/tests/test_hostile_connections.py
@@ -181,6 +181,26 @@
             assert read_all(costly).startswith(b"HTTP/1.1 503")
 
 
+# Guards against heads of very many fields that are not served, or lose their body.
+@pytest.mark.parametrize(
+    "end",
+    [
+        b"Content-Length: 20000\r\n\r\n" + b"x" * 20_000,
+        b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nxx\r\n" * 10_000 + b"0\r\n\r\n",
+    ],
+    ids=["length", "chunks"],
+)
+def test_costly_head_is_served_in_calm(started, end):
+    server = started()
+    head = b"POST / HTTP/1.1\r\nHost: a\r\n" + b"a: b\r\n" * 500
+    with connect(server, (head + end) * 2) as connection:
+        received = b""
+        while received.count(b"20000 20000") < 2:
+            assert (data := connection.recv(1_000))
+            received += data
+    wait_for(lambda: not server.costly_turns.busy)
+
+
 # Guards against refusing what a single client may send.
 def test_costly_body_is_served_in_calm(started):
     server = started()
