Server: connections with requests ahead make room while others are refused

With 600 connections that sent 4,000 requests each and read no response, ordinary callers at a route of a host of 150 MB got 503 for 15 to 20 s, until the crowd's buffers were full. Memory held (75 MB).

Cause: slots go to a new connection from one that stalls or idles. A connection with further requests behind the present one does neither, as the server takes the next at once; it keeps its slot for as long as its client sends.

For 1 s after the server had to refuse a connection, one that has sent requests ahead gets "Connection: close" with its next response. The requests behind have not run. Connections that send a request after each response, as ordinary ones do, are kept.

--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -43,6 +43,8 @@
 SMALL_BODY_BYTES = 8 * 1024  # fits in the allowance of a connection, with its head
 # If there is nothing to close for a new connection, the next ones do not look either.
 SLOT_SEARCH_PAUSE_S = 0.02
+# For so long after a connection was refused, others do not serve requests sent ahead.
+SHORT_OF_SLOTS_S = 1.0
 TCP_USER_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 0.5
 ACCEPT_RETRY_S = 0.05
@@ -117,6 +119,7 @@
     costly_turns: TurnQueue = field(factory=TurnQueue)
     reservations: set[Reservation] = field(factory=set)
     next_slot_search_s: float = 0.0
+    short_until_s: float = 0.0
     refusal_log: RefusalLog = field(factory=RefusalLog)
     pool: ThreadPoolExecutor = field(init=False)
 
@@ -235,6 +238,7 @@
 
     def _reject_connection(self, connection: socket.socket) -> None:
         self.budget.refusals["connections"] += 1
+        self.short_until_s = time.monotonic() + SHORT_OF_SLOTS_S
         self.refusal_log.record(
             "connection refused", server=self.name, active=self.open_connections
         )
@@ -288,7 +292,7 @@
             if not caller.reservation.protect(time.monotonic()):
                 self._refuse_for_memory(caller, reader, "evicted")
                 return
-            caller.begin_request(message.keep_alive and not self.keep_alive_disabled)
+            caller.begin_request(message.keep_alive and self._keeps_alive(reader))
             self._handle_request(message, caller)
             caller.release_held()
             message = None  # frees the body before the next request is awaited
@@ -298,6 +302,16 @@
             caller.reservation.begin_phase(Phase.IDLE, time.monotonic())
             caller.reservation.resize(len(reader.rest))
 
+    def _keeps_alive(self, reader: RequestParser) -> bool:
+        """Return whether a connection may serve a further request.
+
+        One with requests sent ahead never waits for a client, so that nothing else
+        would ever end it in favour of new connections.
+        """
+        if self.keep_alive_disabled:
+            return False
+        return not reader.rest or time.monotonic() >= self.short_until_s
+
     def _handle_request(
         self, message: RequestMessage, caller: CallerConnection
     ) -> None:
--- a/rosemaryyoke/exchanges/tests/test_hostile_connections.py
+++ b/rosemaryyoke/exchanges/tests/test_hostile_connections.py
@@ -1,7 +1,9 @@
 """The server of connections gives slots and memory to clients that make progress."""
 
 import socket
+import threading
 import time
+from contextlib import suppress
 
 import pytest
 
@@ -207,3 +209,37 @@
     with connect(server, CHUNKED_HEAD + TINY_CHUNKS * 10 + b"0\r\n\r\n") as connection:
         assert b"40000 40000" in connection.recv(1_000)
     wait_for(lambda: not server.costly_turns.busy)
+
+
+# Guards against connections that keep every slot by sending requests ahead.
+def test_connection_with_requests_ahead_makes_room_for_others(started):
+    server = started(connections=1)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    with connect(server) as greedy:
+        stopped = threading.Event()
+
+        def send_ahead():
+            with suppress(OSError):
+                while not stopped.is_set():
+                    greedy.sendall(request * 100)
+
+        received = []
+        reader = threading.Thread(target=lambda: received.append(read_all(greedy)))
+        sender = threading.Thread(target=send_ahead)
+        reader.start()
+        sender.start()
+        wait_for(lambda: server.requests_in_progress)
+
+        def is_served():
+            reply = send_request(server.address, "GET", "/", timeout_s=3)
+            return reply.is_ok() and reply.ok_value.ok
+
+        try:
+            wait_for(is_served, 5.0)
+        finally:
+            stopped.set()
+            with suppress(OSError):  # the server has closed it
+                greedy.shutdown(socket.SHUT_RDWR)
+            sender.join()
+            reader.join()
+    assert b"Connection: close" in received[0][-300:]
--- a/rosemaryyoke/platform/tests/test_hostile_clients.py
+++ b/rosemaryyoke/platform/tests/test_hostile_clients.py
@@ -54,7 +54,12 @@
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 8_192)
 LARGE_EVENTS = 2_000
 BODY_FORM_NAMES = ("body_in_one_piece", "body_in_tiny_chunks")
-COSTLY_FORM_NAMES = ("body_in_tiny_chunks", "many_header_fields", "many_trailers")
+COSTLY_FORM_NAMES = (
+    "body_in_tiny_chunks",
+    "many_header_fields",
+    "many_trailers",
+    "pipelined_unread",
+)
 KEY = "Authorization: Bearer k1"
 ROUTE_FIELDS = ("Host: a.example", "Request-Id: h1", "Deadline-Ms: 20000", KEY)
 STREAM_FIELDS = (
@@ -319,8 +324,8 @@
     check(host, form, port, LARGE_TARGETS[port], response_s=RESPONSE_S)
 
 
-# Guards against clients that take the processor from ordinary callers by requests that
-# are costly to parse.
+# Guards against clients that take the processor or the slots from ordinary callers by
+# requests that are costly to parse, or many on each connection.
 @pytest.mark.parametrize("count", CROWDS)
 @pytest.mark.parametrize("form", COSTLY_FORMS, ids=lambda form: form.name)
 def test_host_answers_beside_costly_requests(larger_host, form, count):
