--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -17,6 +17,7 @@
     ResponseAborted,
 )
 from rosemaryyoke.exchanges.refusal_log import RefusalLog
+from rosemaryyoke.exchanges.turns import TurnQueue
 from rosemaryyoke.http1 import (
     Address,
     MalformedMessage,
@@ -25,6 +26,7 @@
     RequestMessage,
     RequestParser,
 )
+from rosemaryyoke.http1.messages import COSTLY_PIECE_BYTES
 from rosemaryyoke.http1.sockets import (
     close,
     listen,
@@ -41,6 +43,8 @@
 SMALL_BODY_BYTES = 8 * 1024  # fits in the allowance of a connection, with its head
 # If there is nothing to close for a new connection, the next ones do not look either.
 SLOT_SEARCH_PAUSE_S = 0.02
+# For so long after a connection was refused, others do not serve requests sent ahead.
+SHORT_OF_SLOTS_S = 1.0
 TCP_USER_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 0.5
 ACCEPT_RETRY_S = 0.05
@@ -90,7 +94,7 @@
 
     ``needs_body`` decides from the head whether a body is stored or dropped.
     ``socket_buffer_bytes`` limits what the system buffers for each connection and
-    direction, if it is not 0.
+    direction, if it is not 0. The servers of a process share ``costly_turns``.
     """
 
     address: Address
@@ -112,8 +116,10 @@
     budget: MemoryBudget = field(factory=MemoryBudget)
     write_stall_s: float = WRITE_STALL_S
     socket_buffer_bytes: int = 0
+    costly_turns: TurnQueue = field(factory=TurnQueue)
     reservations: set[Reservation] = field(factory=set)
     next_slot_search_s: float = 0.0
+    short_until_s: float = 0.0
     refusal_log: RefusalLog = field(factory=RefusalLog)
     pool: ThreadPoolExecutor = field(init=False)
 
@@ -232,6 +238,7 @@
 
     def _reject_connection(self, connection: socket.socket) -> None:
         self.budget.refusals["connections"] += 1
+        self.short_until_s = time.monotonic() + SHORT_OF_SLOTS_S
         self.refusal_log.record(
             "connection refused", server=self.name, active=self.open_connections
         )
@@ -242,7 +249,7 @@
         close(connection)
 
     def _serve_connection(self, connection: socket.socket, peer: str) -> None:
-        reservation = self.budget.reserve(lambda: wake(connection, reservation))
+        reservation = self.budget.reserve(lambda: self._evict(connection, reservation))
         reservation.begin_phase(Phase.HEAD, time.monotonic())
         with self.lock:
             self.reservations.add(reservation)
@@ -269,6 +276,10 @@
                 self.reservations.discard(reservation)
                 self.open_connections -= 1
 
+    def _evict(self, connection: socket.socket, reservation: Reservation) -> None:
+        wake(connection, reservation)
+        self.costly_turns.leave(reservation)
+
     def _serve_requests(self, caller: CallerConnection) -> None:
         limits = self.limits()
         reader = RequestParser(limits.message)
@@ -281,7 +292,7 @@
             if not caller.reservation.protect(time.monotonic()):
                 self._refuse_for_memory(caller, reader, "evicted")
                 return
-            caller.begin_request(message.keep_alive and not self.keep_alive_disabled)
+            caller.begin_request(message.keep_alive and self._keeps_alive(reader))
             self._handle_request(message, caller)
             caller.release_held()
             message = None  # frees the body before the next request is awaited
@@ -291,6 +302,16 @@
             caller.reservation.begin_phase(Phase.IDLE, time.monotonic())
             caller.reservation.resize(len(reader.rest))
 
+    def _keeps_alive(self, reader: RequestParser) -> bool:
+        """Return whether a connection may serve a further request.
+
+        One with requests sent ahead never waits for a client, so that nothing else
+        would ever end it in favour of new connections.
+        """
+        if self.keep_alive_disabled:
+            return False
+        return not reader.rest or time.monotonic() >= self.short_until_s
+
     def _handle_request(
         self, message: RequestMessage, caller: CallerConnection
     ) -> None:
@@ -395,23 +416,42 @@
 
     def _read_size(self, reader: RequestParser) -> int:
         """Return how much to read, without what follows a body of known length."""
+        size = COSTLY_PIECE_BYTES if reader.is_costly else REQUEST_READ_BYTES
         if not reader.in_body or reader.body_length is None:
-            return REQUEST_READ_BYTES
-        return min(REQUEST_READ_BYTES, reader.body_length - reader.body_bytes)
+            return size
+        return min(size, reader.body_length - reader.body_bytes)
 
     def _parse(
         self, caller: CallerConnection, reader: RequestParser, data: bytes
     ) -> None:
         """Parse bytes, and account for what is held of the request."""
         was_in_body = reader.in_body
-        reader.feed(data)
+        self._feed(caller, reader, data)
         if reader.in_body and not was_in_body:
             self._decide_on_body(caller, reader)
             if reader.rest:
-                reader.feed(b"")
+                self._feed(caller, reader, b"")
         if not caller.reservation.resize(reader.held_bytes):
             raise OutOfMemory("memory")
 
+    def _feed(
+        self, caller: CallerConnection, reader: RequestParser, data: bytes
+    ) -> None:
+        """Parse bytes, those of costly requests in turn with other connections."""
+        reservation, in_body = caller.reservation, reader.in_body
+        if not reader.is_costly:
+            reader.feed(data)
+            data = b""
+        reservation.is_costly = reader.is_costly
+        while reader.is_costly and reader.in_body == in_body and (data or reader.rest):
+            with self.costly_turns.turn(reservation) as granted:
+                if not granted:
+                    raise OutOfMemory("evicted")
+                reader.feed(data)
+            data = b""
+            if not reservation.resize(reader.held_bytes):
+                raise OutOfMemory("memory")
+
     def _decide_on_body(self, caller: CallerConnection, reader: RequestParser) -> None:
         """Decide from the head what becomes of the body."""
         now_s, length = time.monotonic(), reader.body_length
--- a/rosemaryyoke/exchanges/tests/test_hostile_connections.py
+++ b/rosemaryyoke/exchanges/tests/test_hostile_connections.py
@@ -1,7 +1,9 @@
 """The server of connections gives slots and memory to clients that make progress."""
 
 import socket
+import threading
 import time
+from contextlib import suppress
 
 import pytest
 
@@ -9,13 +11,15 @@
 from rosemaryyoke.exchanges.refusal_log import MAX_LINES_PER_S, RefusalLog
 from rosemaryyoke.exchanges.server import ConnectionServer, RequestLimits
 from rosemaryyoke.http1 import Address, MessageLimits, send_request
-from rosemaryyoke.memory import MemoryBudget
+from rosemaryyoke.memory import MemoryBudget, Reservation
 from rosemaryyoke.memory.budget import STEP_BYTES
 from rosemaryyoke.memory.eviction import STALLED_S
 from rosemaryyoke.platform.tests.deployment import wait_for
 from rosemaryyoke.testing.builders import free_port
 
 BODY_BYTES = 4 * STEP_BYTES
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY_CHUNKS = b"2\r\nxx\r\n" * 2_000
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -157,3 +161,85 @@
     admitted = [log.admit(10.0 + step / 1_000) for step in range(100)]
     assert admitted.count(0) == MAX_LINES_PER_S
     assert log.admit(11.0) == 100 - MAX_LINES_PER_S and log.admit(11.1) == 0
+
+
+# Guards against clients that keep every slot by bodies that are costly to parse.
+def test_costly_connection_is_closed_for_a_new_one(started):
+    server = started(connections=1)
+    with connect(server, CHUNKED_HEAD + TINY_CHUNKS) as costly:
+        wait_for(lambda: any(item.is_costly for item in server.reservations))
+        assert send_request(server.address, "GET", "/", timeout_s=3).ok_value.ok
+        assert read_all(costly).startswith(b"HTTP/1.1 503")
+
+
+# Guards against an evicted connection that waits for its turn and keeps its slot.
+def test_evicted_connection_does_not_wait_for_its_turn(started):
+    server = started(connections=1)
+    with server.costly_turns.turn(Reservation(server.budget)) as granted:
+        assert granted
+        with connect(server, CHUNKED_HEAD + TINY_CHUNKS) as costly:
+            wait_for(lambda: server.costly_turns.waiting)
+            assert send_request(server.address, "GET", "/", timeout_s=3).ok_value.ok
+            assert read_all(costly).startswith(b"HTTP/1.1 503")
+
+
+# Guards against heads of very many fields that are not served, or lose their body.
+@pytest.mark.parametrize(
+    "end",
+    [
+        b"Content-Length: 20000\r\n\r\n" + b"x" * 20_000,
+        b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nxx\r\n" * 10_000 + b"0\r\n\r\n",
+    ],
+    ids=["length", "chunks"],
+)
+def test_costly_head_is_served_in_calm(started, end):
+    server = started()
+    head = b"POST / HTTP/1.1\r\nHost: a\r\n" + b"a: b\r\n" * 500
+    with connect(server, (head + end) * 2) as connection:
+        received = b""
+        while received.count(b"20000 20000") < 2:
+            assert (data := connection.recv(1_000))
+            received += data
+    wait_for(lambda: not server.costly_turns.busy)
+
+
+# Guards against refusing what a single client may send.
+def test_costly_body_is_served_in_calm(started):
+    server = started()
+    with connect(server, CHUNKED_HEAD + TINY_CHUNKS * 10 + b"0\r\n\r\n") as connection:
+        assert b"40000 40000" in connection.recv(1_000)
+    wait_for(lambda: not server.costly_turns.busy)
+
+
+# Guards against connections that keep every slot by sending requests ahead.
+def test_connection_with_requests_ahead_makes_room_for_others(started):
+    server = started(connections=1)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    with connect(server) as greedy:
+        stopped = threading.Event()
+
+        def send_ahead():
+            with suppress(OSError):
+                while not stopped.is_set():
+                    greedy.sendall(request * 100)
+
+        received = []
+        reader = threading.Thread(target=lambda: received.append(read_all(greedy)))
+        sender = threading.Thread(target=send_ahead)
+        reader.start()
+        sender.start()
+        wait_for(lambda: server.requests_in_progress)
+
+        def is_served():
+            reply = send_request(server.address, "GET", "/", timeout_s=3)
+            return reply.is_ok() and reply.ok_value.ok
+
+        try:
+            wait_for(is_served, 5.0)
+        finally:
+            stopped.set()
+            with suppress(OSError):  # the server has closed it
+                greedy.shutdown(socket.SHUT_RDWR)
+            sender.join()
+            reader.join()
+    assert b"Connection: close" in received[0][-300:]
