--- a/rosemaryyoke/platform/tests/caching_deployment.py
+++ b/rosemaryyoke/platform/tests/caching_deployment.py
@@ -73,12 +73,6 @@
         """Declare a version of the weights."""
         self.store.set(*make_wanted_weights(version))
 
-    def wait_served(self, version: int, timeout_s: float = 20.0) -> None:
-        """Wait until all engines serve a version."""
-        wait_for(
-            lambda: all(engine.version == version for engine in self.engines), timeout_s
-        )
-
     def send(self, host: RoutingHost, prompt: int = 0) -> int:
         """Send a request with a shared prompt; return the status."""
         number = next(self.numbers)
--- a/rosemaryyoke/platform/tests/test_cache_versions.py
+++ b/rosemaryyoke/platform/tests/test_cache_versions.py
@@ -60,6 +60,17 @@
     return [part for part in parts if part in gates]
 
 
+# Guards against engines that share nothing, which the other tests would not notice.
+def test_parts_of_the_same_weights_are_shared(caching):
+    caching.start(engines=2, hosts=1)
+    host, (first, second) = caching.hosts[0], caching.engines
+    for engine in (first, second):
+        engine.busy = True
+        assert caching.send(host) == 200
+        engine.busy = False
+    assert caching.network.uses == 2 and caching.network.stale_uses == []
+
+
 # Guards against a prompt that is looked up under the version believed when its engine
 # was chosen, while the head expects the version believed when it is written.
 def test_belief_that_changes_after_the_choice_uses_no_entries_of_other_weights(caching):
--- a/rosemaryyoke/rollout/tests/test_rollout.py
+++ b/rosemaryyoke/rollout/tests/test_rollout.py
@@ -12,7 +12,8 @@
 from rosemaryyoke.fleet.tests.builders import make_state
 from rosemaryyoke.objects import PlatformError, StoredObject, leases
 from rosemaryyoke.rollout import EngineReport, OrderOutcome, rollout as rollouts
-from rosemaryyoke.rollout.rollout import Rollout
+from rosemaryyoke.rollout.messages import RunningRequests
+from rosemaryyoke.rollout.rollout import MAX_PREFILL_WAIT_S, Rollout
 
 LEASE_S = 3.0
 MODEL = "m1"
@@ -91,12 +92,13 @@
     delayed: list = field(factory=list)
     orders: list = field(factory=list)
     unanswered: bool = False
+    prefilling: int = 0
 
     def report(self, address):
         """Return an engine's state."""
         name = address.ip
-        weights = {MODEL: self.versions[name]}
-        return Ok(EngineReport(weights, False, self.accepted.get(name, 0)))
+        weights, orders = {MODEL: self.versions[name]}, self.accepted.get(name, 0)
+        return Ok(EngineReport(weights, False, orders, self.prefilling))
 
     def order(self, order):
         """Receive an order."""
@@ -219,6 +221,36 @@
     with_world(test)
 
 
+# Guards against prompts that are read while an order replaces the weights.
+def test_rollout_waits_until_no_prompt_is_read():
+    def test(world):
+        world.engines.prefilling = 2
+        world.set_target_version(2)
+        world.hosts[0].tick()
+        assert not world.engines.orders
+        world.engines.prefilling = 0
+        run_until(world, lambda: set(world.engines.versions.values()) == {2})
+        modes = {order.running for _, order in world.engines.orders}
+        assert modes == {RunningRequests.CONTINUE}
+
+    with_world(test)
+
+
+# Guards against a roll-out that waits for ever while prompts are read.
+def test_rollout_lets_long_prompts_finish_first():
+    def test(world):
+        world.engines.prefilling = 1
+        world.set_target_version(2)
+        started_s = world.clock.at_s
+        run_until(world, lambda: set(world.engines.versions.values()) == {2})
+        first_s = world.engines.orders[0][0]
+        assert first_s - started_s >= MAX_PREFILL_WAIT_S
+        modes = {order.running for _, order in world.engines.orders}
+        assert modes == {RunningRequests.FINISH_FIRST}
+
+    with_world(test)
+
+
 def test_rollout_newer_version_before_the_last_is_in_place():
     def test(world):
         world.set_target_version(2)
