Take no answer that ends within its head for a whole one

Callers of /services saw a 200 with an empty body, framed as whole, when an instance closed its connection within the head of its answer. For a call with a key this became the outcome, kept for an hour. At /v1 a refusal that ended within its head was told as not run.

Cause: libcurl completes such a transfer without an error, as an answer with an empty body, unless a Content-Length has arrived; it also passes on half of a line end as a line. The status was that of an unfinished head, be it an interim one. All that calls wire.send or the stream receiver was exposed: services, engines, the platform's store, the client.

The parser of the head now notes the blank line that ends it, and a transfer without one fails as broken off. Resets were errors already.

--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
-from rosemaryyoke.http1.responses import DEFAULT_RESPONSE_LIMITS
+from rosemaryyoke.http1.responses import DEFAULT_RESPONSE_LIMITS, FIRST_FINAL_STATUS
 from rosemaryyoke.wire.errors import (
     BodyTooLarge,
     NoMemoryForBody,
@@ -23,6 +23,7 @@
 BROKEN_OFF_CODES = (pycurl.E_PARTIAL_FILE, pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR)
 MS_PER_S = 1000
 HTTP_OK = 200
+BLANK_LINES = (b"\r\n", b"\n")
 
 thread_state = threading.local()
 
@@ -72,14 +73,21 @@
 
 
 class HeaderParser:
-    """Parse the status line and headers of a response."""
+    """Parse the status line and headers of a response.
+
+    ``complete`` says whether the head of the final response has ended.
+    """
 
     def __init__(self) -> None:
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.complete = False
 
     def feed(self, line: bytes) -> None:
         """Parse one line; a further status line starts a new response."""
+        # libcurl passes on half of a line end if the connection is closed there.
+        if line in BLANK_LINES:
+            self.complete = self.status >= FIRST_FINAL_STATUS
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.status = int(text.split()[1])
@@ -167,7 +175,7 @@
         return Err(transport_error(curl, error))
     finally:
         curl.reset()
-    return Ok(header_parser)
+    return check_head(header_parser)
 
 
 def _thread_handle() -> pycurl.Curl:
@@ -200,6 +208,18 @@
         curl.setopt(pycurl.LOW_SPEED_TIME, request.idle_timeout_s)
 
 
+def check_head(parser: HeaderParser) -> Result[HeaderParser, TransportError]:
+    """Return the headers of a transfer that libcurl completed, or an error.
+
+    libcurl takes a connection that is closed within the head of a response for the end
+    of an empty body.
+    """
+    if parser.complete:
+        return Ok(parser)
+    message = "the connection was closed within the head of the response"
+    return Err(TransportError(message, sent=True, broken_off=True))
+
+
 def transport_error(curl: pycurl.Curl, error: pycurl.error) -> TransportError:
     """Convert a curl error to a ``TransportError``."""
     sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
--- a/rosemaryyoke/wire/stream_receiver.py
+++ b/rosemaryyoke/wire/stream_receiver.py
@@ -17,12 +17,13 @@
 import pycurl
 from absl import logging
 from attrs import define, field
-from result import Err, Ok, Result
+from result import Err, Result
 
 from rosemaryyoke.wire.errors import ReadAborted, TransportError
 from rosemaryyoke.wire.http import (
     HeaderParser,
     HttpRequest,
+    check_head,
     set_options,
     transport_error,
 )
@@ -158,9 +159,10 @@
 
     def _finish_transfer(self, curl: pycurl.Curl, error: pycurl.error | None) -> None:
         transfer = self.active.pop(curl)
-        outcome: Result = Ok(transfer.header_parser)
         if error is not None:
-            outcome = Err(transport_error(curl, error))
+            outcome: Result = Err(transport_error(curl, error))
+        else:
+            outcome = check_head(transfer.header_parser)
         self.multi.remove_handle(curl)
         curl.reset()
         if len(self.idle_handles) < MAX_IDLE_HANDLES:
