Do not take trailers for headers of an answer

Callers of /services would have seen the status, the content type or the identifier that a chunked answer states in its trailers in place of those in its head, and its answer taken for that of another request.

Cause: libcurl passes trailers to the same callback as the head. Lines behind the end of the final head are now dropped, as trailers must not be merged into it (RFC 9110, section 6.5.1). The new test failed before: a trailer that looks like a status line made 500 of 200.

--- a/rosemaryyoke/entry/tests/test_truncated_heads.py
+++ b/rosemaryyoke/entry/tests/test_truncated_heads.py
@@ -115,6 +115,15 @@
     assert host.claims.states == [ANSWERED]
 
 
+# Guards against trailers that replace the head's fields or status.
+def test_trailers_are_dropped():
+    trailers = b"0\r\nContent-Type: text/html\r\nHTTP/1.1 500 : x\r\n\r\n"
+    server = RawServer(CHUNKED + CHUNKS + trailers)
+    response = send(HttpRequest("GET", f"http://{server.address}/")).unwrap()
+    assert response.status == 200 and response.body == BODY
+    assert response.headers["content-type"] == "a"
+
+
 # Guards against an interim response that is taken for the answer.
 def test_interim_response_alone_is_no_answer():
     server = RawServer(b"HTTP/1.1 103 Early Hints\r\n\r\n")
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -84,7 +84,12 @@
         self.complete = False
 
     def feed(self, line: bytes) -> None:
-        """Parse one line; a further status line starts a new response."""
+        """Parse one line; a further status line starts a new response.
+
+        Trailers are dropped.
+        """
+        if self.complete:
+            return
         # libcurl passes on half of a line end if the connection is closed there.
         if line in BLANK_LINES:
             self.complete = self.status >= FIRST_FINAL_STATUS
