End a stream with its last event, however the engine's response ends

Callers of /v1 got an error event behind [DONE] of a whole stream when the engine's connection ended short of its framing, was reset, or carried anything else behind the last event, and no other engine went on; tokens behind the last event were passed on, too. Without a stream they got 503 in place of the answer, which was complete.

Cause: an attempt that had delivered the finished event still failed with its transfer. The relay then resumed the stream at that engine, asked others for the rest, of which there is none, and told their errors. An attempt whose finished event has arrived is now complete, and what follows that event is dropped and counted (late_events_total).

--- a/rosemaryyoke/entry/tests/api_host.py
+++ b/rosemaryyoke/entry/tests/api_host.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import threading
+import time
 from contextlib import suppress
 
 from attrs import define, field, frozen
@@ -40,6 +41,7 @@
 INSTANCES = 4
 MAX_CONNECTIONS = 16
 CALL_TIMEOUT_S = 10.0
+PIECE_INTERVAL_S = 0.001  # so that the host receives pieces one by one
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
 
@@ -136,6 +138,8 @@
             answer = step(request)
             for piece in answer.pieces:
                 connection.sendall(piece)
+                if len(answer.pieces) > 1:
+                    time.sleep(PIECE_INTERVAL_S)
             if answer.reset:
                 linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
                 connection.setsockopt(*linger)
@@ -248,7 +252,7 @@
 
 @define(eq=False)
 class ApiHost:
-    """The HTTP API of a host and the upstream behind it."""
+    """The HTTP API of a host, and the upstream that stands for all of its own."""
 
     upstream: ScriptedUpstream = field(factory=ScriptedUpstream)
     kernel: Kernel = field(factory=Kernel)
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -400,16 +400,17 @@
             return Err(UpstreamError(str(error), sent=True))
         except CallerDisconnected:
             raise ConnectionError("caller disconnected") from None
+        if self.ended:
+            # The caller has the whole stream, however the engine's response ends.
+            return Ok(None)
         if isinstance(outcome, Err):
             self.progress.sent = self.progress.sent or outcome.err_value.sent
             return outcome
-        if not self.ended:
-            return Err(
-                UpstreamError(
-                    "stream ended without a finished event", sent=True, broken_off=True
-                )
+        return Err(
+            UpstreamError(
+                "stream ended without a finished event", sent=True, broken_off=True
             )
-        return outcome
+        )
 
     def broke_off_early(self, outcome: Result[None, UpstreamError]) -> bool:
         """Return whether the engine ended its response as it began to answer."""
@@ -418,7 +419,13 @@
         return not self.started_s or time.monotonic() - self.started_s < SUSTAINED_S
 
     def on_event(self, event: EngineEvent) -> None:
-        """Handle one event; drop events that belong to another request."""
+        """Handle one event.
+
+        Drop events that belong to another request or follow the finished event.
+        """
+        if self.ended:
+            self.relay.metrics.count("late_events_total")
+            return
         if event.request != self.identifier.request:
             self.relay.metrics.count("crossed_events_total")
             return
