Check the types of the fields in engines' events

Callers of /v1 found an engine's error object as the text of a token in the middle of their stream. Where another field had another type, an event was no object, or its id no UTF-8, the stream was cut without an error and no other engine was asked; without a stream they got 500 internal_error.

Cause: events were decoded from JSON without a look at the types of their fields, and what failed later was an unexpected error of the program, which ends the relay. The messages now validate their fields, so that such an event fails the attempt as malformed, as an unknown kind does; bytes that are no UTF-8 are replaced, as the standard of event streams says.

--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -4,7 +4,8 @@
 from typing import Callable, Protocol
 
 import orjson
-from attrs import frozen
+from attrs import field, frozen
+from attrs.validators import instance_of
 from result import Err, Ok, Result
 
 from rosemaryyoke.core import Registry
@@ -69,30 +70,30 @@
 class Started:
     """First event of a stream: the engine has accepted the request."""
 
-    request: str
-    incarnation: str
-    weights: str
-    cached_blocks: int
-    prompt_blocks: int
-    waiting_s: float
-    blocks_stored: int
+    request: str = field(validator=instance_of(str))
+    incarnation: str = field(validator=instance_of(str))
+    weights: str = field(validator=instance_of(str))
+    cached_blocks: int = field(validator=instance_of(int))
+    prompt_blocks: int = field(validator=instance_of(int))
+    waiting_s: float = field(validator=instance_of((float, int)))
+    blocks_stored: int = field(validator=instance_of(int))
 
 
 @frozen
 class Token:
     """One token and its index in the stream."""
 
-    request: str
-    index: int
-    text: str
+    request: str = field(validator=instance_of(str))
+    index: int = field(validator=instance_of(int))
+    text: str = field(validator=instance_of(str))
 
 
 @frozen
 class Finished:
     """Last event of a stream, with its number of tokens."""
 
-    request: str
-    count: int
+    request: str = field(validator=instance_of(str))
+    count: int = field(validator=instance_of(int))
 
 
 EngineEvent = Started | Token | Finished
@@ -287,8 +288,13 @@
 
 
 def decode_event(data: bytes) -> EngineEvent:
-    """Decode an event from JSON; raise ``ValueError`` if its kind is unknown."""
+    """Decode an event from JSON.
+
+    Raise ``ValueError``, ``KeyError`` or ``TypeError`` if it is malformed.
+    """
     value = orjson.loads(data)
+    if not isinstance(value, dict):
+        raise ValueError("an event is no object")
     kind = value.pop("kind")
     if kind == "token":
         return Token(value["request"], value["index"], value["text"])
--- a/rosemaryyoke/wire/sse.py
+++ b/rosemaryyoke/wire/sse.py
@@ -56,4 +56,8 @@
         name, _, value = line.partition(b":")
         if name in fields:
             fields[name] = value.removeprefix(b" ")
-    return SseEvent(fields[b"data"], fields[b"id"].decode(), fields[b"event"].decode())
+    # Bytes that are no UTF-8 are replaced, as the standard says.
+    identifier = fields[b"id"].decode(errors="replace")
+    return SseEvent(
+        fields[b"data"], identifier, fields[b"event"].decode(errors="replace")
+    )
