Pass no error response on that an engine writes into its stream

Callers found the head of an error in the middle of their stream: an engine had begun a stream without chunks, failed, and wrote an error response on the same connection, behind an event or within one. Likewise the body of an answer that is no stream, where it holds a blank line. Within an event the caller lost that event, as the stream went on after it.

Cause: without chunks these bytes are the body of the answer, and what is followed by a blank line was taken for an event. An event now consists of the fields that the standard defines. Callers must ignore others, so that no stream needs them. Before the first other line the attempt ends as failed, and the stream goes on at another engine, as after a truncated event.

Open: an error in a field of data can't be told from an event. An answer without events to a resumption, ended by its length or last chunk, is still the end of the stream, since the engine that broke off may have sent all events.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -23,7 +23,7 @@
 from rosemaryyoke.exchanges.response_memory import ResponseMemory
 from rosemaryyoke.fleet import UpstreamState
 from rosemaryyoke.http1 import Framing, ResponseMessage, ResponseParser
-from rosemaryyoke.http1.errors import ResponseTooLarge
+from rosemaryyoke.http1.errors import MalformedEvent, ResponseTooLarge
 from rosemaryyoke.http1.messages import end_to_end_headers
 from rosemaryyoke.http1.sockets import HANGUP_EVENTS, MS_PER_S, READ_BYTES, close
 
@@ -557,7 +557,7 @@
                 self.predecessor.abandon()
             try:
                 self.relay.feed(data)
-            except ResponseTooLarge as error:
+            except (MalformedEvent, ResponseTooLarge) as error:
                 return AttemptFailed(str(error), may_have_run=True)
             # Time spent writing to a slow caller is no stall of the upstream.
             self.last_byte_s = time.monotonic()
--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -3,10 +3,11 @@
 from attrs import define, field
 
 from rosemaryyoke.exchanges.caller import CallerConnection
-from rosemaryyoke.http1.errors import ResponseTooLarge
+from rosemaryyoke.http1.errors import MalformedEvent, ResponseTooLarge
 from rosemaryyoke.http1.event_stream import (
     MAX_EVENT_BYTES,
     EventSplitter,
+    find_malformed_event,
     split_events,
 )
 
@@ -33,11 +34,18 @@
         """Buffer bytes and write the events that they complete.
 
         Raise ``ResponseTooLarge`` if an event, or the bytes between two events, exceed
-        ``MAX_EVENT_BYTES``.
+        ``MAX_EVENT_BYTES``, and ``MalformedEvent`` if an event has a field that the
+        standard does not define: an upstream that fails may write an error response
+        into its stream.
         """
         whole = self.splitter.feed(data)
-        if not whole:
-            return
+        end = find_malformed_event(whole)
+        if end:
+            self._write_events(whole[:end])
+        if end < len(whole):
+            raise MalformedEvent("the stream holds what is no event")
+
+    def _write_events(self, whole: bytes) -> None:
         events_before = self.events
         self._record_events(whole)
         if self.events > events_before:
--- a/rosemaryyoke/http1/errors.py
+++ b/rosemaryyoke/http1/errors.py
@@ -19,6 +19,10 @@
     """A response, or an event of a stream, exceeds a size limit."""
 
 
+class MalformedEvent(Exception):
+    """A stream holds a line that is no field of an event."""
+
+
 @frozen
 class RequestError:
     """No complete response; ``sent`` is true if the request may have arrived."""
--- a/rosemaryyoke/http1/event_stream.py
+++ b/rosemaryyoke/http1/event_stream.py
@@ -18,6 +18,9 @@
 USUAL_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 COMMENT_START = b":"
 LINE_END_BYTES = (b"\r", b"\n")
+COMMENT_NAME = b""  # what precedes the first colon of a comment
+FIELD_NAMES = frozenset({b"data", b"event", b"id", b"retry", COMMENT_NAME})
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may precede the first line of a stream
 
 
 @define(eq=False)
@@ -72,3 +75,26 @@
                 fields = []
         elif not line.startswith(COMMENT_START):
             fields.append(line)
+
+
+def is_standard_field(line: bytes) -> bool:
+    """Return whether a line is a field that the standard defines."""
+    name = line.partition(b":")[0]
+    return name in FIELD_NAMES or name.removeprefix(BYTE_ORDER_MARK) in FIELD_NAMES
+
+
+def has_standard_fields(whole: bytes) -> bool:
+    """Return whether whole events consist of fields that the standard defines."""
+    return all(map(is_standard_field, filter(is_field, whole.splitlines())))
+
+
+def find_malformed_event(whole: bytes) -> int:
+    """Return where the first event with another field begins, or else the end."""
+    if has_standard_fields(whole):
+        return len(whole)
+    start = 0
+    for match in EVENT_END.finditer(whole):
+        if not has_standard_fields(whole[start : match.end()]):
+            break
+        start = match.end()
+    return start
--- a/rosemaryyoke/http1/tests/test_event_stream.py
+++ b/rosemaryyoke/http1/tests/test_event_stream.py
@@ -3,7 +3,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from rosemaryyoke.http1.event_stream import EventSplitter, split_events
+from rosemaryyoke.http1.event_stream import (
+    EventSplitter,
+    find_malformed_event,
+    split_events,
+)
 
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 LINES = st.sampled_from([b"id: 1", b"data: x", b"data", b"event: a:b", b"data:"])
@@ -70,3 +74,24 @@
     splitter = EventSplitter()
     splitter.feed(b"data: x\n\n" + partial)
     assert not splitter.is_within_event
+
+
+# Guards against whole events of the standard that are taken for malformed ones.
+@given(st.lists(EVENTS, max_size=4), st.sampled_from(LINE_ENDS))
+def test_events_of_the_standard_are_not_malformed(events, line_end):
+    data = encode([*events, [b"retry: 5", b"id"]], line_end)
+    assert find_malformed_event(data) == len(data)
+    marked = b"\xef\xbb\xbf" + data
+    assert find_malformed_event(marked) == len(marked)
+
+
+# Guards against an error response in a stream that is taken for an event (issue 52).
+@given(
+    st.lists(EVENTS, max_size=3),
+    st.sampled_from(LINE_ENDS),
+    st.sampled_from([b"HTTP/1.1 500 Failed", b"A: b", b'{"error": 1}', b"id: 1HTTP"]),
+)
+def test_malformed_event_is_found_where_it_begins(events, line_end, line):
+    sound = encode(events, line_end)
+    malformed = encode([[line, b"Content-Length: 2"], [b"data: x"]], line_end)
+    assert find_malformed_event(sound + malformed) == len(sound)
