--- a/rosemaryyoke/entry/tests/broken_streams.py
+++ b/rosemaryyoke/entry/tests/broken_streams.py
@@ -262,3 +262,14 @@
 def resume_missing(step):
     """Return a step that knows no stream to resume, and else does as another step."""
     return lambda request: (missing if request.method == "GET" else step)(request)
+
+
+def send_truncated(framing, size, reset):
+    """Return a step that sends the first bytes of a whole stream."""
+
+    def step(request):
+        name, first = position(request)
+        answer = framing(events(name, first) + finished(name))
+        return Answer((answer[:size],), reset)
+
+    return step
--- a/rosemaryyoke/entry/tests/test_broken_streams.py
+++ b/rosemaryyoke/entry/tests/test_broken_streams.py
@@ -10,6 +10,7 @@
     ANSWERS,
     BREAKS,
     FOREIGN,
+    FRAMINGS,
     LATE_BREAKS,
     TOKENS,
     answer_in_place,
@@ -17,10 +18,12 @@
     break_off_late,
     go_on,
     resume_missing,
+    send_truncated,
 )
 from rosemaryyoke.entry.tests.test_truncated_heads import read
 
 STREAM, BUFFERED = True, False
+HEAD_BYTES, STREAM_BYTES = 70, 640  # of the longest answer
 WHOLE, FAILED = "whole", "failed"
 TEXT = "".join(TOKENS)
 SOME_BREAKS = ("chunked within an event", "length after an event", "within a chunk")
@@ -154,6 +157,20 @@
     assert {outcome for outcome, _ in found.values()} == {WHOLE}
 
 
+# Guards against a success that consists of part of a head or body (issue 52).
+@pytest.mark.parametrize("stream", [STREAM, BUFFERED])
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_truncated_stream_goes_on(host, framing, reset, stream):
+    scripts = {
+        size: [send_truncated(framing, size, reset), go_on]
+        for size in (*range(HEAD_BYTES), *range(HEAD_BYTES, STREAM_BYTES, 20))
+    }
+    wrong, found = outcomes(host, scripts, stream)
+    assert not wrong
+    assert {outcome for outcome, _ in found.values()} == {WHOLE}
+
+
 # Guards against an error behind the end of a whole stream, and a whole answer that is
 # thrown away.
 @pytest.mark.parametrize("stream", [STREAM, BUFFERED])
