Accept the field that names new weights in events

No caller has seen it; it was found before the merge.

The adapter of the wire now names the fields that upstreams add to those of the standard; any other still ends the attempt. The new test passes such a stream whole.

--- a/rosemaryyoke/exchanges/events.py
+++ b/rosemaryyoke/exchanges/events.py
@@ -1,5 +1,7 @@
 """Relay of server-sent events, in whole events."""
 
+from typing import Collection
+
 from attrs import define, field
 
 from rosemaryyoke.exchanges.caller import CallerConnection
@@ -19,10 +21,12 @@
     """Splits an upstream's stream into events and writes them to the caller.
 
     Only whole events are written, so that another upstream can resume the stream after
-    the last one.
+    the last one. ``other_fields`` are the names of fields that upstreams add to those
+    of the standard.
     """
 
     caller: CallerConnection
+    other_fields: Collection[bytes] = ()
     head: bytes = b""
     splitter: EventSplitter = field(factory=EventSplitter)
     last_event_id: bytes | None = None
@@ -34,12 +38,11 @@
         """Buffer bytes and write the events that they complete.
 
         Raise ``ResponseTooLarge`` if an event, or the bytes between two events, exceed
-        ``MAX_EVENT_BYTES``, and ``MalformedEvent`` if an event has a field that the
-        standard does not define: an upstream that fails may write an error response
-        into its stream.
+        ``MAX_EVENT_BYTES``, and ``MalformedEvent`` if an event has an unknown field:
+        an upstream that fails may write an error response into its stream.
         """
         whole = self.splitter.feed(data)
-        end = find_malformed_event(whole)
+        end = find_malformed_event(whole, self.other_fields)
         if end:
             self._write_events(whole[:end])
         if end < len(whole):
--- a/rosemaryyoke/exchanges/exchange_factory.py
+++ b/rosemaryyoke/exchanges/exchange_factory.py
@@ -57,7 +57,9 @@
         response_deadline_s = (
             min(deadline_s, started_s + route.timeout_s) - RESPONSE_MARGIN_S
         )
-        relay = EventRelay(caller) if route.kind == STREAM else None
+        relay = None
+        if route.kind == STREAM:
+            relay = EventRelay(caller, self.codec.event_fields)
         caller.write_deadline_s = deadline_s
         return Exchange(
             message,
--- a/rosemaryyoke/exchanges/messages.py
+++ b/rosemaryyoke/exchanges/messages.py
@@ -1,6 +1,6 @@
 """Typed metadata of exchanges, and the codec for the headers that carry it."""
 
-from typing import Protocol
+from typing import Collection, Protocol
 
 from attrs import frozen
 
@@ -114,7 +114,12 @@
 
 
 class HeaderCodec(Protocol):
-    """Parses callers' and upstreams' headers, and encodes headers for upstreams."""
+    """Parses callers' and upstreams' headers, and encodes headers for upstreams.
+
+    ``event_fields`` are the names of fields that upstreams add to events.
+    """
+
+    event_fields: Collection[bytes]
 
     def parse_request_headers(self, headers: Headers) -> RequestMetadata:
         """Parse a caller's headers; raise ``MalformedRequestHeaders``."""
--- a/rosemaryyoke/http1/event_stream.py
+++ b/rosemaryyoke/http1/event_stream.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from typing import Iterator
+from typing import Collection, Iterator
 
 from attrs import define
 
@@ -77,24 +77,27 @@
             fields.append(line)
 
 
-def is_standard_field(line: bytes) -> bool:
-    """Return whether a line is a field that the standard defines."""
-    name = line.partition(b":")[0]
-    return name in FIELD_NAMES or name.removeprefix(BYTE_ORDER_MARK) in FIELD_NAMES
+def field_name(line: bytes) -> bytes:
+    """Return the name of a field, which ends with the first colon or the line."""
+    return line.partition(b":")[0].removeprefix(BYTE_ORDER_MARK)
 
 
-def has_standard_fields(whole: bytes) -> bool:
-    """Return whether whole events consist of fields that the standard defines."""
-    return all(map(is_standard_field, filter(is_field, whole.splitlines())))
+def has_known_fields(whole: bytes, other_names: Collection[bytes]) -> bool:
+    """Return whether whole events consist of standard fields and those named."""
+    names = map(field_name, filter(is_field, whole.splitlines()))
+    return all(name in FIELD_NAMES or name in other_names for name in names)
 
 
-def find_malformed_event(whole: bytes) -> int:
-    """Return where the first event with another field begins, or else the end."""
-    if has_standard_fields(whole):
+def find_malformed_event(whole: bytes, other_names: Collection[bytes] = ()) -> int:
+    """Return where the first event with an unknown field begins, or else the end.
+
+    ``other_names`` are those of fields that upstreams send beside the standard ones.
+    """
+    if has_known_fields(whole, other_names):
         return len(whole)
     start = 0
     for match in EVENT_END.finditer(whole):
-        if not has_standard_fields(whole[start : match.end()]):
+        if not has_known_fields(whole[start : match.end()], other_names):
             break
         start = match.end()
     return start
--- a/rosemaryyoke/platform/headers.py
+++ b/rosemaryyoke/platform/headers.py
@@ -30,7 +30,12 @@
 
 @frozen
 class PlatformDialect:
-    """The platform's header names and formats."""
+    """The platform's header names and formats.
+
+    An event at which the weights change names the new version.
+    """
+
+    event_fields: frozenset[bytes] = frozenset({names.SERVED_WEIGHTS.lower()})
 
     def parse_request_headers(self, headers: Headers) -> RequestMetadata:
         """Parse a caller's routing headers; raise ``MalformedRequestHeaders``."""
--- a/rosemaryyoke/platform/tests/test_truncated_streams.py
+++ b/rosemaryyoke/platform/tests/test_truncated_streams.py
@@ -166,3 +166,11 @@
     answer = send_client_request(deployment.callers, "/issue/1").responses[0]
     assert answer.complete and answer.status == status
     assert status != 200 or answer.body == body
+
+
+# Guards against a stream that ends at the event which names new weights.
+def test_event_that_names_new_weights_is_passed_on(deployment):
+    events = b"id: 1\ndata: x\n\nweight-versions: 2\nid: 2\ndata: x\n\n"
+    script_all(deployment.engines, send_chunked(events))
+    answer = deployment.stream().responses[0]
+    assert answer.complete and bytes(answer.body) == events
