Answer requests that outlast a host at the end of its grace period

Callers saw: in a planned stop, requests whose upstream was still at work when the grace period ended were cut with no answer, among them requests that may not be repeated.

Cause: shut_down only logged the requests that were left, and the process exited while their tasks waited for upstreams.

Evidence: test_requests_through_stops.py, with a real process, failed before: five of five requests got an orderly close without a byte. In trials by hand, with requests of 0.1 s to twice the grace period sent from 0.6 s before SIGTERM to the end, 17 of 168 safe and unsafe requests were cut like that at a grace period of 2 s, and 14 of 144 at 8 s. All of them had been sent on.

Change: at the end of the grace period the tasks of all requests are woken. An attempt then ends as failed, no other one follows, and the caller gets 502, or 503 if the request was not sent whole. Streams that have begun are cut, since nothing that can be written makes them whole. This uses the time that closing connections had before.

Result: the test passes, and in the same trials none was cut.

--- a/rosemaryyoke/exchanges/attempt.py
+++ b/rosemaryyoke/exchanges/attempt.py
@@ -100,7 +100,8 @@
     slow; ``health_recorded`` that its state has been updated already, or that the
     failure says nothing about it; ``connection_refused`` that nothing listens there.
     ``not_connected`` means that no connection could be opened, ``no_contact`` that
-    nothing shows that the upstream can still be reached.
+    nothing shows that the upstream can still be reached. ``host_ended`` means that this
+    process ends, so that no other attempt may follow.
     """
 
     reason: str
@@ -114,6 +115,7 @@
     connection_refused: bool = False
     not_connected: bool = False
     no_contact: bool = False
+    host_ended: bool = False
 
 
 Outcome = ResponseReceived | StreamCompleted | NotRun | AttemptFailed
@@ -346,7 +348,7 @@
         poller = select.poll()
         poller.register(self.caller.socket, select.POLLRDHUP)
         for _, events in poller.poll(0):
-            raise CallerDisconnected(hangup_cause(events))
+            return self._end_without_caller(events)
         self._send(upstream)
         poller.register(upstream, self._poll_events())
         while True:
@@ -363,7 +365,7 @@
             wait_ms = max(0.0, wake_s - now_s) * MS_PER_S
             for descriptor, events in poller.poll(math.ceil(wait_ms)):
                 if descriptor == self.caller.socket.fileno():
-                    raise CallerDisconnected(hangup_cause(events))
+                    return self._end_without_caller(events)
                 if self.unsent and events & select.POLLOUT:
                     self._send(upstream)
                     poller.modify(upstream, self._poll_events())
@@ -377,6 +379,20 @@
             if outcome is not None:
                 return outcome
 
+    def _end_without_caller(self, events: int) -> AttemptFailed:
+        """Return the outcome if this process ends, or else raise that the caller left.
+
+        The caller is still there in the first case, and is told if the request may run.
+        """
+        if not self.caller.host_ends:
+            raise CallerDisconnected(hangup_cause(events))
+        return AttemptFailed(
+            "this host ends",
+            self._sent_whole(),
+            health_recorded=True,
+            host_ended=True,
+        )
+
     def _end_handover(self) -> bool:
         """Leave the earlier upstream; return false if it has gone on meanwhile."""
         self.handover_end_s = math.inf
--- a/rosemaryyoke/exchanges/decision_log.py
+++ b/rosemaryyoke/exchanges/decision_log.py
@@ -23,6 +23,7 @@
 CUT_BY_UPSTREAM = "upstream failed"
 CUT_BY_REFUSAL = "not run"
 CUT_WITHOUT_UPSTREAM = "no upstream"
+SHUTDOWN = "shutdown"
 
 
 def log_placement(exchange: Exchange, placement: Placement) -> None:
--- a/rosemaryyoke/exchanges/endings.py
+++ b/rosemaryyoke/exchanges/endings.py
@@ -6,7 +6,7 @@
 from attrs import define
 
 from rosemaryyoke.core import Metrics
-from rosemaryyoke.exchanges.attempt import Outcome, ResponseReceived
+from rosemaryyoke.exchanges.attempt import AttemptFailed, Outcome, ResponseReceived
 from rosemaryyoke.exchanges.caller import (
     CallerConnection,
     CallerDisconnected,
@@ -15,18 +15,22 @@
 from rosemaryyoke.exchanges.decision_log import (
     CUT_AT_DEADLINE,
     CUT_WITHOUT_UPSTREAM,
+    SHUTDOWN,
     cut_cause,
     log_end,
     log_refusal,
     log_response,
     outcome_reason,
 )
-from rosemaryyoke.exchanges.error_responses import TIMEOUT_CODE, error_for_outcome
+from rosemaryyoke.exchanges.error_responses import (
+    TIMEOUT_CODE,
+    error_for_outcome,
+    host_ended_error,
+)
 from rosemaryyoke.exchanges.exchange import ErrorResponse, Exchange, RequestRejected
 from rosemaryyoke.http1.messages import end_to_end_headers
 
 INTERNAL_ERROR = "internal error"
-SHUTDOWN = "shutdown"
 
 
 @define(eq=False)
@@ -37,6 +41,9 @@
 
     def complete(self, exchange: Exchange, outcome: Outcome) -> None:
         """Send the last outcome to the caller."""
+        if isinstance(outcome, AttemptFailed) and outcome.host_ended:
+            self.end_with_host(exchange)
+            return
         if exchange.caller.streaming:
             self.cut_stream(exchange, cut_cause(outcome), outcome_reason(outcome))
         if isinstance(outcome, ResponseReceived):
@@ -53,6 +60,16 @@
             return
         raise RequestRejected(error_for_outcome(exchange, outcome))
 
+    def end_with_host(self, exchange: Exchange) -> None:
+        """End an exchange because this process ends; raise if a stream is cut."""
+        self.record_unfinished([exchange])
+        if exchange.caller.streaming:
+            raise ResponseAborted(SHUTDOWN)
+        error = host_ended_error(exchange)
+        exchange.caller.send_error(
+            error.status, error.code, error.message, error.retry_after_s
+        )
+
     def record_response(self, exchange: Exchange, status: int) -> None:
         """Log and count a response forwarded to the caller."""
         log_response(exchange, status)
@@ -64,6 +81,9 @@
         self, exchange: Exchange, departure: CallerDisconnected
     ) -> None:
         """Log and count a caller that left before the end of its response."""
+        if exchange.caller.host_ends:
+            self.record_unfinished([exchange])
+            return
         log_end("caller left", exchange, departure.cause, str(departure))
         self.count(departure.cause)
 
--- a/rosemaryyoke/exchanges/error_responses.py
+++ b/rosemaryyoke/exchanges/error_responses.py
@@ -82,6 +82,14 @@
     return ErrorResponse(503, "leaving", "this host is leaving", LEAVING_RETRY_AFTER_S)
 
 
+def host_ended_error(exchange: Exchange) -> ErrorResponse:
+    """Return the error response for a request that outlasts this host."""
+    if exchange.is_admitted:
+        text = "this host ended before the upstream answered"
+        return ErrorResponse(502, "upstream_failed", text)
+    return leaving_error()
+
+
 def unknown_origin_error(is_current: bool) -> ErrorResponse:
     """Return the error response for a stream that no known upstream began.
 
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -249,10 +249,16 @@
         """Return whether another host may serve what this one couldn't connect for."""
         return (
             exchange.never_connected
+            and not exchange.caller.host_ends
             and exchange.forwarded_by is None
             and self.by_way_of_hosts.can_forward(exchange)
         )
 
+    def end_running(self) -> None:
+        """Let the tasks of all requests answer them, since this process ends."""
+        for exchange in list(self.running):
+            exchange.caller.end_with_host()
+
     def log_unfinished(self) -> None:
         """Log the requests that end with this process."""
         self.endings.record_unfinished(list(self.running))
@@ -520,6 +526,8 @@
     def retry_obstacle(self, exchange: Exchange, outcome: Outcome) -> str | None:
         """Return why an exchange is not retried, or ``None`` if it is."""
         route = exchange.route
+        if exchange.caller.host_ends:
+            return "this host ends"
         if not self.selector.may_send_again(exchange, time.monotonic()):
             return "no sends or time left"
         if isinstance(outcome, ResponseReceived):
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -69,7 +69,7 @@
 # Requests that come later may still run when the host ends, so they must be short.
 ACCEPT_LONG_REQUESTS_S = 2.9
 EXIT_MARGIN_S = 0.3
-CLOSE_TIMEOUT_S = 0.15  # within the margin
+CLOSE_TIMEOUT_S = 0.15  # to tell callers that it ends; within the margin
 AUXILIARY_MAX_CONNECTIONS = 64
 # Of the connections for callers; each is one more task with its buffers.
 FORWARDED_SHARE = 0.5
@@ -341,17 +341,25 @@
         callers.close_idle()
         self.forwarded.leaving = True
         self.quotas.leave()
-        idle = [server.wait_idle(deadline_s) for server in (callers, self.forwarded)]
-        if not all(idle):
+        idle = self.wait_idle(deadline_s)
+        closed_s = time.monotonic() + CLOSE_TIMEOUT_S
+        if not idle:
             logging.warning(
                 "requests aborted at shutdown count=%d",
                 callers.requests_in_progress + self.forwarded.under_way,
             )
-            self.forwarder.log_unfinished()
+            self.forwarder.end_running()
+            if not self.wait_idle(closed_s):
+                self.forwarder.log_unfinished()
         callers.stop()
-        callers.wait_closed(time.monotonic() + CLOSE_TIMEOUT_S)
+        callers.wait_closed(closed_s)
         log_event("host stopped", host=self.settings.name)
 
+    def wait_idle(self, deadline_s: float) -> bool:
+        """Wait until no request is in progress; return whether that is so."""
+        servers = (self.kernel.get("callers"), self.forwarded)
+        return all([server.wait_idle(deadline_s) for server in servers])
+
     def is_ready(self) -> bool:
         """Return whether this host accepts requests from callers."""
         return self.catalog.is_loaded() and not self.leaving
--- a/rosemaryyoke/forwarding/sender.py
+++ b/rosemaryyoke/forwarding/sender.py
@@ -243,6 +243,8 @@
         """Return whether another host may take over after a failure."""
         if not isinstance(outcome, AttemptFailed) or outcome.deadline_exceeded:
             return False
+        if exchange.caller.host_ends:
+            return False
         if outcome.may_have_run and not self.may_repeat(exchange):
             return False
         if not exchange.is_resumable:
--- /dev/null
+++ b/rosemaryyoke/platform/tests/test_requests_through_stops.py
@@ -0,0 +1,42 @@
+"""Requests that a host reads while it stops are answered, or refused as not run.
+
+The process is ended by SIGKILL at the end of its grace period, as its platform does.
+"""
+
+from rosemaryyoke.platform.tests.stopping_host import (
+    SAFE,
+    STREAM,
+    UNSAFE,
+    Caller,
+    StoppingHost,
+    encode,
+)
+
+SHORT_GRACE_S = 2.0
+
+
+def send(host, *arguments, **options):
+    """Send a request on a connection of its own, and return its caller."""
+    return Caller(host.address).send(encode(*arguments, **options))
+
+
+def outcome(caller):
+    """Return the status that a caller got, or how its connection ended without one."""
+    answers = caller.read()
+    caller.close()
+    return answers[0].status if answers and answers[0].complete else caller.ending
+
+
+# Guards against requests that are cut with no answer at the end of the grace period.
+def test_request_that_outlasts_the_host_is_answered(tmp_path):
+    with StoppingHost(tmp_path, SHORT_GRACE_S) as host:
+        before = [send(host, kind, f"{kind}-0", 9) for kind in (SAFE, UNSAFE)]
+        host.begin_stop()
+        during = [send(host, kind, f"{kind}-1", 9) for kind in (SAFE, UNSAFE)]
+        silent = send(host, STREAM, "silent", 9, Quiet=1)
+        begun = send(host, STREAM, "begun", 9)
+        # They have run, so that the answer may not promise that they have not.
+        assert [outcome(caller) for caller in (*before, *during, silent)] == [502] * 5
+        (answer,) = begun.read()
+        assert answer.status == 200 and not answer.complete
+        assert host.popen.wait() == 0
