Count the grace period from SIGTERM, and compare requests with its limits

Callers saw: a host that was suspended when SIGTERM was sent, or whose main thread was late, took requests until after its limits. They were passed on and cut with no answer by SIGKILL at the true end of the grace period, among them requests that may not be repeated.

Cause: the grace period was counted from when shut_down began, although the signal may have waited while the process was suspended, started or reloaded its settings. And the limits of a stop were steps of the main thread between two sleeps, so that a request read before that thread went on met none of them.

Evidence: test_requests_through_stops.py and test_graceful_shutdown.py failed before: the process was ended by SIGKILL, and a request that came after the limits got 200.

Change: SignalWaiter knows until when there was no signal, within 0.1 s, and the stop is planned from then. Each request is compared with the times of that plan, StopSchedule, instead of with what the main thread has set.

No time of the plan has changed; in calm all of them come up to 0.1 s earlier.

--- a/rosemaryyoke/core/tests/test_signals.py
+++ b/rosemaryyoke/core/tests/test_signals.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosemaryyoke.core.signals import SignalWaiter
+from rosemaryyoke.core.signals import CHECK_PERIOD_S, SignalWaiter
 
 WAIT_S = 5.0
 
@@ -56,3 +56,21 @@
 
 def test_wait_times_out_without_signal(waiter):
     assert waiter.wait(0.01) == []
+
+
+# Guards against grace periods that are counted from when a busy thread looked.
+def test_time_before_a_signal_is_known(waiter):
+    assert waiter.wait(0.3) == []
+    began_s = time.monotonic()
+    signal.raise_signal(signal.SIGUSR1)
+    raised_s = time.monotonic()
+    time.sleep(0.5)
+    assert waiter.wait(WAIT_S) == [signal.SIGUSR1]
+    assert waiter.quiet_until_s <= raised_s
+    assert waiter.quiet_until_s > began_s - 0.3
+
+
+def test_time_before_a_signal_goes_on_while_there_is_none(waiter):
+    created_s = waiter.quiet_until_s
+    assert waiter.wait(3 * CHECK_PERIOD_S) == []
+    assert waiter.quiet_until_s > created_s
--- a/rosemaryyoke/exchanges/forward.py
+++ b/rosemaryyoke/exchanges/forward.py
@@ -50,6 +50,7 @@
 from rosemaryyoke.exchanges.request_writer import RequestWriter
 from rosemaryyoke.exchanges.response_memory import ResponseMemory
 from rosemaryyoke.exchanges.selection import UpstreamSelector
+from rosemaryyoke.exchanges.stop_schedule import StopSchedule
 from rosemaryyoke.exchanges.urgency import Urgency
 from rosemaryyoke.fleet import (
     Fleet,
@@ -86,7 +87,7 @@
 class Forwarder:
     """Forwards the exchanges of one host.
 
-    Requests that may last beyond ``ends_at_s``, when this host ends, are rejected.
+    ``stop`` tells which requests are accepted while this host shuts down.
     """
 
     data_centre: str
@@ -102,7 +103,7 @@
     reachability: Reachability
     hosts: ForwardingHosts
     quotas: QuotaService | None = None
-    ends_at_s: float = math.inf
+    stop: StopSchedule = StopSchedule()
     running: set[Exchange] = field(factory=set)
     exchange_factory: ExchangeFactory = field(init=False)
     memory: ResponseMemory = field(factory=ResponseMemory)
@@ -154,7 +155,7 @@
         if envelope is not None:
             self.accept_forwarded(exchange, envelope)
         try:
-            if exchange.response_deadline_s > self.ends_at_s:
+            if not self.stop.accepts(started_s, exchange.response_deadline_s):
                 raise RequestRejected(leaving_error())
             self.forward(exchange)
         except RequestRejected as rejection:
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -35,6 +35,7 @@
     store_no_body,
 )
 from rosemaryyoke.exchanges.settings import RoutingSettings
+from rosemaryyoke.exchanges.stop_schedule import StopSchedule
 from rosemaryyoke.fleet import Fleet, PromptPrefill, RetryBudget
 from rosemaryyoke.forwarding.envelope import MAX_ENVELOPE_BYTES
 from rosemaryyoke.forwarding.hosts import ForwardingHosts
@@ -285,7 +286,7 @@
         self.start()
         while set(signals.wait()) <= {signal.SIGHUP}:
             self.reload_settings()
-        self.shut_down()
+        self.shut_down(signals.quiet_until_s)
 
     def start(self) -> None:
         """Start the services and the periodic jobs."""
@@ -321,27 +322,26 @@
         self.table.add_candidates(settings.ok_value.seeds, time.monotonic())
         log_event("settings reloaded")
 
-    def shut_down(self) -> None:
-        """Announce the shutdown, serve callers with stale lookups, then stop."""
-        started_s = time.monotonic()
+    def shut_down(self, signalled_s: float | None = None) -> None:
+        """Announce the shutdown, serve callers with stale lookups, then stop.
+
+        ``signalled_s`` is when SIGTERM may have been sent, by default now. The grace
+        period begins then, though this process may have been suspended since.
+        """
+        started_s = time.monotonic() if signalled_s is None else signalled_s
         log_event("host shutting down", host=self.settings.name)
         self.leaving = True
         self.rollout.stopping = True
         self.beacons.send_now()
         callers = self.kernel.get("callers")
         callers.disable_keep_alive()
-        stale_s = STALE_LOOKUP_LIFETIMES * LOOKUP_LIFETIME_S + EXIT_MARGIN_S
-        grace_s = self.settings.grace_s
-        deadline_s = started_s + grace_s - EXIT_MARGIN_S
-        serving_s = min(stale_s, STOP_SERVING_SHARE * grace_s)
-        time.sleep(min(ACCEPT_LONG_REQUESTS_S, serving_s))
-        self.forwarder.ends_at_s = deadline_s
-        time.sleep(max(0.0, started_s + serving_s - time.monotonic()))
-        callers.reject_new_requests()
+        stop = self.forwarder.stop = plan_stop(started_s, self.settings.grace_s)
+        callers.reject_new_requests(stop.serves_until_s)
+        time.sleep(max(0.0, stop.serves_until_s - time.monotonic()))
         callers.close_idle()
         self.forwarded.leaving = True
         self.quotas.leave()
-        idle = self.wait_idle(deadline_s)
+        idle = self.wait_idle(stop.ends_at_s)
         closed_s = time.monotonic() + CLOSE_TIMEOUT_S
         if not idle:
             logging.warning(
@@ -597,3 +597,14 @@
             write_stall_s=self.settings.write_stall_s,
             socket_buffer_bytes=self.socket_buffer_bytes,
         )
+
+
+def plan_stop(started_s: float, grace_s: float) -> StopSchedule:
+    """Return until when a host serves that began to shut down at a time."""
+    stale_s = STALE_LOOKUP_LIFETIMES * LOOKUP_LIFETIME_S + EXIT_MARGIN_S
+    serving_s = min(stale_s, STOP_SERVING_SHARE * grace_s)
+    return StopSchedule(
+        started_s + min(ACCEPT_LONG_REQUESTS_S, serving_s),
+        started_s + serving_s,
+        started_s + grace_s - EXIT_MARGIN_S,
+    )
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -1,5 +1,6 @@
 """A server with one task per connection, on a bounded thread pool."""
 
+import math
 import socket
 import threading
 import time
@@ -100,7 +101,7 @@
     limits: Callable[[], RequestLimits] = RequestLimits
     keep_alive_disabled: bool = False
     stopped: bool = False
-    rejecting_requests: bool = False
+    rejects_from_s: float = math.inf
     rejection_handler: Handler = reject_leaving
     open_connections: int = 0
     requests_in_progress: int = 0
@@ -143,9 +144,14 @@
         """Close every connection after its next response."""
         self.keep_alive_disabled = True
 
-    def reject_new_requests(self) -> None:
-        """Reject every request received from now on."""
-        self.rejecting_requests = True
+    def reject_new_requests(self, from_s: float = -math.inf) -> None:
+        """Reject every request received from now or from a later time on."""
+        self.rejects_from_s = from_s
+
+    @property
+    def rejecting_requests(self) -> bool:
+        """Return whether requests are rejected."""
+        return time.monotonic() >= self.rejects_from_s
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
--- a/rosemaryyoke/platform/tests/test_graceful_shutdown.py
+++ b/rosemaryyoke/platform/tests/test_graceful_shutdown.py
@@ -2,9 +2,11 @@
 
 import threading
 import time
+from types import SimpleNamespace
 
 from attrs import evolve
 
+from rosemaryyoke.exchanges import host as hosts
 from rosemaryyoke.exchanges.host import ACCEPT_LONG_REQUESTS_S
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform.standins.servers import (
@@ -48,3 +50,19 @@
     assert send_stream(deployment, **SHORT).status == 200
     read = send_client_request(deployment.callers, "/read/1", "GET").responses[0]
     assert read.status == 200
+
+
+# Guards against requests that are taken while the thread that stops the host is late.
+def test_limits_of_a_stop_hold_though_its_thread_is_late(deployment, monkeypatch):
+    route = deployment.host.catalog.configuration.find_route("a.example", "/read/1")
+    object.__setattr__(route, "timeout_s", 15.0)
+    late = threading.Event()
+    clock = SimpleNamespace(monotonic=time.monotonic, sleep=lambda _: late.wait(10))
+    monkeypatch.setattr(hosts, "time", clock)
+    started_s = begin_shutdown(deployment.host)
+    time.sleep(started_s + deployment.host.settings.grace_s - time.monotonic())
+    for changes in (LONG, SHORT):
+        answer = send_client_request(deployment.callers, "/read/1", "GET", **changes)
+        assert answer.responses[0].status == 503
+    late.set()
+    assert not any(plain.received for plain in deployment.records)
--- a/rosemaryyoke/platform/tests/test_requests_through_stops.py
+++ b/rosemaryyoke/platform/tests/test_requests_through_stops.py
@@ -3,6 +3,9 @@
 The process is ended by SIGKILL at the end of its grace period, as its platform does.
 """
 
+import signal
+
+from rosemaryyoke.platform.tests.deployment import wait_for
 from rosemaryyoke.platform.tests.stopping_host import (
     SAFE,
     STREAM,
@@ -12,7 +15,8 @@
     encode,
 )
 
-SHORT_GRACE_S = 2.0
+SHORT_GRACE_S, LONG_GRACE_S = 2.0, 4.0
+SUSPENDED_S, LATE_S = 2.0, 2.5
 
 
 def send(host, *arguments, **options):
@@ -40,3 +44,20 @@
         (answer,) = begun.read()
         assert answer.status == 200 and not answer.complete
         assert host.popen.wait() == 0
+
+
+# Guards against a host that takes requests as if SIGTERM came when it noticed it.
+def test_host_that_was_suspended_at_sigterm_ends_in_time(tmp_path):
+    with StoppingHost(tmp_path, LONG_GRACE_S) as host:
+        running = send(host, SAFE, "running", 9)
+        wait_for(host.ran)
+        host.signal(signal.SIGSTOP)
+        host.begin_stop()
+        host.wait_until(SUSPENDED_S)
+        host.signal(signal.SIGCONT)
+        host.wait_until(LATE_S)
+        late = [send(host, kind, f"{kind}-0", LONG_GRACE_S) for kind in (SAFE, UNSAFE)]
+        outcomes = [outcome(caller) for caller in late]
+        assert host.popen.wait() == 0
+        assert outcomes == [503, 503] and host.ran() == {"running"}
+        assert outcome(running) == 502
