Answer the requests ahead on a connection before a stop closes it

Callers saw: during a stop, a caller that sent several requests on one connection got the answer to the first one and "Connection: close". The others had been read, and got none.

Cause: while a host stops, every response was the last one on its connection, whatever had been read behind its request.

Change: whether a response is the last one is decided as it begins. It is if the host stops and nothing more has been sent on the connection. So a request that was under way at SIGTERM closes its connection too, which stayed open until idle ones were closed.

A request that is sent after a response has said "Connection: close" is not handled, as before.

--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -16,6 +16,7 @@
     CallerConnection,
     CallerDisconnected,
     ResponseAborted,
+    goes_on,
 )
 from rosemaryyoke.exchanges.refusal_log import RefusalLog
 from rosemaryyoke.http1 import (
@@ -141,7 +142,7 @@
             close(self.listener)
 
     def disable_keep_alive(self) -> None:
-        """Close every connection after its next response."""
+        """Close every connection once the requests sent on it are answered."""
         self.keep_alive_disabled = True
 
     def reject_new_requests(self, from_s: float = -math.inf) -> None:
@@ -270,7 +271,8 @@
         finally:
             close(connection)
             reservation.close()
-            reservation.evict = leave_alone  # ends the cycle of references
+            reservation.evict = leave_alone  # ends the cycles of references
+            caller.closes_next = goes_on
             with self.lock:
                 self.reservations.discard(reservation)
                 self.open_connections -= 1
@@ -278,6 +280,7 @@
     def _serve_requests(self, caller: CallerConnection) -> None:
         limits = self.limits()
         reader = RequestParser(limits.message)
+        caller.closes_next = lambda: self._closes_next(caller, reader)
         first = True
         while True:
             message = self._next_request(caller, reader, limits, first)
@@ -287,7 +290,7 @@
             if not caller.reservation.protect(time.monotonic()):
                 self._refuse_for_memory(caller, reader, "evicted")
                 return
-            caller.begin_request(message.keep_alive and not self.keep_alive_disabled)
+            caller.begin_request(message.keep_alive)
             self._handle_request(message, caller)
             caller.release_held()
             message = None  # frees the body before the next request is awaited
@@ -297,6 +300,16 @@
             caller.reservation.begin_phase(Phase.IDLE, time.monotonic())
             caller.reservation.resize(len(reader.rest))
 
+    def _closes_next(self, caller: CallerConnection, reader: RequestParser) -> bool:
+        """Return whether a connection is to be closed, and no request is ahead on it.
+
+        What was read behind a request that is answered would be lost with it.
+        """
+        if not self.keep_alive_disabled:
+            return False
+        ahead = reader.requests or reader.has_partial_request
+        return not (ahead or has_data(caller.socket))
+
     def _handle_request(
         self, message: RequestMessage, caller: CallerConnection
     ) -> None:
--- a/rosemaryyoke/platform/tests/test_requests_through_stops.py
+++ b/rosemaryyoke/platform/tests/test_requests_through_stops.py
@@ -5,6 +5,8 @@
 
 import signal
 
+import pytest
+
 from rosemaryyoke.platform.tests.deployment import wait_for
 from rosemaryyoke.platform.tests.stopping_host import (
     SAFE,
@@ -61,3 +63,20 @@
         assert host.popen.wait() == 0
         assert outcomes == [503, 503] and host.ran() == {"running"}
         assert outcome(running) == 502
+
+
+# Guards against requests that are read behind another one, and dropped with it.
+@pytest.mark.parametrize("kind", (SAFE, UNSAFE, STREAM))
+def test_requests_ahead_on_a_connection_are_answered(tmp_path, kind):
+    with StoppingHost(tmp_path, SHORT_GRACE_S) as host:
+        together, late = Caller(host.address), Caller(host.address)
+        late.send(encode(kind, "late-1", 0.6, Quiet=1))
+        wait_for(host.ran)
+        host.begin_stop()
+        host.wait_until(0.2)
+        together.send(b"".join(encode(kind, f"{kind}-{n}", 0.05) for n in range(3)))
+        late.send(encode(kind, "late-2", 0.05))
+        assert [answer.status for answer in together.read(3)] == [200] * 3
+        assert all(answer.complete for answer in together.answers)
+        assert not together.answers[-1].keep_alive
+        assert len(late.read(2)) == 2 and late.answers[-1].complete
