Refuse forwarded requests as soon as a host stops

Callers saw: a request that another host forwarded to a stopping one was taken for 3.3 s after SIGTERM, and ended with 502 if it outlasted the grace period, though other hosts could have finished it.

Cause: forwarded requests had the limits of callers, who may know of no other host for three lifetimes of a lookup. Hosts do know of others, and go on there.

Evidence: test_host_that_stops_leaves_forwarded_requests_to_others failed before: the host handled a forwarded request right after SIGTERM.

Change: a host refuses forwarded requests as "leaving", which makes the other host try elsewhere, from the moment it announces that it stops.

Result: the test passes; 60 of 60 requests through a host without upstreams were served while the host that it forwards to stopped.

--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -332,6 +332,8 @@
         log_event("host shutting down", host=self.settings.name)
         self.leaving = True
         self.rollout.stopping = True
+        # Unlike callers with a stale lookup, other hosts know where else to go.
+        self.forwarded.leaving = True
         self.beacons.send_now()
         callers = self.kernel.get("callers")
         callers.disable_keep_alive()
@@ -339,7 +341,6 @@
         callers.reject_new_requests(stop.serves_until_s)
         time.sleep(max(0.0, stop.serves_until_s - time.monotonic()))
         callers.close_idle()
-        self.forwarded.leaving = True
         self.quotas.leave()
         idle = self.wait_idle(stop.ends_at_s)
         closed_s = time.monotonic() + CLOSE_TIMEOUT_S
--- a/rosemaryyoke/platform/tests/test_forwarded_requests.py
+++ b/rosemaryyoke/platform/tests/test_forwarded_requests.py
@@ -305,3 +305,20 @@
     address = fleet.hosts[CUT].settings.callers
     answer = send_client_request(address, "/read/1", "GET", headers=head).responses[0]
     assert answer.status == 200
+
+
+# Guards against requests that a stopping host takes from another one, and can't finish.
+@pytest.mark.parametrize("fleet", (3,), indirect=True)
+def test_host_that_stops_leaves_forwarded_requests_to_others(fleet):
+    stopping = fleet.hosts[OTHER]
+    configuration = stopping.catalog.configuration.version
+    envelope = Envelope("front", configuration).encode()
+    stopper = threading.Thread(target=stopping.shut_down)
+    stopper.start()
+    wait_for(lambda: stopping.leaving)
+    time.sleep(0.1)
+    assert not stopping.kernel.get("callers").rejecting_requests
+    assert b"leaving" in answer_forwarded(stopping, envelope)
+    for kind in KINDS:
+        assert fleet.served(CUT, kind, 20) == 20, kind
+    stopper.join()
