--- a/rosemaryyoke/platform/tests/test_forwarded_requests.py
+++ b/rosemaryyoke/platform/tests/test_forwarded_requests.py
@@ -3,8 +3,10 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from attrs import evolve
 
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.forwarding import Envelope
@@ -322,3 +324,22 @@
     for kind in KINDS:
         assert fleet.served(CUT, kind, 20) == 20, kind
     stopper.join()
+
+
+# Guards against requests that end unanswered with a host that had forwarded them.
+@pytest.mark.parametrize("kind", (SAFE, UNSAFE))
+def test_request_that_a_stopping_host_forwarded_is_answered(fleet, kind):
+    released, stopping = threading.Event(), fleet.hosts[CUT]
+
+    def hold(engine, message, caller):
+        released.wait(5)
+        engine.run(message, caller)
+
+    script_all(fleet.records, hold, hold)
+    stopping.settings = evolve(stopping.settings, grace_s=1.2)
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(fleet.send, CUT, kind)
+        wait_for(lambda: received(fleet))
+        stopping.shut_down()
+        assert running.result(0.1)[0] == 502
+        released.set()
