Answer the calls on /v1 and /services that outlast a host's grace period

Callers saw: when a host of `rosemaryyoke serve` stopped, calls that it had taken while it was still listed were passed on, and cut with no answer once stop_grace_s was over, among them calls that may not be repeated. Streams broke off without the error that ends an incomplete one.

Cause: shut_down aborted what was left by leaving the process. The tasks of calls waited for their upstreams, and nothing could end that wait. No call was compared with the time that the host had left.

Change: ProcessEnd is what tasks ask whether a call can end before the process, and whether to end it now. When the grace period is over, transfers from upstreams are aborted, no attempt follows, and each call is answered: unsafe ones that were sent with 502 outcome_unknown, others with 503 leaving, which says whether they were sent; streams end with that error. An unsafe call that may take longer than the host has left is refused at once. The upstreams whose transfers are aborted don't count as failed.

The host exits up to 2 s later than before if such calls are left.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -21,7 +21,7 @@
 )
 from rosemaryyoke.calls.claims import Claims
 from rosemaryyoke.calls.retry import RetryBudget
-from rosemaryyoke.core import Kernel
+from rosemaryyoke.core import Kernel, ProcessEnd
 from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.objects.leases import now_s
 from rosemaryyoke.quarantine import (
@@ -43,6 +43,8 @@
 LOOKUP_TIMEOUT_S = 1.0
 HTTP_SERVER_ERROR = 500
 QUARANTINED_CODE = "quarantined"
+LEAVING_CODE = "leaving"
+LEAVING_RETRY_AFTER_S = 1.0  # another host can take the call
 KIND = "call"  # keeps the fingerprints apart from those of other requests
 NO_RESPONSE = StoredResponse(0, "", b"")
 
@@ -83,8 +85,9 @@
 class ServiceCalls:
     """Send calls to plain services, with retries where they are safe."""
 
-    def __init__(self, kernel: Kernel):
+    def __init__(self, kernel: Kernel, end: ProcessEnd | None = None):
         self.kernel = kernel
+        self.end = end or ProcessEnd()
         self.budget = RetryBudget()
         self.random = random.Random()
 
@@ -104,6 +107,9 @@
         self.budget.deposit()
         if not call.service.is_unsafe(call.method, call.path):
             return self._send_with_retries(rules, call, repeatable=True)
+        if not self.end.allows(SERVICE_TIMEOUT_S + MAX_SEND_DELAY_S):
+            # Another host may have run an earlier call with the key.
+            return Err(self._refuse_leaving(not_run=not call.key))
         if not call.key:
             return self._send_with_retries(rules, call, repeatable=False)
         return self._run_claimed(rules, call)
@@ -178,6 +184,8 @@
         excluded: set[str] = set()
         sent = False
         for number in range(MAX_ATTEMPTS):
+            if self.end.has_begun():
+                return Err(self._refuse_leaving(not_run=not sent))
             if number and self.quarantine.is_suspect((call.fingerprint,)):
                 break
             if self.quarantine.refuse((), lambda: call.fingerprint) is not None:
@@ -199,7 +207,8 @@
                 message = "the host has no memory for the response now"
                 return Err(Failure(502, "no_memory", message, False))
             else:
-                self.directory.record_failure(upstream.name)
+                if not self.end.has_begun():
+                    self.directory.record_failure(upstream.name)
                 sent = sent or answer.err_value.sent
             if sent and not repeatable:
                 message = "the call was sent, and its answer was lost"
@@ -207,6 +216,12 @@
         message = "no instance of the service answers"
         return Err(Failure(503, "no_upstream", message, not sent, 1.0))
 
+    def _refuse_leaving(self, not_run: bool) -> Failure:
+        """Return the failure of a call that would not end before this host."""
+        self.metrics.count("refusals_total", code=LEAVING_CODE)
+        message = "the host is leaving; another one can take the call"
+        return Failure(503, LEAVING_CODE, message, not_run, LEAVING_RETRY_AFTER_S)
+
     def _refuse(self, sent: bool) -> Failure:
         """Return the failure of a call that crashes the instances that run it."""
         self.metrics.count("refusals_total", code=QUARANTINED_CODE)
@@ -275,6 +290,7 @@
                 connect_timeout_s=SERVICE_CONNECT_TIMEOUT_S,
                 fresh_connection=True,
                 reserve=call.reserve,
+                is_aborted=self.end.has_begun,
             )
         )
 
--- a/rosemaryyoke/core/__init__.py
+++ b/rosemaryyoke/core/__init__.py
@@ -4,6 +4,7 @@
 from rosemaryyoke.core.kernel import Kernel, Service
 from rosemaryyoke.core.metrics import Metrics
 from rosemaryyoke.core.pools import PoolService, make_pool, set_stack_size
+from rosemaryyoke.core.process_end import ProcessEnd
 from rosemaryyoke.core.recorder import Event, EventRecorder
 from rosemaryyoke.core.registry import Registry, UnknownEntry
 from rosemaryyoke.core.signals import SignalWaiter
@@ -16,6 +17,7 @@
     "Kernel",
     "Metrics",
     "PoolService",
+    "ProcessEnd",
     "Registry",
     "Service",
     "SignalWaiter",
--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -13,6 +13,7 @@
     Kernel,
     Metrics,
     PoolService,
+    ProcessEnd,
     SignalWaiter,
     TimerService,
     set_stack_size,
@@ -34,6 +35,7 @@
 from rosemaryyoke.wire import HttpServer, derive_limits
 
 PROPAGATION_MARGIN_S = 2.0
+END_TIMEOUT_S = 2.0  # calls to services notice the end within one second
 
 
 class HttpApiServer:
@@ -82,7 +84,8 @@
         if settings.memory_mb is not None:
             limit_heap_growth()
         self.settings = settings
-        self.kernel = build_kernel(settings)
+        self.end = ProcessEnd()
+        self.kernel = build_kernel(settings, self.end)
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
@@ -96,12 +99,15 @@
         """Leave the member list and shut down once no caller can still be sent here.
 
         The host serves until every entry-hosts answer that lists it has expired, plus a
-        margin for the departure to reach the other hosts.
+        margin for the departure to reach the other hosts. Calls that outlast the grace
+        period which follows are answered as failed.
         """
         logging.info("host %s is leaving", self.settings.name)
         self.kernel.get("recorder").record("host.leaving")
         self.kernel.get("members").leave()
-        time.sleep(self.settings.answer_lifetime_s + PROPAGATION_MARGIN_S)
+        listed_s = self.settings.answer_lifetime_s + PROPAGATION_MARGIN_S
+        self.end.ends_at_s = time.monotonic() + listed_s + self.settings.stop_grace_s
+        time.sleep(listed_s)
         server = self.kernel.get("server").server
         server.stop_accepting()
         if not server.wait_idle(self.settings.stop_grace_s):
@@ -109,11 +115,13 @@
                 "grace period expired; aborting %d running calls",
                 server.active_connections,
             )
+            self.end.begin()
+            server.wait_idle(END_TIMEOUT_S)
         self.kernel.stop()
         logging.info("host %s stopped", self.settings.name)
 
 
-def build_kernel(settings: Settings) -> Kernel:
+def build_kernel(settings: Settings, end: ProcessEnd) -> Kernel:
     """Return a kernel with the services of a host, in start order."""
     api = platform_adapters.get(settings.platform_adapter)(settings.platform)
     kernel = Kernel()
@@ -133,8 +141,8 @@
     kernel.add("shares", LimitShares(kernel))
     kernel.add("limits", AccountLimiter(kernel))
     kernel.add("claims", Claims(kernel, api))
-    kernel.add("relay", Relay(kernel, settings.shared_key))
-    kernel.add("service_calls", ServiceCalls(kernel))
+    kernel.add("relay", Relay(kernel, settings.shared_key, end))
+    kernel.add("service_calls", ServiceCalls(kernel, end))
     kernel.add("entry", HttpApi(kernel, settings))
     kernel.add("server", HttpApiServer(kernel, settings))
     return kernel
--- a/rosemaryyoke/streams/relay.py
+++ b/rosemaryyoke/streams/relay.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from rosemaryyoke.calls.retry import RetryBudget
-from rosemaryyoke.core import Kernel
+from rosemaryyoke.core import Kernel, ProcessEnd
 from rosemaryyoke.fleet import upstream_key
 from rosemaryyoke.placement.blocks import BLOCK_TOKENS
 from rosemaryyoke.placement.service import NoEngineAvailable, PlacementDecision
@@ -35,6 +35,7 @@
 MAX_RESUMES = 2
 SUSTAINED_S = 0.7  # an engine that crashes on a prompt does so as it begins to answer
 QUARANTINED_CODE = "quarantined"
+LEAVING_CODE = "leaving"
 KEY_BITS = 64
 KIND = "completion"  # keeps the fingerprints apart from those of other requests
 
@@ -107,9 +108,10 @@
 class Relay:
     """Place and relay completions; on failure continue on another engine."""
 
-    def __init__(self, kernel: Kernel, shared_key: str):
+    def __init__(self, kernel: Kernel, shared_key: str, end: ProcessEnd | None = None):
         self.kernel = kernel
         self.shared_key = shared_key
+        self.end = end or ProcessEnd()
         self.retry_budget = RetryBudget()
 
     def start(self) -> None:
@@ -119,6 +121,7 @@
         self.recorder = self.kernel.get("recorder")
         self.metrics = self.kernel.get("metrics")
         self.quarantine = self.kernel.get("quarantine").quarantine
+        self.end.subscribe(lambda: self.directory.engine_adapter.abort())
 
     def stop(self) -> None:
         """Do nothing; active relays end with their connections."""
@@ -173,6 +176,10 @@
     ) -> None:
         excluded: set[str] = set()
         for attempt_number in range(MAX_ATTEMPTS):
+            if self.end.has_begun():
+                message = "the host stopped before the completion was whole"
+                self._fail(sink, progress, LEAVING_CODE, message)
+                return
             if attempt_number and self._is_suspect(completion):
                 break
             if self._reject_banned(completion, sink, progress):
@@ -260,7 +267,7 @@
                 broke_off = broke_off and progress.next_index == received
         finally:
             self.placement.record_completion(decision)
-        if isinstance(outcome, Err):
+        if isinstance(outcome, Err) and not self.end.has_begun():
             self._record_upstream_failure(decision, outcome.err_value)
         if isinstance(outcome, Ok) or broke_off:
             crashed = isinstance(outcome, Err)
@@ -276,6 +283,7 @@
             and not error.missing
             and progress.opened
             and progress.resumes < MAX_RESUMES
+            and not self.end.has_begun()
         )
 
     def _request(
--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -154,6 +154,9 @@
     def cancel(self, address: str, request: str) -> None:
         """Cancel a request, ignoring errors."""
 
+    def abort(self) -> None:
+        """End all streams with an error, now and from now on."""
+
     def get_load_report(self, address: str) -> Result[LoadReport, UpstreamError]:
         """Return the load report of an engine or service."""
 
@@ -204,6 +207,10 @@
         url = f"http://{address}/v1/streams/{request}"
         send(HttpRequest("DELETE", url, timeout_s=CANCEL_TIMEOUT_S))
 
+    def abort(self) -> None:
+        """End all streams with an error, now and from now on."""
+        self.pump.abort()
+
     def get_load_report(self, address: str) -> Result[LoadReport, UpstreamError]:
         """Return the load report of an engine or service."""
         answer = send(
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -40,6 +40,7 @@
     a request twice.
     ``idle_timeout_s`` limits how long a streamed response may send no data.
     ``reserve`` is asked for the memory that the response's body takes.
+    ``is_aborted`` is asked about once a second whether to give up.
     """
 
     method: str
@@ -51,6 +52,7 @@
     fresh_connection: bool = False
     idle_timeout_s: int = 0
     reserve: Callable[[int], bool] = always_reserved
+    is_aborted: Callable[[], bool] | None = None
 
 
 @frozen
@@ -195,6 +197,9 @@
     if request.fresh_connection:
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
+    if request.is_aborted is not None:
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: request.is_aborted())
     if request.idle_timeout_s:
         curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
         curl.setopt(pycurl.LOW_SPEED_TIME, request.idle_timeout_s)
--- a/rosemaryyoke/wire/stream_receiver.py
+++ b/rosemaryyoke/wire/stream_receiver.py
@@ -68,6 +68,7 @@
         self.idle_handles: list[pycurl.Curl] = []
         self.timer_due_s = NO_TIMER
         self.stopping = False
+        self.aborting = False
         self.wake_reader, self.wake_writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         self.epoll = select.epoll()
         self.epoll.register(self.wake_reader, select.EPOLLIN)
@@ -85,6 +86,11 @@
         self.stopping = True
         self._wake()
 
+    def abort(self) -> None:
+        """Let all transfers fail, now and from now on."""
+        self.aborting = True
+        self._wake()
+
     def submit(
         self,
         request: HttpRequest,
@@ -110,6 +116,8 @@
         """Run the event loop until stopped."""
         while not self.stopping:
             events = self.epoll.poll(self._wait_s())
+            if self.aborting:
+                self._fail_all()
             self._start_queued()
             for descriptor, mask in events:
                 if descriptor == self.wake_reader:
@@ -123,6 +131,17 @@
                 Err(TransportError("stream receiver stopped", True))
             )
 
+    def _fail_all(self) -> None:
+        while self.queued:
+            error = TransportError("transfers are aborted", sent=False)
+            self.queued.popleft().future.set_result(Err(error))
+        for curl, transfer in list(self.active.items()):
+            del self.active[curl]
+            self.multi.remove_handle(curl)
+            curl.close()
+            error = TransportError("transfers are aborted", sent=True)
+            transfer.future.set_result(Err(error))
+
     def _wait_s(self) -> float:
         if self.queued:
             return 0.0
