Ignore SIGHUP in serve

Callers saw: SIGHUP, also during a stop, ended a host at once; its calls were cut with no answer.

Cause: serve handled SIGTERM and SIGINT only, and the default action of SIGHUP ends the process.

Evidence: test_hangup_and_repeated_signals_cut_no_call failed before; the call under way got an empty reply.

Change: serve handles SIGHUP too, and logs that settings are read at a start only.

Result: the test passes.

--- a/rosemaryyoke/entry/host.py
+++ b/rosemaryyoke/entry/host.py
@@ -89,10 +89,11 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        signals = SignalWaiter(signal.SIGTERM, signal.SIGINT)
+        signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self.kernel.start()
         logging.info("host %s is serving", self.settings.name)
-        signals.wait()
+        while set(signals.wait()) <= {signal.SIGHUP}:
+            logging.warning("SIGHUP is ignored: settings are read at a start only")
         self.shut_down()
 
     def shut_down(self) -> None:
--- a/rosemaryyoke/entry/tests/test_calls_through_stops.py
+++ b/rosemaryyoke/entry/tests/test_calls_through_stops.py
@@ -88,3 +88,19 @@
             assert (status, error["not_run"]) == (503, False)
         for status, error in (streamed, late_streamed):
             assert (status, error["code"]) == (200, "leaving")
+
+
+# Guards against SIGHUP, which ends a process that does not handle it.
+def test_hangup_and_repeated_signals_cut_no_call():
+    with System(engines=1, hosts=1) as system:
+        system.control("records0", "fault", {"slow_ms": 2000, "lose_every": 0})
+        host = system.processes["host0"]
+        with ThreadPoolExecutor(1) as pool:
+            call = pool.submit(post, system, "/services/records/1", {})
+            time.sleep(STARTED_S)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                host.signal(number)
+                time.sleep(0.2)
+            host.signal(signal.SIGTERM)
+            assert call.result().unwrap().status == 201
+        assert host.wait(30) == 0
