--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -1,5 +1,6 @@
 """A server with one task per connection, on a bounded thread pool."""
 
+import math
 import socket
 import threading
 import time
@@ -15,6 +16,7 @@
     CallerConnection,
     CallerDisconnected,
     ResponseAborted,
+    goes_on,
 )
 from rosemaryyoke.exchanges.refusal_log import RefusalLog
 from rosemaryyoke.exchanges.turns import TurnQueue
@@ -104,7 +106,7 @@
     limits: Callable[[], RequestLimits] = RequestLimits
     keep_alive_disabled: bool = False
     stopped: bool = False
-    rejecting_requests: bool = False
+    rejects_from_s: float = math.inf
     rejection_handler: Handler = reject_leaving
     open_connections: int = 0
     requests_in_progress: int = 0
@@ -146,12 +148,17 @@
             close(self.listener)
 
     def disable_keep_alive(self) -> None:
-        """Close every connection after its next response."""
+        """Close every connection once the requests sent on it are answered."""
         self.keep_alive_disabled = True
 
-    def reject_new_requests(self) -> None:
-        """Reject every request received from now on."""
-        self.rejecting_requests = True
+    def reject_new_requests(self, from_s: float = -math.inf) -> None:
+        """Reject every request received from now or from a later time on."""
+        self.rejects_from_s = from_s
+
+    @property
+    def rejecting_requests(self) -> bool:
+        """Return whether requests are rejected."""
+        return time.monotonic() >= self.rejects_from_s
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
@@ -271,7 +278,8 @@
         finally:
             close(connection)
             reservation.close()
-            reservation.evict = leave_alone  # ends the cycle of references
+            reservation.evict = leave_alone  # ends the cycles of references
+            caller.closes_next = goes_on
             with self.lock:
                 self.reservations.discard(reservation)
                 self.open_connections -= 1
@@ -283,6 +291,7 @@
     def _serve_requests(self, caller: CallerConnection) -> None:
         limits = self.limits()
         reader = RequestParser(limits.message)
+        caller.closes_next = lambda: self._closes_next(caller, reader)
         first = True
         while True:
             message = self._next_request(caller, reader, limits, first)
@@ -292,7 +301,7 @@
             if not caller.reservation.protect(time.monotonic()):
                 self._refuse_for_memory(caller, reader, "evicted")
                 return
-            caller.begin_request(message.keep_alive and self._keeps_alive(reader))
+            caller.begin_request(message.keep_alive and self._may_keep(reader))
             self._handle_request(message, caller)
             caller.release_held()
             message = None  # frees the body before the next request is awaited
@@ -302,16 +311,26 @@
             caller.reservation.begin_phase(Phase.IDLE, time.monotonic())
             caller.reservation.resize(len(reader.rest))
 
-    def _keeps_alive(self, reader: RequestParser) -> bool:
-        """Return whether a connection may serve a further request.
+    def _may_keep(self, reader: RequestParser) -> bool:
+        """Return whether a connection may keep its slot for a further request.
 
         One with requests sent ahead never waits for a client, so that nothing else
-        would ever end it in favour of new connections.
+        would ever end it in favour of new connections. A server that stops takes none.
         """
         if self.keep_alive_disabled:
-            return False
+            return True
         return not reader.rest or time.monotonic() >= self.short_until_s
 
+    def _closes_next(self, caller: CallerConnection, reader: RequestParser) -> bool:
+        """Return whether a connection is to be closed, and no request is ahead on it.
+
+        What was read behind a request that is answered would be lost with it.
+        """
+        if not self.keep_alive_disabled:
+            return False
+        ahead = reader.requests or reader.has_partial_request
+        return not (ahead or has_data(caller.socket))
+
     def _handle_request(
         self, message: RequestMessage, caller: CallerConnection
     ) -> None:
--- a/rosemaryyoke/platform/tests/test_forwarded_requests.py
+++ b/rosemaryyoke/platform/tests/test_forwarded_requests.py
@@ -3,8 +3,10 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from attrs import evolve
 
 from rosemaryyoke.exchanges.caller import CallerConnection
 from rosemaryyoke.forwarding import Envelope
@@ -305,3 +307,39 @@
     address = fleet.hosts[CUT].settings.callers
     answer = send_client_request(address, "/read/1", "GET", headers=head).responses[0]
     assert answer.status == 200
+
+
+# Guards against requests that a stopping host takes from another one, and can't finish.
+@pytest.mark.parametrize("fleet", (3,), indirect=True)
+def test_host_that_stops_leaves_forwarded_requests_to_others(fleet):
+    stopping = fleet.hosts[OTHER]
+    configuration = stopping.catalog.configuration.version
+    envelope = Envelope("front", configuration).encode()
+    stopper = threading.Thread(target=stopping.shut_down)
+    stopper.start()
+    wait_for(lambda: stopping.leaving)
+    time.sleep(0.1)
+    assert not stopping.kernel.get("callers").rejecting_requests
+    assert b"leaving" in answer_forwarded(stopping, envelope)
+    for kind in KINDS:
+        assert fleet.served(CUT, kind, 20) == 20, kind
+    stopper.join()
+
+
+# Guards against requests that end unanswered with a host that had forwarded them.
+@pytest.mark.parametrize("kind", (SAFE, UNSAFE))
+def test_request_that_a_stopping_host_forwarded_is_answered(fleet, kind):
+    released, stopping = threading.Event(), fleet.hosts[CUT]
+
+    def hold(engine, message, caller):
+        released.wait(5)
+        engine.run(message, caller)
+
+    script_all(fleet.records, hold, hold)
+    stopping.settings = evolve(stopping.settings, grace_s=1.2)
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(fleet.send, CUT, kind)
+        wait_for(lambda: received(fleet))
+        stopping.shut_down()
+        assert running.result(0.1)[0] == 502
+        released.set()
