--- a/rosemaryyoke/entry/tests/api_host.py
+++ b/rosemaryyoke/entry/tests/api_host.py
@@ -156,6 +156,10 @@
 
     engine_adapter: HttpEngineAdapter = field(factory=HttpEngineAdapter)
 
+    def kv_store_address(self):
+        """Return that there is no KV cache store."""
+        return ""
+
     def usable(self, upstreams, excluded):
         """Return the upstreams that are not excluded."""
         return [item for item in upstreams if item.name not in excluded]
--- a/rosemaryyoke/exchanges/caller.py
+++ b/rosemaryyoke/exchanges/caller.py
@@ -59,8 +59,8 @@
     return MemoryBudget(limit_bytes=sys.maxsize).reserve()
 
 
-def goes_on() -> bool:
-    """Return that further requests may follow a response."""
+def never_closes() -> bool:
+    """Return that a connection stays open behind a response."""
     return False
 
 
@@ -92,7 +92,7 @@
     held_bytes: int = 0
     write_stall_s: float = WRITE_STALL_S
     host_ends: bool = False
-    closes_next: Callable[[], bool] = goes_on
+    closes_next: Callable[[], bool] = never_closes
 
     def begin_request(self, keep_alive: bool) -> None:
         """Reset the state of the previous request and response."""
--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -16,7 +16,7 @@
     CallerConnection,
     CallerDisconnected,
     ResponseAborted,
-    goes_on,
+    never_closes,
 )
 from rosemaryyoke.exchanges.refusal_log import RefusalLog
 from rosemaryyoke.exchanges.turns import TurnQueue
@@ -279,7 +279,7 @@
             close(connection)
             reservation.close()
             reservation.evict = leave_alone  # ends the cycles of references
-            caller.closes_next = goes_on
+            caller.closes_next = never_closes
             with self.lock:
                 self.reservations.discard(reservation)
                 self.open_connections -= 1
