Report the source and age of a host's view of the store, and its role

New events: store role changed, view source changed, view stale, view current again; configuration applied has source and view_age_s. New gauges: store_role, view_age_seconds, view_reads_store. No logic changes: the new age is not used by any decision.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -14,6 +14,7 @@
 
 MAX_VERSION_HISTORY = 16
 CONFIRMATION_TTL_S = 1.9  # two long polls, and less than a change may take to apply
+STORE = "store"  # the source of a view that this host reads itself
 
 
 @frozen
@@ -38,6 +39,9 @@
     ``upstream_changes`` has the last one of each upstream that is or was registered.
     ``upstreams_position`` is a position in the store's history up to which
     ``registered`` certainly has all changes, or ``None`` if none is known.
+    ``confirmed_s`` is as of when a host that ``confirmed_by`` names confirmed the view,
+    and ``store_answered_s`` when the store last answered this host's read of the
+    upstreams.
     """
 
     configuration: Configuration | None = None
@@ -56,6 +60,8 @@
     boot: str = field(factory=lambda: f"{time.time_ns():x}")
     unread_kinds: set[str] = field(factory=set)
     confirmed_s: float = -math.inf
+    confirmed_by: str = ""
+    store_answered_s: float = -math.inf
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
 
@@ -63,8 +69,13 @@
         """Register a callback that runs after each change of the catalog."""
         self.listeners.append(listener)
 
-    def update_configuration(self, newer: Configuration, source: bytes) -> bool:
-        """Apply a configuration if it is newer; return whether it was applied."""
+    def update_configuration(
+        self, newer: Configuration, source: bytes, source_host: str = ""
+    ) -> bool:
+        """Apply a configuration if it is newer; return whether it was applied.
+
+        ``source_host`` is the host that sent it, or ``STORE``.
+        """
         with self.changed:
             current = self.configuration
             if current is not None and newer.version <= current.version:
@@ -73,7 +84,12 @@
             self.configuration_source = source
             self.changes += 1
             self.changed.notify_all()
-        log_event("configuration applied", version=newer.version)
+        log_event(
+            "configuration applied",
+            version=newer.version,
+            source=source_host or self.view_source(),
+            view_age_s=round(self.store_answer_age_s(), 3),
+        )
         self._notify_listeners()
         return True
 
@@ -208,9 +224,19 @@
             return 0.0
         return time.monotonic() - self.confirmed_s
 
-    def record_confirmation(self, age_s: float = 0.0) -> None:
+    def record_confirmation(self, age_s: float = 0.0, source: str = "") -> None:
         """Record state of another host that the store confirmed ``age_s`` ago."""
-        self.confirmed_s = max(self.confirmed_s, time.monotonic() - age_s)
+        confirmed_s = time.monotonic() - age_s
+        if confirmed_s > self.confirmed_s:
+            self.confirmed_s, self.confirmed_by = confirmed_s, source
+
+    def view_source(self) -> str:
+        """Return which host read the view from the store, ``STORE`` if this one did."""
+        return STORE if self.follows_store() else self.confirmed_by
+
+    def store_answer_age_s(self) -> float:
+        """Return how old the newest answer of the store is that the view rests on."""
+        return time.monotonic() - max(self.confirmed_s, self.store_answered_s)
 
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait until a configuration and upstreams are loaded."""
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -9,7 +9,7 @@
 from attrs import define, evolve, field
 from result import Err, Ok, Result
 
-from rosemaryyoke.catalog.catalog import Catalog
+from rosemaryyoke.catalog.catalog import STORE, Catalog
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.objects.eras import era_of
@@ -274,6 +274,7 @@
     def record_upstreams_position(self, position: int) -> None:
         """Record up to which position the catalog has the changes of upstreams."""
         self.catalog.upstreams_position = position
+        self.catalog.store_answered_s = time.monotonic()
 
     def start(self) -> None:
         """Start one thread per kind."""
@@ -322,7 +323,7 @@
         if isinstance(decoded, Err):
             logging.error("configuration is malformed: %s", decoded.err_value)
             return
-        self.catalog.update_configuration(decoded.ok_value, stored.body)
+        self.catalog.update_configuration(decoded.ok_value, stored.body, STORE)
 
     def apply_upstream_listing(self, listing: Listing) -> None:
         """Replace the upstreams; in the grace period keep those not listed."""
--- a/rosemaryyoke/core/metrics.py
+++ b/rosemaryyoke/core/metrics.py
@@ -29,9 +29,12 @@
     "refusals_total": "Answers of this host's own, by code.",
     "requests_ended_total": "Requests that ended, by cause.",
     "requests_under_way": "Requests that this host is answering.",
-    "store_answers": "Whether the store answers this host, 1 or 0.",
+    "store_answers": "Whether this host's view of the store is current, 1 or 0.",
+    "store_role": "Whether this host has a role in reading the store, 1 or 0, by role.",
     "upstreams_limited": "Upstreams that name a limit of requests.",
     "upstreams_usable": "Upstreams that may get new work.",
+    "view_age_seconds": "Age of the store's newest answer that the view rests on.",
+    "view_reads_store": "Whether this host reads the store itself, 1 or 0.",
 }
 
 
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -51,6 +51,7 @@
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
 from rosemaryyoke.hosts.version_check import VersionCheck
 from rosemaryyoke.hosts.version_register import VersionRegister
+from rosemaryyoke.hosts.view_report import ViewReport
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
 from rosemaryyoke.memory import MemoryBudget, plan_memory
@@ -82,6 +83,7 @@
 REACHABILITY_PERIOD_S = 0.25
 REGISTERS_PERIOD_S = 0.5
 TRANSFER_PERIOD_S = 0.25
+VIEW_REPORT_PERIOD_S = 0.1
 POOL_SWEEP_PERIOD_S = 1.0
 ORIGINS_PERIOD_S = 0.2
 GAUGES_PERIOD_S = 2.0
@@ -221,6 +223,7 @@
             adapter.source, self.catalog, self.roles, self.follower.replace_upstreams
         )
         self.relay = CatalogRelay(self.roles, self.catalog, self.transfer)
+        self.view_report = ViewReport(self.catalog, self.roles, self.metrics)
         self.registration = Registration(
             api,
             adapter.source.feed,
@@ -302,6 +305,7 @@
         return (
             (TICK_INTERVAL_S, self.rollout.tick),
             (TRANSFER_PERIOD_S, self.transfer.fetch),
+            (VIEW_REPORT_PERIOD_S, self.view_report.tick),
             (REGISTERS_PERIOD_S, self.registration.tick),
             (REGISTERS_PERIOD_S, self.ban_register.tick),
             (POOL_SWEEP_PERIOD_S, self.connections.close_expired),
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -181,7 +181,7 @@
         era = value.get("era", 0)
         self.catalog.eras.learn(era, host)
         source = value.get("configuration")
-        if source is not None and not self.apply_configuration(source.encode()):
+        if source is not None and not self.apply_configuration(source.encode(), host):
             return True
         declared = value.get("declared", {})
         for model, version in value.get("wanted", {}).items():
@@ -204,10 +204,10 @@
         elif "upstreams" not in value:  # the same as before, now at a later position
             self.catalog.upstreams_position = value.get("position")
         if current:
-            self.catalog.record_confirmation(age_s)
+            self.catalog.record_confirmation(age_s, host)
         return True
 
-    def apply_configuration(self, source: bytes) -> bool:
+    def apply_configuration(self, source: bytes, host: str) -> bool:
         """Apply an encoded configuration; return whether it is valid."""
         decoded = self.source.decode_configuration(StoredObject("", 0, source))
         if isinstance(decoded, Err):
@@ -215,5 +215,5 @@
                 "configuration received from a host is invalid: %s", decoded.err_value
             )
             return False
-        self.catalog.update_configuration(decoded.ok_value, source)
+        self.catalog.update_configuration(decoded.ok_value, source, host)
         return True
--- a/rosemaryyoke/hosts/watchers.py
+++ b/rosemaryyoke/hosts/watchers.py
@@ -17,6 +17,8 @@
 WATCHERS = 3  # one may fail, and the store may reject another
 RELAYS_PER_DATA_CENTRE = 2  # one may fail
 WATCHERS_KEY = b"watchers"
+WATCHER, RELAY, FOLLOWER = "watcher", "relay", "follower"
+ROLES = (WATCHER, RELAY, FOLLOWER)
 UNRESPONSIVE_BACKOFF_S = 5.0
 REFUSAL_BACKOFF_S = 0.5  # a watcher that lost the store is replaced within a second
 STORE_FAILURE_TTL_S = 5.0  # a host whose call to the store failed is then tried again
@@ -52,6 +54,14 @@
             WATCHERS_KEY, [self.host, *self.live_hosts(now_s)], WATCHERS
         )
 
+    def role(self, now_s: float) -> str:
+        """Return the name of this host's role, for logs and metrics."""
+        if self.is_watcher(now_s):
+            return WATCHER
+        live = len(self.live_hosts(now_s))
+        is_relay = live >= MIN_PEERS_FOR_HIERARCHY and not self.relays(now_s)
+        return RELAY if is_relay else FOLLOWER
+
     def watchers(self, now_s: float) -> list[HostState]:
         """Return the other hosts that are watchers."""
         eligible = self.eligible(now_s)
