--- a/rosemaryyoke/platform/tests/test_stale_views.py
+++ b/rosemaryyoke/platform/tests/test_stale_views.py
@@ -2,17 +2,13 @@
 
 import time
 
-import orjson
 import pytest
-from attrs import define, field
 
-from rosemaryyoke.exchanges.server import ConnectionServer
-from rosemaryyoke.http1 import Address
 from rosemaryyoke.http1.messages import find_header
-from rosemaryyoke.platform.names import STORE_ERA
 from rosemaryyoke.platform.standins.documents import make_configuration
-from rosemaryyoke.platform.standins.servers import StoreStandin, stop_server
+from rosemaryyoke.platform.standins.servers import StoreStandin
 from rosemaryyoke.platform.tests.deployment import start_host, wait_for
+from rosemaryyoke.platform.tests.store_links import CUT, SILENT_WATCHES, StoreLink
 from rosemaryyoke.platform.tests.test_software_versions import (
     LEARNED_S,
     NEW,
@@ -22,10 +18,7 @@
     assert_whole,
     count_mixed,
 )
-from rosemaryyoke.testing.builders import free_port
 
-CUT, SILENT_WATCHES = "cut", "silent watches"
-POLL_S = 0.01
 REJECTED_WITHIN_S = 0.5
 GOES_ON_WITHIN_S = 0.25
 RECOVERED_WITHIN_S = 4.0
@@ -33,47 +26,6 @@
 CONFIGURATION_IN_FORCE_S = 2.0
 
 
-@define(eq=False)
-class StoreLink:
-    """The store at an address for one host, whose calls may be left unanswered.
-
-    ``CUT`` holds all calls, and ``SILENT_WATCHES`` those that wait for changes, as on
-    connections that were lost without a reset.
-    """
-
-    store: StoreStandin
-    trouble: str | None = None
-    address: Address = field(init=False)
-    server: ConnectionServer = field(init=False)
-
-    def __attrs_post_init__(self):
-        self.address = Address("127.0.0.1", free_port())
-        self.server = ConnectionServer(self.address, self.answer, 64, "link")
-        self.server.start()
-
-    def answer(self, message, caller):
-        """Answer a call, or hold it as long as the trouble lasts."""
-        self.hold(message)
-        method, target = message.method.decode(), message.target.decode()
-        answer = self.store.call(method, target, message.body)
-        self.hold(message)
-        headers = [(STORE_ERA, b"%d" % answer.era)]
-        caller.send_response(answer.status, b"", headers, orjson.dumps(answer.value))
-
-    def hold(self, message):
-        """Wait for the end of the trouble, and lose the connection."""
-        waits = b"watch=" in message.target and b"waitMs=0" not in message.target
-        if self.trouble == CUT or (self.trouble == SILENT_WATCHES and waits):
-            while self.trouble:
-                time.sleep(POLL_S)
-            raise OSError("connection lost")
-
-    def stop(self):
-        """Stop listening and close the connections."""
-        self.trouble = None
-        stop_server(self.server)
-
-
 @pytest.fixture()
 def fleet():
     fleet = MixedFleet(refuses=False)
