Choose watchers by the store's answers, and refresh views that grow old

Cause: the watchers are a few hosts in a fixed order. A host found out that the store rejects it only in its turn, by a call that hangs for up to 2 s, and only then the next ones tried. Meanwhile a hanging call passed for a current view, so that nobody who polled such a host looked elsewhere.

Now the view of each host says as of when the store confirmed it, and a call under way confirms nothing. Watchers are chosen among the hosts that the store has answered lately. A host whose view is older than 0.6 of the time for a change takes the state of one with a newer view; if there is none, hosts try the store in turns of growing size, beside their other tasks, and the first that is answered tells all. Polls end when the view has been confirmed, so that ages don't add up at rest. Two watchers take the place of three: their calls are 0.8 s apart in place of 1.2 s.

Hosts of earlier builds ignore the new tables; a fleet with both has the watchers of both rules. test_eras.py: a host that has read the store now says so in its builder. test_watchers.py: as many hosts as before probe the store while nobody reads it; the constant has another name.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -9,11 +9,13 @@
 
 from rosemaryyoke.catalog.departures import Departures
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+from rosemaryyoke.catalog.timing import DEFAULT_TIMING, ViewTiming
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.objects.eras import EraRecord
 
 MAX_VERSION_HISTORY = 16
-CONFIRMATION_TTL_S = 1.9  # two long polls, and less than a change may take to apply
+CONFIRMATION_TTL_S = DEFAULT_TIMING.ttl_s
+MIN_GAIN_S = 0.1  # for which a view is fetched from another host
 STORE = "store"  # the source of a view that this host reads itself
 
 
@@ -41,7 +43,7 @@
     ``registered`` certainly has all changes, or ``None`` if none is known.
     ``confirmed_s`` is as of when a host that ``confirmed_by`` names confirmed the view,
     and ``store_answered_s`` when the store last answered this host's read of the
-    upstreams.
+    upstreams, which shows at the same time that its watches of other kinds are served.
     """
 
     configuration: Configuration | None = None
@@ -62,6 +64,7 @@
     confirmed_s: float = -math.inf
     confirmed_by: str = ""
     store_answered_s: float = -math.inf
+    timing: ViewTiming = DEFAULT_TIMING
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
 
@@ -88,21 +91,27 @@
             "configuration applied",
             version=newer.version,
             source=source_host or self.view_source(),
-            view_age_s=round(self.store_answer_age_s(), 3),
+            view_age_s=round(self.age_s(), 3),
         )
         self._notify_listeners()
         return True
 
-    def replace_upstreams(self, registered: dict[str, Upstream], era: int = 0) -> bool:
+    def replace_upstreams(
+        self,
+        registered: dict[str, Upstream],
+        era: int = 0,
+        position: int | None = None,
+    ) -> bool:
         """Replace all upstreams and log the differences; return whether it was done.
 
-        Upstreams of an older era are ignored. Registrations are written anew all the
-        time; most writes change nothing here.
+        Upstreams of an older era are ignored. Registrations are
+        written anew all the time; most writes change nothing here.
         """
         with self.changed:
             if era < self.upstreams_era:
                 return False
             before = self.upstreams
+            self.upstreams_position = position
             upstreams = self._apply_departures(registered, era)
             is_known = self.upstreams_loaded and era == self.upstreams_era
             self.registered, self.upstreams_era = registered, era
@@ -130,7 +139,9 @@
     def release_withheld(self) -> None:
         """Use withheld upstreams whose entries the store still has after their TTL."""
         if self.departures.withheld:
-            self.replace_upstreams(self.registered, self.upstreams_era)
+            self.replace_upstreams(
+                self.registered, self.upstreams_era, self.upstreams_position
+            )
 
     def update_wanted(
         self, wanted: WantedWeights, age_s: float = 0.0, is_assumed: bool = False
@@ -201,6 +212,8 @@
         with self.changed:
             if is_read == (kind not in self.unread_kinds):
                 return
+            if not is_read and self.follows_store():
+                self._confirm(self.store_answered_s, STORE)
             if is_read:
                 self.unread_kinds.discard(kind)
             else:
@@ -216,27 +229,42 @@
 
         Either this host reads the store, or a host that does confirmed the view.
         """
-        return self.is_loaded() and self.age_s() < CONFIRMATION_TTL_S
+        return self.is_loaded() and self.age_s() < self.timing.ttl_s
 
-    def age_s(self) -> float:
-        """Return how long ago the store confirmed the view to this or another host."""
+    def as_of_s(self) -> float:
+        """Return when the store last confirmed the view to this or another host."""
         if self.follows_store():
-            return 0.0
-        return time.monotonic() - self.confirmed_s
+            return max(self.confirmed_s, self.store_answered_s)
+        return self.confirmed_s
+
+    def age_s(self) -> float:
+        """Return how long ago the store confirmed the view to this or another host.
+
+        A call that the store has not answered yet confirms nothing.
+        """
+        return time.monotonic() - self.as_of_s()
+
+    def record_store_answer(self) -> None:
+        """Record that the store answered this host's read of the upstreams just now."""
+        with self.changed:
+            self.store_answered_s = time.monotonic()
+            self.changed.notify_all()
 
     def record_confirmation(self, age_s: float = 0.0, source: str = "") -> None:
-        """Record state of another host that the store confirmed ``age_s`` ago."""
-        confirmed_s = time.monotonic() - age_s
-        if confirmed_s > self.confirmed_s:
-            self.confirmed_s, self.confirmed_by = confirmed_s, source
+        """Record state that the store confirmed ``age_s`` ago to ``source``."""
+        with self.changed:
+            self._confirm(time.monotonic() - age_s, source)
+            self.changed.notify_all()
+
+    def _confirm(self, as_of_s: float, source: str) -> None:
+        if as_of_s > self.confirmed_s:
+            self.confirmed_s, self.confirmed_by = as_of_s, source
 
     def view_source(self) -> str:
         """Return which host read the view from the store, ``STORE`` if this one did."""
-        return STORE if self.follows_store() else self.confirmed_by
-
-    def store_answer_age_s(self) -> float:
-        """Return how old the newest answer of the store is that the view rests on."""
-        return time.monotonic() - max(self.confirmed_s, self.store_answered_s)
+        if self.follows_store() and self.store_answered_s >= self.confirmed_s:
+            return STORE
+        return self.confirmed_by
 
     def wait_loaded(self, timeout_s: float) -> bool:
         """Wait until a configuration and upstreams are loaded."""
@@ -263,12 +291,27 @@
         """Return an identifier of the catalog's state, valid for this process only."""
         return f"{self.boot}.{self.changes}"
 
-    def wait_changed(self, generation: str, timeout_s: float) -> bool:
-        """Wait until the generation differs and the view is current."""
+    def wait_changed(self, generation: str, known_age_s: float = 0.0) -> bool:
+        """Wait until the generation differs and the view is current, as a poll does.
+
+        A poll also ends when the view has been confirmed anew, so that those who poll
+        learn of a confirmation while it is new: after a while, or at once if their own
+        view, whose age was ``known_age_s`` at the beginning, is about to become stale.
+        """
+        started_s, as_of_s = time.monotonic(), self.as_of_s()
+
+        def is_done() -> bool:
+            if self.is_fresh() and self.generation != generation:
+                return True
+            waited_s = time.monotonic() - started_s
+            if waited_s >= self.timing.min_poll_s and self.as_of_s() > as_of_s:
+                return True
+            gained_s = self.as_of_s() - (started_s - known_age_s)
+            is_ageing = known_age_s + waited_s >= self.timing.ageing_s
+            return is_ageing and gained_s >= MIN_GAIN_S
+
         with self.changed:
-            return self.changed.wait_for(
-                lambda: self.is_fresh() and self.generation != generation, timeout_s
-            )
+            return self.changed.wait_for(is_done, self.timing.poll_s)
 
     def is_loaded(self) -> bool:
         """Return whether a configuration and upstreams are loaded."""
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -1,5 +1,6 @@
 """Follow the store's configuration and registrations, with one thread per kind."""
 
+import math
 import random
 import threading
 import time
@@ -11,6 +12,7 @@
 
 from rosemaryyoke.catalog.catalog import STORE, Catalog
 from rosemaryyoke.catalog.model import Configuration, Upstream, WantedWeights
+from rosemaryyoke.catalog.timing import DEFAULT_TIMING, ViewTiming
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.objects.eras import era_of
 from rosemaryyoke.objects.feed import FeedChanges, FeedError, Listing, ObjectFeed
@@ -19,11 +21,7 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 IDLE_WATCH_S = 4.0  # bounds how long a change is missed on a connection that hangs
-UPSTREAMS_WATCH_S = 4.0  # longest wait before a host may switch to a peer
 RECOVERY_WATCH_S = 0.1  # short, to detect soon that the store responds again
-# Share of a drain's duration between calls, so that it applies in time.
-UPSTREAMS_PAUSE_SHARE = 0.2
-DEFAULT_DRAIN_S = 2.0
 # A host that usually polls a peer tries the store less often, and not with all others.
 ORPHAN_DELAY_S = (0.4, 1.2)
 ORPHAN_BACKOFF_S = 2.0
@@ -59,6 +57,8 @@
 class KindFollower:
     """Lists one kind, then watches it for changes after the listing's position.
 
+    Calls are followed by a pause of ``pause_s``, or a shorter one so that they begin
+    ``call_period_s`` apart.
     ``poll_peer`` tries to fetch the state from a peer instead of the store and returns
     whether it succeeded. ``may_call`` tells whether the store may be called now; its
     argument is whether the next call is a watch. ``is_orphan`` tells whether this host
@@ -78,6 +78,7 @@
     poll_peer: Callable[[], bool] = lambda: False
     may_call: Callable[[bool], bool] = lambda is_watch: True
     is_orphan: Callable[[], bool] = lambda: False
+    call_period_s: float = math.inf
     position: int | None = None
     failed_since_s: float | None = None
     peer_success_s: float | None = None
@@ -92,16 +93,23 @@
                 if self.poll_peer():
                     self._record_peer_success()
                     continue
-                if not self.is_due(time.monotonic()):
+                started_s = time.monotonic()
+                if not self.is_due(started_s):
                     continue
                 outcome = self.step()
             except Exception as error:
                 logging.exception("follower of %s failed", self.kind)
                 outcome = Err(FeedError(str(error)))
             if isinstance(outcome, Err) and not outcome.err_value.history_gone:
-                self._record_failure(outcome.err_value)
+                if self.is_valid():
+                    self._record_failure(outcome.err_value)
             elif self.pause_s:
-                self.stopping.wait(self.pause_s)
+                left_s = self.call_period_s - (time.monotonic() - started_s)
+                self.stopping.wait(min(self.pause_s, max(0.0, left_s)))
+
+    def is_valid(self) -> bool:
+        """Return whether the last call tells whether the store is read."""
+        return True
 
     def is_due(self, now_s: float) -> bool:
         """Return whether to call the store now; otherwise wait for a while."""
@@ -161,9 +169,10 @@
             outage_s = now_s - self.peer_success_s
         self.failed_since_s = self.peer_success_s = None
         self.backoff_s = FIRST_BACKOFF_S
-        self.on_call(True)
-        self.on_store_status(self.kind, True)
         self.on_success(outage_s)
+        self.on_call(True)
+        if self.is_valid():
+            self.on_store_status(self.kind, True)
 
     def _record_failure(self, error: FeedError) -> None:
         now_s = time.monotonic()
@@ -180,6 +189,36 @@
         self.backoff_s = min(2 * self.backoff_s, longest_s)
 
 
+@define(eq=False)
+class DependentFollower(KindFollower):
+    """Follows a kind while this host reads the upstreams from the store.
+
+    ``reading_since_s`` tells since when it does, or ``None``. The kind is listed anew
+    each time that the host begins to read: ``began_s`` is when it did so last.
+    """
+
+    reading_since_s: Callable[[], float | None] = lambda: None
+    began_s: float | None = None
+
+    def __attrs_post_init__(self):
+        self.may_call = self.may_call_store
+
+    def may_call_store(self, is_watch: bool) -> bool:
+        """Return whether to call the store; it is watched only after a while."""
+        since_s = self.reading_since_s()
+        if since_s != self.began_s:
+            self.began_s = since_s
+            self.stop_reading()
+        if since_s is None:
+            return False
+        settling_s = SETTLING_S if self.position is not None else 0.0
+        return time.monotonic() - since_s >= settling_s
+
+    def is_valid(self) -> bool:
+        """Return whether the host has read upstreams ever since the call began."""
+        return self.began_s is None or self.began_s == self.reading_since_s()
+
+
 class Follower:
     """Updates the catalog from the store.
 
@@ -187,8 +226,7 @@
     are read only while it does, so that one call tells whether the store responds.
 
     A listing does not contain the time at which weights were declared; their age is
-    assumed to be ``assumed_weights_age_s``. ``drain_s`` is how long an upstream serves
-    on after its registration says that it is draining.
+    assumed to be ``assumed_weights_age_s``.
     """
 
     def __init__(
@@ -196,7 +234,7 @@
         source: CatalogSource,
         catalog: Catalog,
         assumed_weights_age_s: float = 0.0,
-        drain_s: float = DEFAULT_DRAIN_S,
+        timing: ViewTiming = DEFAULT_TIMING,
     ):
         self.assumed_weights_age_s = assumed_weights_age_s
         self.source = source
@@ -211,13 +249,14 @@
         self.upstream_follower = KindFollower(
             source.feed,
             source.upstreams_kind,
-            UPSTREAMS_WATCH_S,
-            UPSTREAMS_PAUSE_SHARE * drain_s,
+            timing.watch_s,
+            timing.pause_s,
             self.apply_upstream_listing,
             self.apply_upstream_changes,
             self.record_upstreams_position,
             self.handle_store_success,
             self.record_upstreams_status,
+            call_period_s=timing.call_period_s,
         )
         self.followers = [
             self.upstream_follower,
@@ -241,7 +280,7 @@
         on_changes: Callable[[FeedChanges], None],
     ) -> KindFollower:
         """Return a follower that calls the store only while upstreams are read."""
-        follower = KindFollower(
+        return DependentFollower(
             self.source.feed,
             kind,
             IDLE_WATCH_S,
@@ -249,32 +288,26 @@
             on_listing,
             on_changes,
             on_store_status=self.catalog.record_store_status,
+            reading_since_s=lambda: self.reading_since_s,
         )
 
-        def may_call(is_watch: bool) -> bool:
-            if self.reading_since_s is None:
-                if self.has_read_store:
-                    follower.stop_reading()
-                return False
-            settling_s = SETTLING_S if is_watch else 0.0
-            return time.monotonic() - self.reading_since_s >= settling_s
-
-        follower.may_call = may_call
-        return follower
-
     def record_upstreams_status(self, kind: str, is_read: bool) -> None:
         """Record whether upstreams are read from the store, and since when."""
         if not is_read:
             self.reading_since_s = None
-        elif self.reading_since_s is None:
+            for follower in self.followers:
+                self.catalog.record_store_status(follower.kind, False)
+            return
+        if self.reading_since_s is None:
             self.reading_since_s = time.monotonic()
             self.has_read_store = True
-        self.catalog.record_store_status(kind, is_read)
+            self.catalog.record_store_answer()
+        self.catalog.record_store_status(kind, True)
 
     def record_upstreams_position(self, position: int) -> None:
         """Record up to which position the catalog has the changes of upstreams."""
         self.catalog.upstreams_position = position
-        self.catalog.store_answered_s = time.monotonic()
+        self.catalog.record_store_answer()
 
     def start(self) -> None:
         """Start one thread per kind."""
@@ -291,9 +324,10 @@
         """Start a grace period after an outage.
 
         Registrations that expired during the outage are kept until their upstreams
-        have had time to register again.
+        have had time to register again. The store was not away while another host read
+        it.
         """
-        if outage_s > MIN_OUTAGE_S:
+        if min(outage_s, self.catalog.age_s()) > MIN_OUTAGE_S:
             self.grace_until_s = time.monotonic() + REREGISTRATION_GRACE_S
 
     def remove_expired(self) -> None:
@@ -305,7 +339,17 @@
             for name in self.expired:
                 self.upstreams.pop(name, None)
             self.expired.clear()
-            self._publish_upstreams(self.catalog.upstreams_era)
+            catalog = self.catalog
+            self._publish_upstreams(catalog.upstreams_era, catalog.upstreams_position)
+
+    def listing_handlers(self) -> list[tuple[str, Callable[[Listing], None]]]:
+        """Return what applies a listing of each kind; the operators' come first."""
+        source = self.source
+        return [
+            (source.configuration_kind, self.apply_configuration_listing),
+            (source.weights_kind, self.apply_wanted_listing),
+            (source.upstreams_kind, self.apply_upstream_listing),
+        ]
 
     def apply_configuration_listing(self, listing: Listing) -> None:
         """Apply the configurations in a listing."""
@@ -344,7 +388,7 @@
             for name in self.expired:
                 listed[name] = self.upstreams[name]
             self.upstreams = listed
-            self._publish_upstreams(era)
+            self._publish_upstreams(era, listing.position)
 
     def _begin_era(self, position: int) -> None:
         """Keep upstreams whose registration the store has lost until they register."""
@@ -353,14 +397,19 @@
         if is_restored and self.catalog.upstreams_loaded:
             self.grace_until_s = time.monotonic() + REREGISTRATION_GRACE_S
 
-    def replace_upstreams(self, upstreams: dict[str, Upstream], era: int = 0) -> None:
-        """Replace the upstreams by those received from a peer."""
+    def replace_upstreams(
+        self,
+        upstreams: dict[str, Upstream],
+        era: int = 0,
+        position: int | None = None,
+    ) -> None:
+        """Replace the upstreams by those received from a peer, unless it is behind."""
         with self.lock:
             if era < self.catalog.upstreams_era:
                 return
             self.expired.clear()
             self.upstreams = dict(upstreams)
-            self._publish_upstreams(era)
+            self._publish_upstreams(era, position)
 
     def apply_upstream_changes(self, changes: FeedChanges) -> None:
         """Apply changed and removed upstreams."""
@@ -370,10 +419,10 @@
                 return
             for change in changes.changes:
                 self._apply_upstream_change(change.object, change.removed)
-            self._publish_upstreams(era)
+            self._publish_upstreams(era, changes.position)
 
-    def _publish_upstreams(self, era: int) -> None:
-        self.catalog.replace_upstreams(dict(self.upstreams), era)
+    def _publish_upstreams(self, era: int, position: int | None) -> None:
+        self.catalog.replace_upstreams(dict(self.upstreams), era, position)
 
     def _apply_upstream_change(self, stored: StoredObject, removed: bool) -> None:
         if removed:
@@ -413,9 +462,13 @@
         return time.monotonic() < self.grace_until_s
 
     def apply_wanted_listing(self, listing: Listing) -> None:
-        """Apply the declared weights versions in a listing."""
+        """Apply the declared weights versions in a listing.
+
+        New ones were declared after the store last confirmed the view.
+        """
+        age_s = min(self.assumed_weights_age_s, self.catalog.age_s())
         for stored in listing.objects:
-            self._update_wanted(stored, self.assumed_weights_age_s, is_assumed=True)
+            self._update_wanted(stored, age_s, is_assumed=True)
 
     def apply_wanted_changes(self, changes: FeedChanges) -> None:
         """Apply changed weights versions."""
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -222,3 +222,27 @@
     assert not stale.is_fresh()
     stale.record_confirmation(age_s=CONFIRMATION_TTL_S)
     assert not stale.is_fresh()
+
+
+# Guards against a host that counts as following the store by a call that hangs.
+def test_view_grows_old_while_a_call_hangs():
+    _, upstreams, catalog, _ = make_follower(Ok(Listing(1)))
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    catalog.unread_kinds.discard("configuration")
+    upstreams.step()
+    assert catalog.follows_store() and catalog.is_fresh()
+    catalog.store_answered_s -= CONFIRMATION_TTL_S
+    assert catalog.follows_store() and not catalog.is_fresh()
+    assert catalog.age_s() >= CONFIRMATION_TTL_S
+
+
+# Guards against registrations kept for upstreams that are gone, because this host alone
+# was turned away by the store.
+def test_no_grace_period_while_others_read_the_store():
+    follower, _, catalog, _ = make_follower()
+    catalog.record_confirmation(0.3, "h2")
+    follower.handle_store_success(outage_s=5.0)
+    assert not follower._in_grace()
+    catalog.confirmed_s -= 5.0
+    follower.handle_store_success(outage_s=5.0)
+    assert follower._in_grace()
--- a/rosemaryyoke/exchanges/host.py
+++ b/rosemaryyoke/exchanges/host.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Follower
-from rosemaryyoke.catalog.follower import UPSTREAMS_WATCH_S
+from rosemaryyoke.catalog.timing import ViewTiming
 from rosemaryyoke.core import (
     Kernel,
     Metrics,
@@ -51,6 +51,7 @@
 from rosemaryyoke.hosts.transfer import StateTransfer, answer_state
 from rosemaryyoke.hosts.version_check import VersionCheck
 from rosemaryyoke.hosts.version_register import VersionRegister
+from rosemaryyoke.hosts.view_guard import StoreReader, ViewGuard
 from rosemaryyoke.hosts.view_report import ViewReport
 from rosemaryyoke.hosts.watchers import WatcherRoles
 from rosemaryyoke.http1 import Address, MessageLimits
@@ -83,13 +84,10 @@
 REACHABILITY_PERIOD_S = 0.25
 REGISTERS_PERIOD_S = 0.5
 TRANSFER_PERIOD_S = 0.25
-VIEW_REPORT_PERIOD_S = 0.1
+VIEW_REPORT_PERIOD_S = 0.25
 POOL_SWEEP_PERIOD_S = 1.0
 ORIGINS_PERIOD_S = 0.2
 GAUGES_PERIOD_S = 2.0
-SHARED_WATCH_TIMEOUT_S = (
-    0.8  # lets a disconnected watcher notice before it affects others
-)
 CATALOG_TARGET = CATALOG_PATH.encode()
 INITIAL_WEIGHTS_GRACE_S = (
     4.0  # for engines to load weights already announced when a host starts
@@ -152,13 +150,16 @@
         settings, adapter, add = self.settings, self.adapter, self.kernel.add
         self.metrics = Metrics()
         self.plan_memory()
-        self.catalog = Catalog(eras=adapter.eras)
+        timing = ViewTiming.for_bound(min(settings.drain_s, settings.apply_s))
+        self.catalog = Catalog(eras=adapter.eras, timing=timing)
         self.fleet = Fleet(self.catalog)
         self.catalog.subscribe(self.fleet.refresh)
         self.catalog.subscribe(self.close_removed_upstreams)
         self.table = HostTable(settings.peers, settings.name, settings.data_centre)
         self.table.add_candidates(settings.seeds, time.monotonic())
-        self.roles = WatcherRoles(settings.name, settings.data_centre, self.table)
+        self.roles = WatcherRoles(
+            settings.name, settings.data_centre, self.table, timing=timing
+        )
         api = ReportingObjectApi(adapter.api, self.record_store_call)
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -223,6 +224,13 @@
             adapter.source, self.catalog, self.roles, self.follower.replace_upstreams
         )
         self.relay = CatalogRelay(self.roles, self.catalog, self.transfer)
+        self.view_guard = ViewGuard(
+            self.catalog,
+            self.roles,
+            self.transfer,
+            StoreReader(self.follower, self.roles, self.beacons.announce),
+            self.beacons.announce,
+        )
         self.view_report = ViewReport(self.catalog, self.roles, self.metrics)
         self.registration = Registration(
             api,
@@ -244,6 +252,7 @@
         add("timer", self.timer)
         add("follower", self.follower)
         add("beacons", self.beacons)
+        add("view_guard", self.view_guard)
         add("quotas", self.quotas)
         add("peers", self.peers_server())
         add("readiness", self.readiness_server())
@@ -277,11 +286,12 @@
     def make_follower(self) -> Follower:
         """Return the tasks that follow the store or a watcher."""
         age_s = max(0.0, self.settings.weights_bound_s - INITIAL_WEIGHTS_GRACE_S)
-        source, drain_s = self.adapter.source, self.settings.drain_s
-        follower = Follower(source, self.catalog, age_s, drain_s)
+        source = self.adapter.source
+        follower = Follower(source, self.catalog, age_s, self.catalog.timing)
         upstreams = follower.upstream_follower
         upstreams.poll_peer = self.poll_watcher
-        upstreams.on_call = self.record_store_call
+        upstreams.on_call = self.record_store_read
+        upstreams.may_call = self.may_read_store
         upstreams.is_orphan = self.is_orphan
         return follower
 
@@ -400,6 +410,8 @@
             self.fleet.brittle_reports(),
             unreachable=self.reachability.unreachable_keys(),
             cut_off=self.reachability.is_cut_off(),
+            reads_store=self.roles.reads_store(time.monotonic()),
+            view_as_of_s=self.catalog.as_of_s(),
         )
 
     def addresses_for(self, data_centre: str) -> list[Address]:
@@ -434,16 +446,28 @@
         self.fleet.update_hosts(self.settings.name, self.table.known_hosts())
 
     def poll_watcher(self) -> bool:
-        """Poll another host for changes; watch briefly if others rely on this one."""
-        shared = self.roles.is_watcher(time.monotonic()) and self.fleet.hosts > 1
-        wait_s = SHARED_WATCH_TIMEOUT_S if shared else UPSTREAMS_WATCH_S
-        self.follower.upstream_follower.wait_s = wait_s
+        """Poll another host for changes, unless this one reads the store."""
         return self.relay.poll()
 
     def is_orphan(self) -> bool:
         """Return whether this host reads the store only for lack of a watcher."""
         now_s = time.monotonic()
-        return not (self.roles.is_watcher(now_s) or self.roles.is_first_choice(now_s))
+        return not (self.roles.is_watcher(now_s) or self.roles.is_prober(now_s))
+
+    def may_read_store(self, is_watch: bool) -> bool:
+        """Return whether to call the store though no other host can be polled.
+
+        A host with a view is kept current by the guard of its view.
+        """
+        if not self.is_orphan() or not self.catalog.is_loaded():
+            return True
+        if is_watch:
+            self.follower.upstream_follower.stop_reading()
+        return False
+
+    def record_store_read(self, success: bool) -> None:
+        """Record whether the store answered a read of the upstreams."""
+        self.roles.record_store_read(success, time.monotonic())
 
     def record_store_call(self, success: bool) -> None:
         """Record whether the store answered a call of this host."""
--- a/rosemaryyoke/exchanges/settings.py
+++ b/rosemaryyoke/exchanges/settings.py
@@ -20,6 +20,7 @@
     announced. ``retry_ratio`` and ``retry_slack`` limit the retries of all
     hosts together in ``retry_window_s``. ``grace_s`` limits the time of a shutdown.
     ``drain_s`` is how long an upstream serves on after it announced that it leaves.
+    ``apply_s`` is the time within which a changed configuration must be in force.
     ``quota_overage`` and ``quota_slack`` are what an account may have beyond its quota
     in any ``quota_window_s``, as a ratio and in the unit of the quota.
     ``link_mbps`` is the rate of the host's network link, and ``memory_mb`` the memory
@@ -39,6 +40,7 @@
     metrics_port: int = DEFAULT_METRICS_PORT
     grace_s: float = 8.0
     drain_s: float = 2.0
+    apply_s: float = 2.0
     link_mbps: float = DEFAULT_LINK_MBPS
     lease_s: float = 3.0
     weights_bound_s: float = 15.0
--- a/rosemaryyoke/hosts/beacon.capnp
+++ b/rosemaryyoke/hosts/beacon.capnp
@@ -27,6 +27,7 @@
   unreachable @19 :Data;
   cutOff @20 :Bool;
   brittle @21 :Data;
+  view @22 :Data;  # whether the host reads the store, and the age of its view
 }
 
 # The aggregated state of a data centre, sent to another one in several datagrams. The
@@ -45,6 +46,7 @@
   limits @9 :Data;
   unreachable @10 :Data;  # of hosts
   brittle @11 :Data;
+  views @12 :Data;  # of hosts
 }
 
 # What a host tells all others as soon as it learns of it: how attempts on prompts that
--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -28,7 +28,11 @@
 )
 from rosemaryyoke.hosts.digests import batched, make_digests, make_host_digests
 from rosemaryyoke.hosts.pacer import Pacer
-from rosemaryyoke.hosts.table import HostTable, peers_in_data_centre
+from rosemaryyoke.hosts.table import (
+    MIN_PEERS_FOR_HIERARCHY,
+    HostTable,
+    peers_in_data_centre,
+)
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.objects.eras import EraRecord
 
@@ -140,6 +144,22 @@
             beacon, _ = self.send_beacon()
             self.send_digests(beacon)
 
+    def announce(self) -> None:
+        """Send this host's state to all other hosts, also of other data centres."""
+        with self.lock:
+            beacon, _ = self.send_beacon()
+            peers = self.table.live_peers(self.now_s())
+            if len(peers) < MIN_PEERS_FOR_HIERARCHY:
+                return
+            own = self.table.data_centre
+            remote = [
+                peer.beacon.peer_address
+                for peer in peers
+                if peer.beacon.data_centre != own
+            ]
+            for digest in make_host_digests(own, [beacon]):
+                self.send_to_all(RELAYED_DIGEST + encode_digest(digest), remote)
+
     def send_beacon(self) -> tuple[Beacon, int]:
         """Send a beacon; return it and the number of its destinations."""
         self.sequence += 1
--- a/rosemaryyoke/hosts/codec.py
+++ b/rosemaryyoke/hosts/codec.py
@@ -3,7 +3,7 @@
 import struct
 import time
 from pathlib import Path
-from typing import Mapping
+from typing import Any, Mapping
 
 import capnp
 from attrs import frozen
@@ -12,6 +12,7 @@
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.packed_rows import (
     add_unreachable,
+    add_views,
     decode_brittle,
     decode_hosts,
     decode_incarnations,
@@ -29,6 +30,7 @@
     encode_services,
     encode_unreachable,
     encode_upstream_names,
+    encode_views,
 )
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.quarantine import Ban, PromptOutcome
@@ -129,6 +131,7 @@
         unreachable=encode_services(beacon.unreachable),
         brittle=encode_brittle(beacon.brittle, time.monotonic()),
         cutOff=beacon.cut_off,
+        view=encode_views([beacon], time.monotonic()),
     )
     return message.to_bytes_packed()
 
@@ -140,7 +143,7 @@
     """
     try:
         message = SCHEMA.Beacon.from_bytes_packed(data)
-        return Beacon(
+        beacon = Beacon(
             message.host,
             message.boot,
             message.sequence,
@@ -164,6 +167,7 @@
             unreachable=decode_services(message.unreachable),
             cut_off=message.cutOff,
         )
+        return add_views((beacon,), message.view, time.monotonic())[0]
     except DECODING_ERRORS as error:
         raise MalformedBeacon(str(error)) from error
 
@@ -183,6 +187,7 @@
         limits=encode_limits(digest.limits, time.monotonic()),
         unreachable=encode_unreachable(digest.hosts),
         brittle=encode_brittle(digest.brittle, time.monotonic()),
+        views=encode_views(digest.hosts, time.monotonic()),
     ).to_bytes_packed()
 
 
@@ -193,9 +198,7 @@
         data_centre = message.dataCentre
         return Digest(
             data_centre,
-            add_unreachable(
-                decode_hosts(message.hosts, data_centre), message.unreachable
-            ),
+            decode_digest_hosts(message),
             message.tellsLoads,
             decode_loads(message.loads, names_by_key),
             decode_upstream_names(message.loading, names_by_key),
@@ -210,6 +213,13 @@
         raise MalformedBeacon(str(error)) from error
 
 
+def decode_digest_hosts(message: Any) -> tuple[HostState, ...]:
+    """Decode the hosts of a digest, each with what other tables say of it."""
+    hosts = decode_hosts(message.hosts, message.dataCentre)
+    hosts = add_unreachable(hosts, message.unreachable)
+    return add_views(hosts, message.views, time.monotonic())
+
+
 def encode_notice(notice: QuarantineNotice) -> bytes:
     """Encode a notice as a datagram."""
     now_s = time.monotonic()
--- a/rosemaryyoke/hosts/host_state.py
+++ b/rosemaryyoke/hosts/host_state.py
@@ -1,5 +1,7 @@
 """Identity and state of a host, as other hosts receive it."""
 
+import math
+
 from attrs import field, frozen
 
 from rosemaryyoke.http1 import Address
@@ -12,7 +14,9 @@
     ``boot`` identifies one start of the process; later starts have greater values.
     Within a boot, the state with the greater ``sequence`` is the newer one.
     ``unreachable`` are the keys of the services that the host reaches no upstream of;
-    it is ``cut_off`` if these are all.
+    it is ``cut_off`` if these are all. ``reads_store`` tells whether the store has
+    answered the host lately, and ``view_as_of_s`` when the store confirmed its view to
+    it or another host, on the clock of the host that has this state.
     """
 
     host: str
@@ -27,3 +31,5 @@
     configuration: int = 0
     unreachable: frozenset[int] = field(default=frozenset(), kw_only=True)
     cut_off: bool = field(default=False, kw_only=True)
+    reads_store: bool = field(default=False, kw_only=True)
+    view_as_of_s: float = field(default=-math.inf, kw_only=True)
--- a/rosemaryyoke/hosts/packed_rows.py
+++ b/rosemaryyoke/hosts/packed_rows.py
@@ -3,6 +3,7 @@
 Rows are little-endian; addresses are in network byte order.
 """
 
+import math
 import socket
 import struct
 from itertools import chain
@@ -10,7 +11,7 @@
 
 from attrs import evolve
 
-from rosemaryyoke.core.ages import age_ms, time_of_age
+from rosemaryyoke.core.ages import MAX_AGE_MS, age_ms, time_of_age
 from rosemaryyoke.fleet import (
     BrittleReport,
     HashedPart,
@@ -35,6 +36,7 @@
 READ_HEADER = struct.Struct("<I?B")  # upstream key, saved flag, part count
 PART_ROW = struct.Struct("<QI")  # part key, token count
 ADDRESS_ROW = struct.Struct("!4sH")  # IPv4 address, port
+VIEW_ROW = struct.Struct("<?I")  # whether the host reads the store, age of its view
 # Boot, sequence, configuration, ready, leaving, store reachable, name length.
 HOST_HEADER = struct.Struct("<QQQ???B")
 
@@ -106,6 +108,40 @@
     return tuple(changed)
 
 
+def encode_views(hosts: Iterable[HostState], now_s: float) -> bytes:
+    """Encode a table of the hosts' views of the store, one row for each host."""
+    return b"".join(
+        VIEW_ROW.pack(
+            host.reads_store,
+            (
+                MAX_AGE_MS
+                if math.isinf(host.view_as_of_s)
+                else age_ms(host.view_as_of_s, now_s)
+            ),
+        )
+        for host in hosts
+    )
+
+
+def add_views(
+    hosts: tuple[HostState, ...], data: bytes, now_s: float
+) -> tuple[HostState, ...]:
+    """Return the hosts with their views; earlier builds send none."""
+    if not data:
+        return hosts
+    rows = [*VIEW_ROW.iter_unpack(data)]
+    if len(rows) != len(hosts):
+        raise ValueError(f"{len(rows)} views of {len(hosts)} hosts")
+    return tuple(
+        evolve(
+            host,
+            reads_store=reads_store,
+            view_as_of_s=-math.inf if age == MAX_AGE_MS else time_of_age(age, now_s),
+        )
+        for host, (reads_store, age) in zip(hosts, rows)
+    )
+
+
 def encode_incarnations(keys: Iterable[int]) -> bytes:
     """Encode a table of the keys of upstreams' incarnations."""
     return b"".join(INCARNATION_KEY_ROW.pack(key) for key in keys)
--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -17,9 +17,10 @@
 from rosemaryyoke.http1 import HttpClient, RequestMessage
 
 CATALOG_PATH = "/catalog"
-LONG_POLL_S = 0.8
-REQUEST_TIMEOUT_S = 1.2  # a drain must be in force 2 s after its acknowledgement
+RESPONSE_MARGIN_S = 0.4  # beyond the time for which a poll waits
+MS_PER_S = 1_000
 COMPRESSION_LEVEL = 1
+MAX_POLL_AGE_S = 60.0
 MAX_CATALOG_BYTES = 32 * 1024 * 1024
 COMPRESSED_TYPE = (b"Content-Type", b"application/zlib")
 
@@ -33,7 +34,8 @@
     query = parse_qs(urlsplit(message.target.decode("latin-1")).query)
     generation = query.get("generation", [""])[0]
     configuration = int(query.get("configuration", ["0"])[0])
-    catalog.wait_changed(generation, LONG_POLL_S)
+    age_ms = int(query.get("age_ms", ["0"])[0])
+    catalog.wait_changed(generation, age_ms / MS_PER_S)
     if not catalog.is_fresh():
         caller.send_error(503, "cut_off", "this host has no current view of the store")
         return
@@ -107,7 +109,10 @@
             self.client = HttpClient(peer.peer_address)
         version = self.catalog.configuration.version
         target = f"{CATALOG_PATH}?generation={self.generation}&configuration={version}"
-        reply = self.client.request("GET", target, timeout_s=REQUEST_TIMEOUT_S)
+        age_s = min(self.catalog.age_s(), MAX_POLL_AGE_S)
+        target += f"&age_ms={int(age_s * MS_PER_S)}"
+        timeout_s = self.catalog.timing.poll_s + RESPONSE_MARGIN_S
+        reply = self.client.request("GET", target, timeout_s=timeout_s)
         if isinstance(reply, Err) or not reply.ok_value.ok:
             refused = not isinstance(reply, Err)
             logging.warning("polling host %s failed refused=%s", peer.host, refused)
--- a/rosemaryyoke/hosts/tests/test_eras.py
+++ b/rosemaryyoke/hosts/tests/test_eras.py
@@ -31,6 +31,7 @@
     catalog.update_configuration(Configuration(1, (), {}), b"")
     catalog.eras.learn(era, "store")
     catalog.replace_upstreams({item.name: item for item in upstreams}, era)
+    catalog.record_store_answer()
     return catalog
 
 
--- a/rosemaryyoke/hosts/tests/test_view_report.py
+++ b/rosemaryyoke/hosts/tests/test_view_report.py
@@ -5,9 +5,10 @@
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.catalog.catalog import STORE
+from rosemaryyoke.catalog.model import Configuration
 from rosemaryyoke.core import Metrics
 from rosemaryyoke.hosts.tests.test_watchers import make_hosts, make_roles
-from rosemaryyoke.hosts.view_report import STALE_AGE_S, ViewReport
+from rosemaryyoke.hosts.view_report import ViewReport
 from rosemaryyoke.hosts.watchers import FOLLOWER, RELAY, ROLES, WATCHER
 
 
@@ -33,7 +34,8 @@
     assert report.source == "h7" and report.metrics.value("view_age_seconds") < 0.1
     report.tick()
     assert messages(caplog) == []
-    report.catalog.confirmed_s = time.monotonic() - STALE_AGE_S - 0.1
+    max_age_s = report.catalog.timing.max_age_s
+    report.catalog.confirmed_s = time.monotonic() - max_age_s - 0.1
     report.tick()
     report.tick()
     assert messages(caplog) == ["view stale"]
@@ -46,9 +48,12 @@
     catalog = Catalog()
     assert catalog.view_source() != STORE
     catalog.record_confirmation(0.5, "h7")
-    assert 0.5 <= catalog.store_answer_age_s() < 0.6
-    catalog.store_answered_s = time.monotonic()
-    assert catalog.store_answer_age_s() < 0.1
+    assert 0.5 <= catalog.age_s() < 0.6
+    catalog.record_store_answer()
+    assert catalog.age_s() >= 0.5
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    catalog.replace_upstreams({})
+    assert catalog.age_s() < 0.1 and catalog.view_source() == STORE
 
 
 def test_role_of_each_host_is_told():
--- a/rosemaryyoke/hosts/tests/test_watchers.py
+++ b/rosemaryyoke/hosts/tests/test_watchers.py
@@ -11,6 +11,7 @@
 from rosemaryyoke.hosts.table import HostTable
 from rosemaryyoke.hosts.tests.test_table import make_beacon
 from rosemaryyoke.hosts.watchers import (
+    FIRST_CHOICES,
     RELAYS_PER_DATA_CENTRE,
     STORE_FAILURE_TTL_S,
     WATCHERS,
@@ -93,8 +94,8 @@
     for item in roles.values():
         item.record_store_call(False, 0.0)
     assert not watchers(roles)
-    probing = [name for name, item in roles.items() if item.is_first_choice(0.0)]
-    assert len(probing) == WATCHERS
+    probing = [name for name, item in roles.items() if item.is_prober(0.0)]
+    assert len(probing) == FIRST_CHOICES
     after_s = STORE_FAILURE_TTL_S + 0.1
     assert all(item.reaches_store(after_s) for item in roles.values())
 
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -17,11 +17,12 @@
 from rosemaryyoke.objects.objects import StoredObject
 
 STATE_PATH = "/state"
-REQUEST_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 0.6
 # The store, or the host that this one polls, usually tells within milliseconds.
 NEWER_CONFIGURATION_WAIT_S = 0.2
 MAX_ASKED = 4  # hosts, of which some may have just started, too
-# What operators write; the rest of a state is older than what the store tells.
+# What operators write; the rest of a state without a position may be older than what
+# the store tells.
 OPERATORS_KEYS = ("era", "configuration", "wanted", "declared")
 JSON_TYPE = (b"Content-Type", b"application/json")
 
@@ -106,7 +107,7 @@
     source: CatalogSource
     catalog: Catalog
     roles: WatcherRoles
-    set_upstreams: Callable[[dict[str, Upstream], int], None]
+    set_upstreams: Callable[[dict[str, Upstream], int, int | None], object]
     behind_since_s: float | None = None
     asked: set[str] = field(factory=set)
 
@@ -123,16 +124,20 @@
         if peer is None:
             return
         self.behind_since_s = None
+        self.fetch_from(peer)
+
+    def fetch_from(self, peer: HostState) -> bool:
+        """Fetch and apply the state of a host; return whether it answered."""
         reply = send_request(
             peer.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
         )
         if isinstance(reply, Err) or not reply.ok_value.ok:
             logging.warning("state transfer from host=%s failed", peer.host)
-            return
+            return False
         value = reply.ok_value.json()
-        if self.catalog.follows_store():
+        if self.catalog.follows_store() and value.get("position") is None:
             value = {key: value[key] for key in OPERATORS_KEYS if key in value}
-        self.apply(value, value.get("age_s"), peer.host)
+        return self.apply(value, value.get("age_s"), peer.host)
 
     def is_behind(self, now_s: float) -> bool:
         """Return whether another host has had a newer configuration for a while."""
@@ -199,8 +204,7 @@
             for name in value.get("removed", ()):
                 known.pop(name, None)
             known.update(decode_upstreams(value["upstreams"], host))
-            self.set_upstreams(known, era)
-            self.catalog.upstreams_position = value.get("position")
+            self.set_upstreams(known, era, value.get("position"))
         elif "upstreams" not in value:  # the same as before, now at a later position
             self.catalog.upstreams_position = value.get("position")
         if current:
--- a/rosemaryyoke/hosts/view_report.py
+++ b/rosemaryyoke/hosts/view_report.py
@@ -10,8 +10,6 @@
 from rosemaryyoke.core.logs import log_event
 from rosemaryyoke.hosts.watchers import ROLES, WatcherRoles
 
-STALE_AGE_S = 1.0  # half of the time within which changes must be in force
-
 
 @define(eq=False)
 class ViewReport:
@@ -27,7 +25,7 @@
     def tick(self) -> None:
         """Log what has changed and update the metrics."""
         now_s = time.monotonic()
-        age_s = self.catalog.store_answer_age_s()
+        age_s = self.catalog.age_s()
         self.update_role(self.roles.role(now_s), now_s)
         self.update_source(self.catalog.view_source(), age_s)
         self.update_staleness(age_s)
@@ -58,7 +56,7 @@
 
     def update_staleness(self, age_s: float) -> None:
         """Log when the view becomes stale and when it is current again."""
-        is_stale = age_s > STALE_AGE_S
+        is_stale = age_s > self.catalog.timing.max_age_s
         if is_stale != self.is_stale:
             message = "view stale" if is_stale else "view current again"
             log_event(message, source=self.source, view_age_s=round(age_s, 3))
--- a/rosemaryyoke/hosts/watchers.py
+++ b/rosemaryyoke/hosts/watchers.py
@@ -10,11 +10,13 @@
 
 from attrs import define, field
 
+from rosemaryyoke.catalog.timing import DEFAULT_TIMING, ViewTiming
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.table import MIN_PEERS_FOR_HIERARCHY, HostTable
 from rosemaryyoke.placement.rendezvous import rank
 
-WATCHERS = 3  # one may fail, and the store may reject another
+WATCHERS = 2  # one may fail; others find out soon if the store rejects both
+FIRST_CHOICES = 3  # hosts that probe the store while nobody reads it
 RELAYS_PER_DATA_CENTRE = 2  # one may fail
 WATCHERS_KEY = b"watchers"
 WATCHER, RELAY, FOLLOWER = "watcher", "relay", "follower"
@@ -28,8 +30,10 @@
 class WatcherRoles:
     """The role of this host, and its view of the watchers and relays.
 
-    Times are those of the monotonic clock. A host whose last call to the store failed
-    is replaced as a watcher, because a store may reject single hosts.
+    Times are those of the monotonic clock. A store may reject single hosts, so the
+    watchers are chosen among the hosts that read it now: a host becomes one only after
+    the store has answered it. While no host is known to read the store, they are chosen
+    among those that are not known to have failed.
     """
 
     host: str
@@ -37,23 +41,48 @@
     table: HostTable
     avoid_until_s: dict[str, float] = field(factory=dict)
     store_failed_s: float = -math.inf
+    store_read_s: float = -math.inf
+    timing: ViewTiming = DEFAULT_TIMING
 
     def is_watcher(self, now_s: float) -> bool:
         """Return whether this host must read the store for itself and others."""
+        reading = self.reading(now_s)
+        if reading:
+            return self.host in rank(WATCHERS_KEY, reading, WATCHERS)
         eligible = [*self.eligible(now_s)]
         if self.reaches_store(now_s):
             eligible.append(self.host)
         return self.host in rank(WATCHERS_KEY, eligible, WATCHERS)
 
-    def is_first_choice(self, now_s: float) -> bool:
-        """Return whether this host would be a watcher if all hosts reached the store.
-
-        While the store is down, only these hosts probe it often.
-        """
-        return self.host in rank(
-            WATCHERS_KEY, [self.host, *self.live_hosts(now_s)], WATCHERS
+    def is_candidate(self, now_s: float) -> bool:
+        """Return whether this host is to find out if it can be a missing watcher."""
+        reading = self.reading(now_s)
+        missing = WATCHERS - len(reading)
+        if not reading or missing <= 0 or not self.reaches_store(now_s):
+            return False
+        others = self.eligible(now_s).keys() - set(reading)
+        return self.host not in reading and self.host in rank(
+            WATCHERS_KEY, [self.host, *others], missing
         )
 
+    def is_prober(self, now_s: float) -> bool:
+        """Return whether this host probes the store often while nobody reads it."""
+        return not self.reading(now_s) and self.position(now_s) < FIRST_CHOICES
+
+    def position(self, now_s: float) -> int:
+        """Return this host's place in the order in which hosts try the store."""
+        names = [self.host, *self.live_hosts(now_s)]
+        return rank(WATCHERS_KEY, names, len(names)).index(self.host)
+
+    def reading(self, now_s: float) -> list[str]:
+        """Return the hosts that read the store now, as far as is known."""
+        found = [
+            name
+            for name, state in self.live_hosts(now_s).items()
+            if state.ready and state.reads_store
+        ]
+        return [*found, self.host] if self.reads_store(now_s) else found
+
     def role(self, now_s: float) -> str:
         """Return the name of this host's role, for logs and metrics."""
         if self.is_watcher(now_s):
@@ -65,7 +94,12 @@
     def watchers(self, now_s: float) -> list[HostState]:
         """Return the other hosts that are watchers."""
         eligible = self.eligible(now_s)
-        return [eligible[name] for name in rank(WATCHERS_KEY, eligible, WATCHERS)]
+        reading = [name for name in self.reading(now_s) if name != self.host]
+        names = rank(WATCHERS_KEY, reading, WATCHERS)
+        if not names:
+            names = rank(WATCHERS_KEY, eligible, WATCHERS)
+        live = self.live_hosts(now_s)
+        return [live[name] for name in names if name in live]
 
     def relays(self, now_s: float) -> list[HostState]:
         """Return this data centre's relays; none on a relay or in a small fleet."""
@@ -100,6 +134,15 @@
         """Record whether the store answered a call of this host."""
         self.store_failed_s = -math.inf if success else now_s
 
+    def record_store_read(self, success: bool, now_s: float) -> None:
+        """Record the outcome of a read of the store's state by this host."""
+        self.record_store_call(success, now_s)
+        self.store_read_s = now_s if success else -math.inf
+
+    def reads_store(self, now_s: float) -> bool:
+        """Return whether this host has read the store's state lately."""
+        return now_s - self.store_read_s < self.timing.reading_ttl_s
+
     def reaches_store(self, now_s: float) -> bool:
         """Return whether no recent call of this host to the store has failed."""
         return now_s - self.store_failed_s > STORE_FAILURE_TTL_S
--- a/rosemaryyoke/platform/settings_file.py
+++ b/rosemaryyoke/platform/settings_file.py
@@ -18,6 +18,7 @@
 BOUNDS = {
     "graceS": ("grace_s", SECONDS),
     "drainMs": ("drain_s", MILLISECONDS),
+    "configApplyMs": ("apply_s", MILLISECONDS),
     "leaseMs": ("lease_s", MILLISECONDS),
     "versionMs": ("weights_bound_s", MILLISECONDS),
     "retryBudgetRatio": ("retry_ratio", RATIO),
--- a/rosemaryyoke/platform/tests/store_links.py
+++ b/rosemaryyoke/platform/tests/store_links.py
@@ -1,5 +1,6 @@
 """Hosts on loopback whose calls to the store can be rejected one host at a time."""
 
+import threading
 import time
 
 import orjson
@@ -23,7 +24,7 @@
 from rosemaryyoke.testing.builders import free_port
 
 CUT, SILENT_WATCHES = "cut", "silent watches"
-RESETTING, BUSY, LIMITED = "resetting", "busy", "limited"
+RESETTING, BUSY, LIMITED, LOST = "resetting", "busy", "limited", "lost"
 STATUSES = {BUSY: 503, LIMITED: 429}
 POLL_S = 0.01
 ENGINE, SPARE_ENGINE = "e0", "e1"
@@ -34,13 +35,14 @@
     """The store at an address for one host, whose calls may be left unanswered.
 
     ``CUT`` holds all calls, and ``SILENT_WATCHES`` those that wait for changes, as on
-    connections that were lost without a reset. ``RESETTING`` ends connections, and
-    the others reject calls. ``calls`` counts all of them.
+    connections that were lost without a reset. ``LOST`` holds all calls for good.
+    ``RESETTING`` ends connections, and the others reject calls. ``calls`` counts calls.
     """
 
     store: StoreStandin
     trouble: str | None = None
     calls: int = 0
+    stopped: threading.Event = field(factory=threading.Event)
     address: Address = field(init=False)
     server: ConnectionServer = field(init=False)
 
@@ -76,11 +78,15 @@
             while self.trouble:
                 time.sleep(POLL_S)
             raise OSError("connection lost")
+        if self.trouble == LOST:
+            self.stopped.wait()
+            raise OSError("connection lost")
         return False
 
     def stop(self):
         """Stop listening and close the connections."""
         self.trouble = None
+        self.stopped.set()
         stop_server(self.server)
 
 
@@ -160,6 +166,15 @@
             time.sleep(POLL_S)
         assert late() == []
 
+    def wait_returned(self, timeout_s):
+        """Wait until all hosts know that the engine does not drain."""
+        wait_for(
+            lambda: not any(
+                host.catalog.upstreams[ENGINE].draining for host in self.hosts
+            ),
+            timeout_s,
+        )
+
     def calls(self):
         """Return how many calls all hosts have made."""
         return sum(link.calls for link in self.links)
