Never go back to upstreams of an earlier position in the store's history

What callers would see: requests sent to an upstream that drains or is gone (DRAIN), after a host changed from one watcher to another that had read less, or after a slow answer of the store.

Cause: versions of configurations and weights only rise, but the list of upstreams was replaced by whatever came last. States of other hosts, listings and watches bear their position in the store's history; one that is earlier than the known one is now ignored. States without a position (earlier builds) are taken as before.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -104,11 +104,11 @@
     ) -> bool:
         """Replace all upstreams and log the differences; return whether it was done.
 
-        Upstreams of an older era are ignored. Registrations are
+        Upstreams of an older era or an earlier position are ignored. Registrations are
         written anew all the time; most writes change nothing here.
         """
         with self.changed:
-            if era < self.upstreams_era:
+            if era < self.upstreams_era or self.is_outdated(position):
                 return False
             before = self.upstreams
             self.upstreams_position = position
@@ -128,6 +128,17 @@
         self._notify_listeners()
         return True
 
+    def is_outdated(self, position: int | None) -> bool:
+        """Return whether the upstreams are of a later position than this one."""
+        known = self.upstreams_position
+        return known is not None and position is not None and position < known
+
+    def advance_position(self, position: int | None) -> None:
+        """Record the position of the upstreams, unless it is an earlier one."""
+        with self.changed:
+            if not self.is_outdated(position):
+                self.upstreams_position = position
+
     def _apply_departures(
         self, registered: dict[str, Upstream], era: int
     ) -> dict[str, Upstream]:
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -226,7 +226,8 @@
     are read only while it does, so that one call tells whether the store responds.
 
     A listing does not contain the time at which weights were declared; their age is
-    assumed to be ``assumed_weights_age_s``.
+    assumed to be ``assumed_weights_age_s``. States of other hosts and answers of the
+    store may come in any order; those of an earlier position are ignored.
     """
 
     def __init__(
@@ -306,7 +307,7 @@
 
     def record_upstreams_position(self, position: int) -> None:
         """Record up to which position the catalog has the changes of upstreams."""
-        self.catalog.upstreams_position = position
+        self.catalog.advance_position(position)
         self.catalog.record_store_answer()
 
     def start(self) -> None:
@@ -373,7 +374,9 @@
         """Replace the upstreams; in the grace period keep those not listed."""
         era = era_of(listing.position)
         with self.lock:
-            if era < self.catalog.upstreams_era:
+            if era < self.catalog.upstreams_era or self.catalog.is_outdated(
+                listing.position
+            ):
                 return
             if era > era_of(self.era_position):
                 self._begin_era(listing.position)
@@ -405,7 +408,7 @@
     ) -> None:
         """Replace the upstreams by those received from a peer, unless it is behind."""
         with self.lock:
-            if era < self.catalog.upstreams_era:
+            if era < self.catalog.upstreams_era or self.catalog.is_outdated(position):
                 return
             self.expired.clear()
             self.upstreams = dict(upstreams)
@@ -415,7 +418,9 @@
         """Apply changed and removed upstreams."""
         era = era_of(changes.position)
         with self.lock:
-            if era < self.catalog.upstreams_era:
+            if era < self.catalog.upstreams_era or self.catalog.is_outdated(
+                changes.position
+            ):
                 return
             for change in changes.changes:
                 self._apply_upstream_change(change.object, change.removed)
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -224,6 +224,40 @@
     assert not stale.is_fresh()
 
 
+def make_draining_follower(position):
+    """Return a follower whose catalog has a draining upstream at a position."""
+    listing = Listing(position, [make_object("u1", b"draining")])
+    follower, task, catalog, _ = make_follower(Ok(listing))
+    task.step()
+    assert catalog.upstreams["u1"].draining
+    return follower, catalog
+
+
+# Guards against new work for an upstream that drains, after the state of another host,
+# or a call that was slow, tells of a time before.
+def test_older_upstreams_are_ignored():
+    older = Upstream("u1", "s", Address("127.0.0.1", 1), "z", 1)
+    follower, catalog = make_draining_follower(9)
+    follower.replace_upstreams({"u1": older}, 0, position=7)
+    assert catalog.upstreams["u1"].draining and catalog.upstreams_position == 9
+    follower.apply_upstream_listing(Listing(8, [make_object("u1")]))
+    assert catalog.upstreams["u1"].draining and catalog.upstreams_position == 9
+    changes = FeedChanges(8, [FeedChange(make_object("u1"))])
+    follower.apply_upstream_changes(changes)
+    assert catalog.upstreams["u1"].draining and catalog.upstreams_position == 9
+    follower.replace_upstreams({"u1": older}, 0, position=10)
+    assert not catalog.upstreams["u1"].draining and catalog.upstreams_position == 10
+
+
+# Guards against a watch that began before another state was taken over.
+def test_changes_over_a_later_position_are_applied():
+    follower, catalog = make_draining_follower(9)
+    changes = [FeedChange(make_object("u1")), FeedChange(make_object("u2"))]
+    follower.apply_upstream_changes(FeedChanges(12, changes))
+    assert set(catalog.upstreams) == {"u1", "u2"}
+    assert catalog.upstreams_position == 12
+
+
 # Guards against a host that counts as following the store by a call that hangs.
 def test_view_grows_old_while_a_call_hangs():
     _, upstreams, catalog, _ = make_follower(Ok(Listing(1)))
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -206,7 +206,7 @@
             known.update(decode_upstreams(value["upstreams"], host))
             self.set_upstreams(known, era, value.get("position"))
         elif "upstreams" not in value:  # the same as before, now at a later position
-            self.catalog.upstreams_position = value.get("position")
+            self.catalog.advance_position(value.get("position"))
         if current:
             self.catalog.record_confirmation(age_s, host)
         return True
--- a/rosemaryyoke/platform/tests/test_lost_watchers.py
+++ b/rosemaryyoke/platform/tests/test_lost_watchers.py
@@ -14,6 +14,7 @@
     CUT,
     ENGINE,
     LIMITED,
+    LOST,
     RESETTING,
     LinkedFleet,
 )
@@ -100,6 +101,19 @@
     fleet.wait_in_force(2, 0.5, left)
 
 
+# Guards against a watch of the configuration that nobody answers any more after an
+# outage, while upstreams are read again.
+def test_changes_are_in_force_after_watches_were_lost(make_fleet):
+    fleet = make_fleet(1)
+    fleet.reject([0], LOST)
+    wait_for(lambda: not any(host.catalog.is_fresh() for host in fleet.hosts), 8.0)
+    fleet.reject((), LOST)
+    wait_for(lambda: all(host.catalog.is_fresh() for host in fleet.hosts), 8.0)
+    started_s = fleet.change(2)
+    fleet.wait_in_force(2, IN_FORCE_S)
+    print_duration(started_s)
+
+
 # Guards against a store that is taken for lost because it is slow, so that all hosts
 # call it, and against changes that are late then.
 def test_slow_store_is_not_taken_for_lost(make_fleet):
