Soak: reject all hosts but one at the store while a route is added

The soak could not find the incident of late configurations: it has three hosts, and all of them read the store. The new fault leaves one host that the store serves, publishes a route, and asks each host for it after 2 s; the invariant excuses what another fault disturbs.

--- a/rosemaryyoke/soak/faults.py
+++ b/rosemaryyoke/soak/faults.py
@@ -11,13 +11,15 @@
 
 from rosemaryyoke.core import Registry
 from rosemaryyoke.platform.standins.answer_forms import AnswerForm
-from rosemaryyoke.platform.standins.documents import SLOTS
+from rosemaryyoke.platform.standins.documents import SLOTS, make_route
 from rosemaryyoke.platform.standins.limited_slots import LimitedSlots
 from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
+from rosemaryyoke.soak.configurations import make_soak_configuration
 from rosemaryyoke.soak.history import BrittleTime, now_s
-from rosemaryyoke.soak.invariants import CUT_OFF_FAULT
+from rosemaryyoke.soak.invariants import CUT_OFF_FAULT, REJECTING_FAULT
 from rosemaryyoke.soak.link import BACKWARD, BOTH, FORWARD, Link
 from rosemaryyoke.soak.testbed import READY, HostProcess, Testbed, UpstreamNode
+from rosemaryyoke.soak.traffic import request_route
 from rosemaryyoke.testing.partition import MODES, Partition
 
 SHORT_S = (0.1, 0.6)
@@ -30,11 +32,14 @@
 LIMITS = (b"0", b"0.25", b"2", b"5.5")
 LIMITED_S = (5.0, 9.0)  # longer than the time that hosts have to keep to a limit
 LOST_WRITES = 3
+REFUSING_SHARE = 0.5
+HTTP_NOT_FOUND = 404
 BRITTLE_TOLERANCE = 3  # refusals a second
 BRITTLE_RUN_S = 0.3
 BRITTLE_TOLD_S = (3.0, 3.5)  # until upstreams that say so may fall over
 BRITTLE_S = (3.0, 5.0)
 BRITTLE_DOWN_S = (1.0, 1.2)
+IN_FORCE_S = (2.0, 2.0)  # the default bound of a configuration
 CUT_OFF_S = (4.0, 8.0)  # longer than the time that hosts have to forward
 SOFTWARE_VERSIONS = ("v1", "v2")
 BLOCKED_DIRECTIONS = (BOTH, frozenset({FORWARD}), frozenset({BACKWARD}))
@@ -123,6 +128,39 @@
     inject_link_fault(context, context.rng.choice(context.testbed.hosts).store)
 
 
+@faults.register(REJECTING_FAULT)
+def reject_most_hosts(context: FaultContext) -> None:
+    """Let the store reject all hosts but one, and see which ones lack a new route."""
+    testbed = context.testbed
+    with try_lock(testbed.store_lock) as acquired:
+        if not acquired:
+            return
+        served = context.rng.choice(testbed.hosts)
+        rejected = [host for host in testbed.hosts if host is not served]
+        refusing = context.rng.random() < REFUSING_SHARE
+        for host in rejected:
+            host.store.refusing = refusing
+            host.store.blocked = frozenset() if refusing else BOTH
+            if refusing:
+                host.store.reset()
+        document = make_soak_configuration()
+        route = f"marked-{len(testbed.history.changes)}"
+        document["routes"].append(make_route(route))
+        testbed.publish(document)
+        change = testbed.history.begin_change(route)
+        context.wait(IN_FORCE_S)
+        if not context.stopping.is_set():
+            change.late_hosts += [
+                host.name
+                for host in testbed.hosts
+                if request_route(host, route) == HTTP_NOT_FOUND
+            ]
+            change.checked_s = now_s()
+        for host in rejected:
+            host.store.heal()
+        context.wait(LONG_S)
+
+
 @faults.register("callers' link of a host")
 def inject_caller_link_fault(context: FaultContext) -> None:
     """Set a random fault on the link from the callers to one host."""
--- a/rosemaryyoke/soak/history.py
+++ b/rosemaryyoke/soak/history.py
@@ -127,6 +127,16 @@
     ended_s: float = math.inf
 
 
+@define
+class MarkedChange:
+    """A route added while the store rejects hosts, and the hosts that lack it later."""
+
+    route: str
+    acknowledged_s: float
+    checked_s: float = math.inf
+    late_hosts: list[str] = field(factory=list)
+
+
 @define(eq=False)
 class History:
     """Written by callers, upstreams and the injector; read by the invariant checks."""
@@ -141,6 +151,7 @@
     cuts: list[CutOff] = field(factory=list)
     brittle_times: list[BrittleTime] = field(factory=list)
     stale_uses: list[StaleUse] = field(factory=list)
+    changes: list[MarkedChange] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
 
     def record_call(self, call: CallResult) -> None:
@@ -192,6 +203,12 @@
             self.cuts.append(CutOff(hosts, now_s()))
             return self.cuts[-1]
 
+    def begin_change(self, route: str) -> MarkedChange:
+        """Record that the store accepts a route now, and return the entry."""
+        with self.lock:
+            self.changes.append(MarkedChange(route, now_s()))
+            return self.changes[-1]
+
     def copy(self) -> "History":
         """Return a snapshot of the history."""
         with self.lock:
@@ -212,6 +229,10 @@
                     for item in self.brittle_times
                 ],
                 list(self.stale_uses),
+                [
+                    evolve(item, late_hosts=list(item.late_hosts))
+                    for item in self.changes
+                ],
             )
 
     def save_calls(self, path: Path) -> None:
--- a/rosemaryyoke/soak/invariants.py
+++ b/rosemaryyoke/soak/invariants.py
@@ -14,6 +14,7 @@
     CutOff,
     Execution,
     History,
+    MarkedChange,
     OrderExecution,
 )
 
@@ -30,6 +31,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5  # requests
 HOST_DISRUPTIONS = frozenset({"host killed", "host frozen"})
+REJECTING_FAULT = "store rejects most hosts"
 CUT_OFF_FAULT = "hosts cut off from upstreams"
 MAX_FALLS = 2
 FALLS_PER_UPSTREAM = 0.1
@@ -335,3 +337,23 @@
 def check_cache_versions(history: History) -> list[str]:
     """Find requests that began on entries of another version of their model."""
     return [f"{use}" for use in history.stale_uses]
+
+
+@invariants.register("hosts act on changes while the store rejects some of them")
+def check_changes(history: History) -> list[str]:
+    """Find hosts that lack a route in time, though nothing else was disturbed."""
+    return [
+        f"{item}"
+        for item in history.changes
+        if item.late_hosts and not is_disturbed_beside_rejections(item, history)
+    ]
+
+
+def is_disturbed_beside_rejections(change: MarkedChange, history: History) -> bool:
+    """Return whether another fault may have caused that a change is late."""
+    return any(
+        item.started_s <= change.checked_s
+        and item.ended_s > change.acknowledged_s - STABLE_S
+        for item in history.disruptions
+        if item.name != REJECTING_FAULT
+    )
--- a/rosemaryyoke/soak/run.py
+++ b/rosemaryyoke/soak/run.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from rosemaryyoke.platform.standins.documents import make_route
-from rosemaryyoke.platform.standins.simulated_upstreams import Client, encode_request
+from rosemaryyoke.platform.standins.simulated_upstreams import Client
 from rosemaryyoke.soak.configurations import make_soak_configuration
 from rosemaryyoke.soak.faults import Fault
 from rosemaryyoke.soak.history import SAFE, STREAM, UNSAFE, CallResult, now_s
@@ -16,7 +16,7 @@
 from rosemaryyoke.soak.invariants import invariants
 from rosemaryyoke.soak.planned_work import planned_work
 from rosemaryyoke.soak.testbed import HostProcess, Testbed
-from rosemaryyoke.soak.traffic import API_KEYS, DEADLINE_S, Traffic
+from rosemaryyoke.soak.traffic import API_KEYS, Traffic, request_route
 
 FAULT_WORKERS = 3
 PLANNED_WORKERS = 6  # while nothing but planned work is selected
@@ -27,6 +27,7 @@
 FINAL_ROUNDS = 10
 MAX_FINAL_FAILURES = 2  # of the 90 requests sent after recovery
 CONFIGURATION_WAIT_S = 3.0  # time for a configuration to take effect
+HTTP_NOT_FOUND = 404
 MAX_CASES_SHOWN = 3  # violations listed per invariant
 CALLS_FILE = "calls.jsonl"  # beside the hosts' logs
 MEMORY_BYTES = 160 * 1024 * 1024
@@ -157,19 +158,9 @@
         return [
             host.name
             for host in self.testbed.hosts
-            if not self.serves_route(host, name)
+            if request_route(host, name) in (None, HTTP_NOT_FOUND)
         ]
 
-    def serves_route(self, host, route: str) -> bool:
-        """Return whether a host serves a route."""
-        request = f"{STREAM}-{route}-{host.name}"
-        path, key = f"/{route}/1", API_KEYS["t1"]
-        data = encode_request(request, path, "POST", key, DEADLINE_S, True)
-        client = Client(host.caller_link.address)
-        message = client.exchange(data, DEADLINE_S).message
-        client.close()
-        return message is not None and message.status != 404
-
     def exit_codes(self) -> list[tuple[str, int]]:
         """Send SIGTERM to every host and return their exit codes."""
         hosts = self.testbed.hosts
--- a/rosemaryyoke/soak/tests/builders.py
+++ b/rosemaryyoke/soak/tests/builders.py
@@ -28,6 +28,7 @@
     cuts=(),
     brittle_times=(),
     stale_uses=(),
+    changes=(),
 ):
     """Return a history with the given entries."""
     history = History(
@@ -38,6 +39,7 @@
         cuts=list(cuts),
         brittle_times=list(brittle_times),
         stale_uses=list(stale_uses),
+        changes=list(changes),
     )
     for item in calls:
         history.record_call(item)
--- a/rosemaryyoke/soak/tests/test_invariants.py
+++ b/rosemaryyoke/soak/tests/test_invariants.py
@@ -18,9 +18,17 @@
     UNSAFE,
     BrittleTime,
     CutOff,
+    Disruption,
+    MarkedChange,
     NamedLimit,
 )
-from rosemaryyoke.soak.invariants import EVENTS, event_text, invariants
+from rosemaryyoke.soak.invariants import (
+    EVENTS,
+    REJECTING_FAULT,
+    check_changes,
+    event_text,
+    invariants,
+)
 from rosemaryyoke.soak.tests.builders import (
     make_broken_off,
     make_call,
@@ -49,6 +57,8 @@
 CUT = "hosts cut off from upstreams serve by way of others"
 BRITTLE = "brittle upstreams seldom fall over"
 STALE = "a request begins on cache entries of its own weights alone"
+CHANGES = "hosts act on changes while the store rejects some of them"
+LATE_CHANGE = MarkedChange("marked-0", 5.0, 7.0, ["front-1"])
 STALE_USE = StaleUse(
     b"stream-1", "e1", 2, CacheKey(b"s:1", b"m1", "aa"), CachedPart("e2", 1)
 )
@@ -162,6 +172,7 @@
     (CUT, make_history(make_compared_calls(failed=8), cuts=[CUT_HOST])),
     (BRITTLE, make_history(brittle_times=[BrittleTime(2, 1.0, 9.0, THREE_FALLS_S)])),
     (STALE, make_history(stale_uses=[STALE_USE])),
+    (CHANGES, make_history(changes=[LATE_CHANGE])),
 ]
 
 VALID_HISTORY = make_history(
@@ -286,3 +297,12 @@
         disruptions=[make_disruption(4.0, 4.5)],
     )
     assert not invariants.get(BRITTLE)(excused)
+
+
+def test_late_change_is_a_violation_unless_another_fault_disturbs_it():
+    rejecting = Disruption(REJECTING_FAULT, 4.9, 8.0)
+    assert check_changes(make_history(changes=[LATE_CHANGE], disruptions=[rejecting]))
+    assert not check_changes(make_history(changes=[MarkedChange("marked-0", 5.0, 7.0)]))
+    frozen = Disruption("host frozen", 1.0, 2.5)
+    history = make_history(changes=[LATE_CHANGE], disruptions=[rejecting, frozen])
+    assert not check_changes(history)
--- a/rosemaryyoke/soak/tests/test_soak.py
+++ b/rosemaryyoke/soak/tests/test_soak.py
@@ -18,6 +18,8 @@
 VERSIONS_SECONDS = 8.0
 LIMITS_SEED = 601
 LIMITS_SECONDS = 10.0
+REJECTIONS_SEED = 901
+REJECTIONS_SECONDS = 9.0
 OUTAGE_SEED = 501
 OUTAGE_SECONDS = 18.0
 
@@ -83,3 +85,12 @@
     report = run_soak(LIMITS_SEED, LIMITS_SECONDS, "upstream names a limit")
     assert not report.broken, report
     assert report.requests > 0 and report.faults
+
+
+# A store that rejects the hosts that read it for the others, while a route is added.
+def test_soak_changes_apply_while_the_store_rejects_most_hosts():
+    report = run_soak(
+        REJECTIONS_SEED, REJECTIONS_SECONDS, "store rejects most hosts", True
+    )
+    assert not report.broken, report
+    assert report.requests > 0 and report.faults
--- a/rosemaryyoke/soak/traffic.py
+++ b/rosemaryyoke/soak/traffic.py
@@ -108,3 +108,14 @@
         signed_by=signed_by,
         body=message.body,
     )
+
+
+def request_route(host: HostProcess, route: str) -> int | None:
+    """Send one request to a route; return its status, ``None`` without an answer."""
+    request = f"{STREAM}-{route}-{host.name}"
+    path, key = f"/{route}/1", API_KEYS["t1"]
+    data = encode_request(request, path, "POST", key, DEADLINE_S, True)
+    client = Client(host.caller_link.address)
+    message = client.exchange(data, DEADLINE_S).message
+    client.close()
+    return None if message is None else message.status
