Limit what a host reads of an engine's report

What another operator saw: an engine sent bytes without end, and the machine that had called it ran out of memory. Here: a host asks an engine that makes no progress for its report, once for each request that waits, and kept up to 8 MB of each.

Reports and answers to orders are limited to 256 KB, and their heads to 16 KB; a report lists the requests of an engine with some 60 bytes each.

--- a/rosemaryyoke/http1/client.py
+++ b/rosemaryyoke/http1/client.py
@@ -9,7 +9,12 @@
 from rosemaryyoke.http1.errors import RequestError
 from rosemaryyoke.http1.lenient_json import decode_json
 from rosemaryyoke.http1.messages import Headers, encode_head
-from rosemaryyoke.http1.responses import ResponseMessage, ResponseParser
+from rosemaryyoke.http1.responses import (
+    DEFAULT_RESPONSE_LIMITS,
+    ResponseLimits,
+    ResponseMessage,
+    ResponseParser,
+)
 from rosemaryyoke.http1.sockets import (
     READ_BYTES,
     Address,
@@ -47,9 +52,13 @@
 
 @define(eq=False)
 class HttpClient:
-    """Sends requests to one address, one at a time; not thread-safe."""
+    """Sends requests to one address, one at a time; not thread-safe.
+
+    ``limits`` are the sizes beyond which a response counts as failed.
+    """
 
     address: Address
+    limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS
     connection: socket.socket | None = field(default=None)
 
     def request(
@@ -104,7 +113,7 @@
         return encode_head(first_line, headers) + (body or b"")
 
     def _receive(self, deadline_s: float) -> Result[ResponseMessage, str]:
-        reader = ResponseParser()
+        reader = ResponseParser(self.limits)
         try:
             return self._read_response(reader, deadline_s)
         finally:
@@ -137,9 +146,10 @@
     body: bytes | None = None,
     timeout_s: float = 1.0,
     headers: Headers = (),
+    limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS,
 ) -> Result[Response, RequestError]:
     """Send a request on a new connection."""
-    client = HttpClient(address)
+    client = HttpClient(address, limits)
     try:
         return client.request(method, target, body, timeout_s, headers)
     finally:
--- a/rosemaryyoke/platform/upstream_calls.py
+++ b/rosemaryyoke/platform/upstream_calls.py
@@ -4,7 +4,7 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from rosemaryyoke.http1 import Address, send_request
+from rosemaryyoke.http1 import Address, ResponseLimits, send_request
 from rosemaryyoke.platform import names
 from rosemaryyoke.platform.documents import read_weights, require_int
 from rosemaryyoke.rollout.messages import (
@@ -18,6 +18,9 @@
 HTTP_ACCEPTED = 202
 HTTP_OK = 200  # the engine already has these weights
 HTTP_CONFLICT = 409
+# A report lists the requests of an engine, about 60 bytes each. Many may be read at the
+# same time, one for each request that waits.
+CALL_LIMITS = ResponseLimits(framing_bytes=16_384, body_bytes=262_144)
 SWAP_MODES = {
     RunningRequests.FINISH_FIRST: "queue",
     RunningRequests.CONTINUE: "in_place",
@@ -32,7 +35,9 @@
         self, address: Address, timeout_s: float = REPORT_TIMEOUT_S
     ) -> Result[EngineReport, str]:
         """Return an engine's state, which lags by several hundred milliseconds."""
-        reply = send_request(address, "GET", "/report", timeout_s=timeout_s)
+        reply = send_request(
+            address, "GET", "/report", timeout_s=timeout_s, limits=CALL_LIMITS
+        )
         if isinstance(reply, Err):
             return Err(reply.err_value.message)
         if not reply.ok_value.ok:
@@ -64,6 +69,7 @@
             orjson.dumps(document),
             timeout_s=order.timeout_s,
             headers=[(names.EXPECTED_INSTANCE, order.upstream.encode())],
+            limits=CALL_LIMITS,
         )
         if isinstance(reply, Err):
             error = reply.err_value
