Test: a host that receives a crash's notice has started before the crash

Cause: the receiving host was made after the crash, and a host ignores crashes from before its own start; the notice bears an age that is rounded to milliseconds, so that the crash counted as earlier whenever more than half a millisecond passed before it was encoded. The host is now made before the crash; the assertions are the same.

--- a/rosemaryyoke/hosts/tests/test_quarantine_notices.py
+++ b/rosemaryyoke/hosts/tests/test_quarantine_notices.py
@@ -118,11 +118,12 @@
         table.update_host(make_beacon(number, data_centre=centre), now_s, True)
     service = BeaconService(table, Fleet(Catalog()), None)
     service.udp_socket = Outgoing()
+    # A host ignores crashes from before its own start.
+    other = BeaconService(table, Fleet(Catalog()), None)
     service.fleet.quarantine.record_crash(make_outcome(age_s=0.0))
     service.send_due_notices()
     sent = service.udp_socket.sent
     assert len({address for _, address in sent}) == len(sent) == HOSTS - 1
     assert all(data.startswith(QUARANTINE_NOTICE) for data, _ in sent)
-    other = BeaconService(table, Fleet(Catalog()), None)
     other.handle_datagram(sent[0][0][:1], sent[0][0][1:])
     assert len(other.fleet.quarantine.evidence.crashes) == 1
