Don't take an earlier failure of the store's for an outage

Cause: a host that reads the store after a failure keeps expired registrations for 2.2 s, as they may have expired in an outage. The failure was of an earlier time (9.5 s before), when the store had rejected this host; it was forgotten only with a success. Log: prince- george-1 read the store at 34.48 s, williams-lake-1 removed the engine at 34.50 s, prince- george-1 at 37.09 s, and others that followed it kept or took it back.

A failure now counts only within the time in which the view is old. test_earlier_failure_is_no_outage failed before.

--- a/rosemaryyoke/hosts/tests/test_view_guard.py
+++ b/rosemaryyoke/hosts/tests/test_view_guard.py
@@ -63,6 +63,10 @@
     started_s: list = field(factory=list)
     retry_at_s: float = -math.inf
 
+    def forget_failures(self):
+        """Call at the next request."""
+        self.retry_at_s = -math.inf
+
     def request(self, now_s):
         """Begin a call, unless one is under way or failed lately."""
         busy_s = max([-math.inf, *self.started_s]) + CALL_S
@@ -215,3 +219,16 @@
     assert not reader.is_reading
     reader.request(reader.retry_at_s)
     assert reader.is_reading
+
+
+# Guards against registrations kept for upstreams that are gone (DRAIN), because
+# the store once rejected this host.
+def test_earlier_failure_is_no_outage(clock):
+    fleet = ModelledFleet(9, clock)
+    guard = fleet.guards[0]
+    guard.catalog.confirmed_s = clock.now_s - 1.5
+    follower = ScriptedFollower(guard.catalog, [Ok(Listing(5))] * 3)
+    guard.reader = StoreReader(follower, guard.roles, lambda: None, failed=True)
+    guard.check(clock.now_s)
+    guard.reader.read()
+    assert follower.outages == []
--- a/rosemaryyoke/hosts/view_guard.py
+++ b/rosemaryyoke/hosts/view_guard.py
@@ -82,6 +82,10 @@
             self.is_reading = True
             self.requested.set()
 
+    def forget_failures(self) -> None:
+        """Forget failures of an earlier time, when the store may have been away."""
+        self.failed, self.retry_at_s = False, -math.inf
+
     def run(self) -> None:
         """Read the store at each request until stopped."""
         while not self.stopping.is_set():
@@ -182,7 +186,7 @@
             return
         if self.stale_since_s is None:
             self.stale_since_s = now_s
-            self.reader.retry_at_s = -math.inf
+            self.reader.forget_failures()
         fresher = self.fresher_hosts(now_s)
         if fresher:
             self.fetch(self.choose(fresher, now_s), now_s)
