serve: let hosts that the platform answers read it for the others

What operators would see: rules not in force while the platform rejects the two watchers of each data centre, in silence or by resets, though a third host of each reaches it (not in force after 5 s, for as long as it lasts).

A host's entry now tells whether its last read of the platform's list failed; such hosts are watchers only if the platform answers nobody.

Calls at rest are the same. Earlier builds ignore the new field.

--- a/rosemaryyoke/membership/codec.py
+++ b/rosemaryyoke/membership/codec.py
@@ -26,6 +26,7 @@
         item.standing = member.standing
         item.leaving = member.leaving
         item.revision = member.revision
+        item.platformFailed = member.platform_failed
         if not omit_addresses:
             item.httpAddress = member.address
             item.peerAddress = member.peer_address
@@ -50,6 +51,7 @@
                 item.standing,
                 item.leaving,
                 item.revision,
+                item.platformFailed,
             )
         )
     return members
--- a/rosemaryyoke/membership/members.py
+++ b/rosemaryyoke/membership/members.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from absl import logging
 from result import Err
 
 from rosemaryyoke.core import Kernel
@@ -16,7 +17,13 @@
 LIST_PERIOD_S = 1.0
 HOMES_PER_ACCOUNT = 2
 WATCHERS_PER_DATA_CENTRE = 2
+WATCHERS_KEY = b"watch"
 FAILED_RETENTION_S = 86_400.0
+# When the platform begins or ceases to reject hosts of this data centre, the others
+# find out in turns whether it rejects them, too.
+PROBE_CHECK_PERIOD_S = 0.1
+PROBE_SPREAD_S = 0.02  # between two hosts; a data centre has some 60
+MIN_PROBE_INTERVAL_S = 3.0
 MILLISECONDS_PER_S = 1_000
 
 
@@ -24,7 +31,9 @@
     """Tracks the hosts, the home hosts of client accounts and the watchers.
 
     The platform's list seeds and corrects the table. A few watchers in each data centre
-    read the list; the other hosts receive updates from peers.
+    read the list; the other hosts receive updates from peers. Hosts tell each other
+    when the platform does not answer them, and are then no watchers while it answers
+    others.
     """
 
     def __init__(self, kernel: Kernel, settings: Settings, api: ObjectApi):
@@ -45,6 +54,8 @@
         self.rankings = RankingCache(HOMES_PER_ACCOUNT)
         self.failed_at_s: dict[str, float] = {}
         self.listed = False
+        self.rejected: frozenset[str] = frozenset()
+        self.probed_s = float("-inf")
         self.live_cache: tuple[int, dict[str, Member]] = (-1, {})
 
     def start(self) -> None:
@@ -53,6 +64,7 @@
         timer = self.kernel.get("timer")
         timer.after(0.0, self.refresh)
         timer.every(LIST_PERIOD_S, self.refresh)
+        timer.every(PROBE_CHECK_PERIOD_S, self.check_rejections)
         self.kernel.get("revisions").subscribe(self.announce_revision)
 
     def stop(self) -> None:
@@ -71,14 +83,46 @@
     def refresh(self) -> None:
         """Read the platform's list if this host is a watcher or has not read it yet."""
         self._remove_expired()
-        if self.listed and not self.is_watcher():
-            return
+        if not self.listed or self.is_watcher():
+            self.read_list()
+
+    def read_list(self) -> bool:
+        """Read the platform's list; return whether the platform answered."""
         listed = self.api.hosts()
-        if isinstance(listed, Err):
-            return
+        failed = isinstance(listed, Err)
+        if failed != self.local_member.platform_failed:
+            logging.info("platform answers this host: %s", not failed)
+            self.links.announce(self.table.update_local(platform_failed=failed))
+        if failed:
+            return False
         self.listed = True
         for host in listed.ok_value:
             self._apply_listed_entry(host)
+        return True
+
+    def check_rejections(self) -> None:
+        """Probe the platform, in turn, once it rejects other hosts or ceases to."""
+        local = self.local_members()
+        rejected = frozenset(
+            name
+            for name, member in local.items()
+            if member.platform_failed and name != self.local_member.name
+        )
+        now_s = time.monotonic()
+        if rejected == self.rejected or now_s - self.probed_s < MIN_PROBE_INTERVAL_S:
+            return
+        self.rejected, self.probed_s = rejected, now_s
+        order = rank(WATCHERS_KEY, local, len(local))
+        own = self.local_member.name
+        position = order.index(own) if own in order else len(order)
+        self.kernel.get("timer").after(position * PROBE_SPREAD_S, self.probe)
+
+    def probe(self) -> None:
+        """Read the platform's list and the rules, unless this host does so anyway."""
+        if not self.is_watcher() and self.read_list():
+            updated = self.kernel.get("revisions").update_from_platform()
+            if isinstance(updated, Err):
+                logging.warning("reading the rules failed: %s", updated.err_value)
 
     def _apply_listed_entry(self, host: ListedHost) -> None:
         if host.peer_address:
@@ -120,14 +164,22 @@
             self.live_cache = (generation, live)
         return live
 
-    def is_watcher(self) -> bool:
-        """Return whether this host reads the platform's list for its data centre."""
-        mine = [
-            name
+    def local_members(self) -> dict[str, Member]:
+        """Return the live hosts of this data centre by name."""
+        return {
+            name: member
             for name, member in self.live().items()
             if member.data_centre == self.local_member.data_centre
-        ]
-        watchers = rank(b"watch", mine, WATCHERS_PER_DATA_CENTRE)
+        }
+
+    def is_watcher(self) -> bool:
+        """Return whether this host reads the platform's list for its data centre.
+
+        Hosts that the platform does not answer are none, unless it answers nobody.
+        """
+        local = self.local_members()
+        answered = [name for name in local if not local[name].platform_failed]
+        watchers = rank(WATCHERS_KEY, answered or local, WATCHERS_PER_DATA_CENTRE)
         return self.local_member.name in watchers or self.local_member.leaving
 
     def owner(self, key: bytes) -> Member:
--- a/rosemaryyoke/membership/table.py
+++ b/rosemaryyoke/membership/table.py
@@ -20,7 +20,8 @@
 
     ``incarnation`` increases with each start of the host's process, ``version`` with
     each change that the host makes to its own entry. ``standing`` is set by other
-    hosts' failure detection.
+    hosts' failure detection. ``platform_failed`` tells that the host's last read of
+    the platform's list failed.
     """
 
     name: str
@@ -32,6 +33,7 @@
     standing: int = ALIVE
     leaving: bool = False
     revision: int = 0
+    platform_failed: bool = False
 
     @property
     def live(self) -> bool:
--- a/rosemaryyoke/peers/peer.capnp
+++ b/rosemaryyoke/peers/peer.capnp
@@ -10,6 +10,7 @@
   standing @6 :UInt8;
   leaving @7 :Bool;
   revision @8 :UInt32;
+  platformFailed @9 :Bool;  # the host's last read of the platform failed
 }
 
 struct UpstreamNotice {
--- a/rosemaryyoke/spread/tests/test_rejected_watchers.py
+++ b/rosemaryyoke/spread/tests/test_rejected_watchers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rosemaryyoke.http1 import Address
-from rosemaryyoke.membership.members import WATCHERS_PER_DATA_CENTRE
+from rosemaryyoke.membership.members import WATCHERS_KEY, WATCHERS_PER_DATA_CENTRE
 from rosemaryyoke.placement.rendezvous import rank
 from rosemaryyoke.soak.link import BOTH, Link
 from rosemaryyoke.testing.builders import DATA_CENTRES, System, free_port
@@ -58,7 +58,7 @@
     found = set()
     for number in range(len(DATA_CENTRES)):
         names = system.host_names[number :: len(DATA_CENTRES)]
-        found.update(rank(b"watch", names, WATCHERS_PER_DATA_CENTRE))
+        found.update(rank(WATCHERS_KEY, names, WATCHERS_PER_DATA_CENTRE))
     return found
 
 
