Age a view by when its confirmation was given, not when it was read

Callers of a host that had stood still, or of hosts that polled it, could be served by an older configuration or at a draining engine, while that host's logs and beacons said that its view was current.

Cause: an answer of the store, a poll of another host and a fetched state confirmed the view as of the moment at which the host handled the answer. A host that stands still while the answer waits in its socket (a freeze, a starved processor) then reports an age near 0 for a view that is older by the whole pause, and hands that on.

Change: an answer counts as of its call plus the wait that the call asked for, at the latest; 0.5 s more is allowed for a slow store. The answer to a poll is at most as new as the end of the poll's time, and a fetched state ages by the whole time of the fetch.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -255,10 +255,10 @@
         """
         return time.monotonic() - self.as_of_s()
 
-    def record_store_answer(self) -> None:
-        """Record that the store answered this host's read of the upstreams just now."""
+    def record_store_answer(self, answered_s: float) -> None:
+        """Record when the store answered this host's read of the upstreams."""
         with self.changed:
-            self.store_answered_s = time.monotonic()
+            self.store_answered_s = max(self.store_answered_s, answered_s)
             self.changed.notify_all()
 
     def record_confirmation(self, age_s: float = 0.0, source: str = "") -> None:
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -33,6 +33,8 @@
 # Live upstreams register again within 2 s of the store's recovery.
 REREGISTRATION_GRACE_S = 2.2
 MIN_OUTAGE_S = 1.0
+# An answer that takes longer was held up, perhaps as this host stood still.
+MAX_ANSWER_TIME_S = 0.5  # a slow store takes several hundred milliseconds
 
 
 class CatalogSource(Protocol):
@@ -63,6 +65,8 @@
     whether it succeeded. ``may_call`` tells whether the store may be called now; its
     argument is whether the next call is a watch. ``is_orphan`` tells whether this host
     should have received its state from a peer; it then calls the store less often.
+    ``on_position`` gets the position of an answer and when the store gave it, at the
+    latest.
     """
 
     feed: ObjectFeed
@@ -71,7 +75,7 @@
     pause_s: float
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[FeedChanges], None]
-    on_position: Callable[[int], None] = lambda position: None
+    on_position: Callable[[int, float], None] = lambda position, answered_s: None
     on_success: Callable[[float], None] = lambda outage_s: None
     on_store_status: Callable[[str, bool], None] = lambda kind, is_read: None
     on_call: Callable[[bool], None] = lambda success: None
@@ -126,12 +130,15 @@
 
     def step(self) -> Result[object, FeedError]:
         """Make one list or watch call and apply its result."""
+        started_s, wait_s = time.monotonic(), 0.0
         if self.position is None:
             outcome = self.feed.list(self.kind)
         else:
             recovering = self.failed_since_s is not None
             wait_s = RECOVERY_WATCH_S if recovering else self.wait_s
             outcome = self.feed.watch(self.kind, self.position, wait_s)
+        latest_s = started_s + wait_s + MAX_ANSWER_TIME_S
+        answered_s = min(time.monotonic(), latest_s)
         if isinstance(outcome, Err):
             if outcome.err_value.history_gone:
                 self.position = None
@@ -143,7 +150,7 @@
         elif value.changes:
             self.on_changes(value)
         self.position = value.position
-        self.on_position(value.position)
+        self.on_position(value.position, answered_s)
         return outcome
 
     def stop_reading(self) -> None:
@@ -302,13 +309,12 @@
         if self.reading_since_s is None:
             self.reading_since_s = time.monotonic()
             self.has_read_store = True
-            self.catalog.record_store_answer()
         self.catalog.record_store_status(kind, True)
 
-    def record_upstreams_position(self, position: int) -> None:
+    def record_upstreams_position(self, position: int, answered_s: float) -> None:
         """Record up to which position the catalog has the changes of upstreams."""
         self.catalog.advance_position(position)
-        self.catalog.record_store_answer()
+        self.catalog.record_store_answer(answered_s)
 
     def start(self) -> None:
         """Start one thread per kind."""
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -6,13 +6,21 @@
 from attrs import define, field
 from result import Err, Ok
 
-from rosemaryyoke.catalog import Catalog, Follower, Upstream, WantedWeights
+from rosemaryyoke.catalog import (
+    Catalog,
+    Follower,
+    Upstream,
+    WantedWeights,
+    catalog as catalogs,
+    follower as followers,
+)
 from rosemaryyoke.catalog.catalog import CONFIRMATION_TTL_S
 from rosemaryyoke.catalog.follower import SETTLING_S, KindFollower
 from rosemaryyoke.catalog.model import Configuration
 from rosemaryyoke.http1 import Address
 from rosemaryyoke.objects.feed import FeedChange, FeedChanges, FeedError, Listing
 from rosemaryyoke.objects.objects import StoredObject
+from rosemaryyoke.testing.clocks import ManualClock
 
 
 @define
@@ -191,6 +199,7 @@
     for dependent in (configuration, weights):
         assert not dependent.may_call(False)
     upstreams.on_store_status(upstreams.kind, True)
+    upstreams.on_position(1, time.monotonic())
     configuration.on_store_status(configuration.kind, True)
     catalog.update_configuration(Configuration(1, (), {}), b"")
     catalog.replace_upstreams({})
@@ -270,6 +279,38 @@
     assert catalog.age_s() >= CONFIRMATION_TTL_S
 
 
+@define
+class HeldUpFeed(ScriptedFeed):
+    """Answers, while the host stands still for a time from each call on."""
+
+    clock: ManualClock = field(factory=ManualClock)
+    held_up_s: float = 0.0
+
+    def _next(self):
+        self.clock.now_s += self.held_up_s
+        return ScriptedFeed._next(self)
+
+
+# Guards against a host that takes its view for current, and confirms that of others,
+# after an answer that came before the host stood still.
+def test_late_answer_does_not_confirm_view(monkeypatch):
+    feed = HeldUpFeed([Ok(Listing(1)), Ok(FeedChanges(1)), Ok(FeedChanges(1))])
+    monkeypatch.setattr(catalogs, "time", feed.clock)
+    monkeypatch.setattr(followers, "time", feed.clock)
+    catalog = Catalog()
+    follower = Follower(Source(feed), catalog)
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    catalog.unread_kinds.discard("configuration")
+    follower.upstream_follower.step()
+    assert catalog.age_s() == 0.0
+    feed.held_up_s = 5.0
+    follower.upstream_follower.step()
+    assert catalog.age_s() > 4.0 and not catalog.is_fresh()
+    feed.held_up_s = 0.8  # the wait and an answer of a slow store
+    follower.upstream_follower.step()
+    assert catalog.age_s() == 0.0
+
+
 # Guards against registrations kept for upstreams that are gone, because this host alone
 # was turned away by the store.
 def test_no_grace_period_while_others_read_the_store():
--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -111,8 +111,11 @@
         target = f"{CATALOG_PATH}?generation={self.generation}&configuration={version}"
         age_s = min(self.catalog.age_s(), MAX_POLL_AGE_S)
         target += f"&age_ms={int(age_s * MS_PER_S)}"
-        timeout_s = self.catalog.timing.poll_s + RESPONSE_MARGIN_S
-        reply = self.client.request("GET", target, timeout_s=timeout_s)
+        poll_s = self.catalog.timing.poll_s
+        started_s = time.monotonic()
+        reply = self.client.request("GET", target, timeout_s=poll_s + RESPONSE_MARGIN_S)
+        # A host answers within the time of a poll; longer ones were held up.
+        held_up_s = max(0.0, time.monotonic() - started_s - poll_s)
         if isinstance(reply, Err) or not reply.ok_value.ok:
             refused = not isinstance(reply, Err)
             logging.warning("polling host %s failed refused=%s", peer.host, refused)
@@ -124,7 +127,7 @@
             logging.warning("answer of host %s is malformed: %s", peer.host, error)
             self.avoid(peer, refused=True)
             return False
-        if not self.transfer.apply(value, value["age_s"], peer.host):
+        if not self.transfer.apply(value, value["age_s"] + held_up_s, peer.host):
             self.avoid(peer, refused=True)
             return False
         self.generation = value["generation"]
--- a/rosemaryyoke/hosts/tests/test_eras.py
+++ b/rosemaryyoke/hosts/tests/test_eras.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from typing import Callable
 
 import orjson
 from attrs import define, evolve, field
@@ -31,7 +32,7 @@
     catalog.update_configuration(Configuration(1, (), {}), b"")
     catalog.eras.learn(era, "store")
     catalog.replace_upstreams({item.name: item for item in upstreams}, era)
-    catalog.record_store_answer()
+    catalog.record_store_answer(time.monotonic())
     return catalog
 
 
@@ -47,10 +48,12 @@
     catalog: Catalog
     address: Address
     targets: list = field(factory=list)
+    on_request: Callable[[], None] = lambda: None
 
     def request(self, method, target, body=None, timeout_s=1.0, headers=()):
         """Answer a poll."""
         self.targets.append(target)
+        self.on_request()
         return Ok(Response(200, encode_changes(self.catalog, "", 1)))
 
     def close(self):
--- a/rosemaryyoke/hosts/tests/test_view_guard.py
+++ b/rosemaryyoke/hosts/tests/test_view_guard.py
@@ -25,6 +25,7 @@
 )
 from rosemaryyoke.hosts.watchers import WATCHERS
 from rosemaryyoke.objects.feed import FeedError, Listing
+from rosemaryyoke.testing.clocks import ManualClock
 
 SIZES = (9, 24, 74, 195)
 # The rest of the time for a change is for telling the others, who fetch it.
@@ -32,24 +33,9 @@
 CALL_S = 2.0  # until a call that gets no answer counts as lost
 
 
-@define
-class Clock:
-    """A clock that a test moves on."""
-
-    now_s: float = 1_000.0
-
-    def monotonic(self):
-        """Return the time."""
-        return self.now_s
-
-    def time_ns(self):
-        """Return the time in nanoseconds."""
-        return int(self.now_s * 1e9)
-
-
 @pytest.fixture()
 def clock(monkeypatch):
-    clock = Clock()
+    clock = ManualClock()
     monkeypatch.setattr(catalogs, "time", clock)
     return clock
 
@@ -58,7 +44,7 @@
 class ModelledReader:
     """Counts calls to a store that answers at once or not at all."""
 
-    clock: Clock
+    clock: ManualClock
     answers: bool = False
     started_s: list = field(factory=list)
     retry_at_s: float = -math.inf
--- a/rosemaryyoke/hosts/tests/test_view_report.py
+++ b/rosemaryyoke/hosts/tests/test_view_report.py
@@ -49,7 +49,7 @@
     assert catalog.view_source() != STORE
     catalog.record_confirmation(0.5, "h7")
     assert 0.5 <= catalog.age_s() < 0.6
-    catalog.record_store_answer()
+    catalog.record_store_answer(time.monotonic())
     assert catalog.age_s() >= 0.5
     catalog.update_configuration(Configuration(1, (), {}), b"")
     catalog.replace_upstreams({})
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -127,7 +127,11 @@
         self.fetch_from(peer)
 
     def fetch_from(self, peer: HostState) -> bool:
-        """Fetch and apply the state of a host; return whether it answered."""
+        """Fetch and apply the state of a host; return whether it answered.
+
+        The time that the answer took counts toward the age of the state.
+        """
+        started_s = time.monotonic()
         reply = send_request(
             peer.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
         )
@@ -137,7 +141,10 @@
         value = reply.ok_value.json()
         if self.catalog.follows_store() and value.get("position") is None:
             value = {key: value[key] for key in OPERATORS_KEYS if key in value}
-        return self.apply(value, value.get("age_s"), peer.host)
+        age_s = value.get("age_s")
+        if age_s is not None:
+            age_s += time.monotonic() - started_s
+        return self.apply(value, age_s, peer.host)
 
     def is_behind(self, now_s: float) -> bool:
         """Return whether another host has had a newer configuration for a while."""
