Free the body of a response that serve gives up at once

Callers of serve lost their host's memory to responses that had been given up already: 40 callers of a service whose responses don't end took 151 MB of a machine's 128.

Cause: the callback that gives up a transfer kept the exception, whose traceback held the callback's frame, which held the exception. The cycle kept the body, up to 8 MB each, until the next garbage collection, while the budget counted it as free.

It was found by testing the report of bytes without end at /services.

Change: the exceptions are kept without their traceback, and not after they are raised.

--- /dev/null
+++ b/rosemaryyoke/entry/tests/test_unbounded_answers.py
@@ -0,0 +1,71 @@
+"""Upstreams whose answers have no end take no host's memory.
+
+Pattern: many callers wait at the same time for an engine or a service in trouble, which
+sends nearly as much as a body may have and then nothing, to whatever it is asked.
+"""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from rosemaryyoke.entry.tests.faulty_upstreams import SERVICE, FaultyUpstream
+from rosemaryyoke.entry.tests.hostile_loads import ask_ordinary, peak_mb, reset_peak
+from rosemaryyoke.entry.tests.test_hostile_clients import MAX_CONNECTIONS, MEMORY_MB
+from rosemaryyoke.testing.builders import System, api_key
+from rosemaryyoke.wire import HttpRequest, send
+
+pytestmark = pytest.mark.hostile_clients
+
+CALLERS = 40
+READ_TIMEOUT_S = 3.0
+
+
+@pytest.fixture()
+def faulty():
+    upstream = FaultyUpstream()
+    yield upstream
+    upstream.stop()
+
+
+@pytest.fixture()
+def system(faulty):
+    settings = {"memory_mb": MEMORY_MB, "max_connections": MAX_CONNECTIONS}
+    with System(
+        engines=1,
+        services=1,
+        hosts=1,
+        host_settings=settings,
+        extra_rules=faulty.rules_text(),
+    ) as running:
+        assert ask_ordinary(running) == "ok"
+        reset_peak(running.processes["host0"])
+        yield running
+
+
+def read_service(system):
+    """Send a call that may be repeated, and give up after a while."""
+    url = f"http://{system.address('host0')}/services/{SERVICE}/read"
+    headers = {"Authorization": f"Bearer {api_key('cedar')}"}
+    return send(HttpRequest("GET", url, headers, timeout_s=READ_TIMEOUT_S))
+
+
+def call_at_once(ask, system):
+    """Let all callers ask at the same time; wait for the ends of their requests."""
+    with ThreadPoolExecutor(CALLERS) as pool:
+        return [*pool.map(lambda _: ask(system), range(CALLERS))]
+
+
+def assert_unharmed(system, faulty):
+    """Check the process, its memory and one ordinary request."""
+    process = system.processes["host0"]
+    assert process.popen.poll() is None, "the process has ended"
+    print(f"{faulty.unbounded} answers without end, peak {peak_mb(process):.0f} MB")
+    assert faulty.unbounded
+    assert peak_mb(process) < MEMORY_MB
+    assert ask_ordinary(system) == "ok"
+
+
+# Guards against responses of a service that are kept for many callers.
+def test_responses_without_end_of_a_service_hold_little_memory(system, faulty):
+    call_at_once(read_service, system)
+    assert_unharmed(system, faulty)
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -168,7 +168,8 @@
         try:
             on_data(data)
         except ReadAborted as error:
-            aborted.append(error)
+            # A traceback would keep the body until the next garbage collection.
+            aborted.append(error.with_traceback(None))
             return -1
         return None
 
@@ -178,7 +179,7 @@
         curl.perform()
     except pycurl.error as error:
         if aborted:
-            raise aborted[0] from None
+            raise aborted.pop() from None
         return Err(transport_error(curl, error))
     finally:
         curl.reset()
--- a/rosemaryyoke/wire/stream_receiver.py
+++ b/rosemaryyoke/wire/stream_receiver.py
@@ -49,7 +49,8 @@
         try:
             self.on_data(data)
         except ReadAborted as error:
-            self.aborted = error
+            # A traceback would keep this transfer until the next garbage collection.
+            self.aborted = error.with_traceback(None)
             return -1
         except Exception as error:
             logging.exception("data callback of a streamed response failed")
