Don't keep bodies of engines' errors, and limit reports and orders of serve

A faulty engine that answers requests at /v1 with an error whose body does not end could take all memory of the host, and thereby end the requests of other callers.

Cause: the body of each answer with an error status was kept, up to 8 MB, though nothing reads it, and the budget of memory did not count it. Load reports, answers to orders and to cancellations could be as large.

Change: bodies of errors are counted and dropped. They, reports and answers to orders end the transfer at 256 KB, as at the platform's face.

--- a/rosemaryyoke/upstreams/engine.py
+++ b/rosemaryyoke/upstreams/engine.py
@@ -11,8 +11,9 @@
 from rosemaryyoke.core import Registry
 from rosemaryyoke.upstreams.errors import UpstreamError
 from rosemaryyoke.wire import (
-    BodyBuffer,
+    MAX_CONTROL_BODY_BYTES,
     BodyTooLarge,
+    DroppedBody,
     EventTooLarge,
     HeaderParser,
     HttpRequest,
@@ -206,7 +207,13 @@
     def cancel(self, address: str, request: str) -> None:
         """Cancel a request, ignoring errors."""
         url = f"http://{address}/v1/streams/{request}"
-        send(HttpRequest("DELETE", url, timeout_s=CANCEL_TIMEOUT_S))
+        request = HttpRequest(
+            "DELETE",
+            url,
+            timeout_s=CANCEL_TIMEOUT_S,
+            max_body_bytes=MAX_CONTROL_BODY_BYTES,
+        )
+        send(request)
 
     def abort(self) -> None:
         """End all streams with an error, now and from now on."""
@@ -214,9 +221,13 @@
 
     def get_load_report(self, address: str) -> Result[LoadReport, UpstreamError]:
         """Return the load report of an engine or service."""
-        answer = send(
-            HttpRequest("GET", f"http://{address}/load", timeout_s=LOAD_TIMEOUT_S)
+        request = HttpRequest(
+            "GET",
+            f"http://{address}/load",
+            timeout_s=LOAD_TIMEOUT_S,
+            max_body_bytes=MAX_CONTROL_BODY_BYTES,
         )
+        answer = send(request)
         if isinstance(answer, Err):
             return Err(to_upstream_error(answer.err_value))
         if not answer.ok_value.ok:
@@ -230,7 +241,12 @@
         value = {"weights": order.weights, "fencing": order.fencing}
         url = f"http://{address}/orders"
         call = json_request(
-            "POST", url, value, timeout_s=order.timeout_s, fresh_connection=True
+            "POST",
+            url,
+            value,
+            timeout_s=order.timeout_s,
+            fresh_connection=True,
+            max_body_bytes=MAX_CONTROL_BODY_BYTES,
         )
         answer = send(call)
         if isinstance(answer, Err):
@@ -245,7 +261,7 @@
     ) -> Result[None, UpstreamError]:
         reader = SseParser()
         header_reader = HeaderParser()
-        error_body = BodyBuffer()
+        error_body = DroppedBody()
 
         def on_data(data: bytes) -> None:
             if header_reader.status != HTTP_OK:
--- a/rosemaryyoke/wire/http.py
+++ b/rosemaryyoke/wire/http.py
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 10.0
 MAX_BODY_BYTES = DEFAULT_RESPONSE_LIMITS.body_bytes
+# Of reports, orders and errors, which have a few hundred bytes.
+MAX_CONTROL_BODY_BYTES = 262_144
 BROKEN_OFF_CODES = (pycurl.E_PARTIAL_FILE, pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR)
 MS_PER_S = 1000
 HTTP_OK = 200
@@ -40,7 +42,8 @@
     ``fresh_connection`` forbids reuse of a connection: on a reused one libcurl may send
     a request twice.
     ``idle_timeout_s`` limits how long a streamed response may send no data.
-    ``reserve`` is asked for the memory that the response's body takes.
+    ``reserve`` is asked for the memory that the response's body takes, which has at
+    most ``max_body_bytes`` if it is kept in memory.
     ``is_aborted`` is asked about once a second whether to give up.
     """
 
@@ -53,6 +56,7 @@
     fresh_connection: bool = False
     idle_timeout_s: int = 0
     reserve: Callable[[int], bool] = always_reserved
+    max_body_bytes: int = MAX_BODY_BYTES
     is_aborted: Callable[[], bool] | None = None
 
 
@@ -109,16 +113,17 @@
     """The body of a response that is kept in memory."""
 
     reserve: Callable[[int], bool] = always_reserved
+    max_bytes: int = MAX_BODY_BYTES
     buffer: io.BytesIO = field(factory=io.BytesIO)
     size: int = 0
 
     def append(self, data: bytes) -> None:
-        """Add data; raise ``BodyTooLarge`` beyond ``MAX_BODY_BYTES``.
+        """Add data; raise ``BodyTooLarge`` beyond ``max_bytes``.
 
         Raise ``NoMemoryForBody`` if no memory is left for it.
         """
         self.size += len(data)
-        if self.size > MAX_BODY_BYTES:
+        if self.size > self.max_bytes:
             raise BodyTooLarge("the response is too large")
         if not self.reserve(len(data)):
             raise NoMemoryForBody("the host has no memory for the response now")
@@ -129,6 +134,20 @@
         return self.buffer.getvalue()
 
 
+@define(eq=False)
+class DroppedBody:
+    """The body of a response that nobody reads."""
+
+    max_bytes: int = MAX_CONTROL_BODY_BYTES
+    size: int = 0
+
+    def append(self, data: bytes) -> None:
+        """Count data; raise ``BodyTooLarge`` beyond ``max_bytes``."""
+        self.size += len(data)
+        if self.size > self.max_bytes:
+            raise BodyTooLarge("the response is too large")
+
+
 def json_request(method: str, url: str, value: object, **options) -> HttpRequest:
     """Return a request with a JSON body."""
     headers = {"Content-Type": "application/json", **options.pop("headers", {})}
@@ -137,7 +156,7 @@
 
 def send(request: HttpRequest) -> Result[HttpResponse, TransportError]:
     """Send a request and return the complete response."""
-    body = BodyBuffer(request.reserve)
+    body = BodyBuffer(request.reserve, request.max_body_bytes)
     try:
         outcome = stream(request, body.append)
     except NoMemoryForBody as error:
