Count the memory of looked-up outcomes

Repeated calls with an idempotency key whose outcome is unknown ask the service for it, each call by itself. A faulty service whose answers don't end could take all memory of the host.

Cause: the bodies of lookups were not counted by the budget of memory, unlike those of calls.

Change: a lookup takes its memory from the caller's reservation; without memory the call is answered 502 no_memory, as a call's response is.

--- a/rosemaryyoke/calls/services.py
+++ b/rosemaryyoke/calls/services.py
@@ -48,6 +48,9 @@
 LEAVING_RETRY_AFTER_S = 1.0  # another host can take the call
 KIND = "call"  # keeps the fingerprints apart from those of other requests
 NO_RESPONSE = StoredResponse(0, "", b"")
+NO_MEMORY = Failure(
+    502, "no_memory", "the host has no memory for the response now", False
+)
 
 
 @frozen
@@ -173,8 +176,16 @@
             for upstream in self.directory.usable(upstreams, set()):
                 url = f"http://{upstream.address}{path}"
                 headers = {"X-Client-Account": call.account}  # scopes the key
-                request = HttpRequest("GET", url, headers, timeout_s=LOOKUP_TIMEOUT_S)
+                request = HttpRequest(
+                    "GET",
+                    url,
+                    headers,
+                    timeout_s=LOOKUP_TIMEOUT_S,
+                    reserve=call.reserve,
+                )
                 answer = send(request)
+                if isinstance(answer, Err) and answer.err_value.no_memory:
+                    return Err(NO_MEMORY)
                 if isinstance(answer, Ok) and answer.ok_value.ok:
                     return Ok(_stored_response(answer.ok_value))
         message = "the outcome of the first call with this key is unknown"
@@ -207,8 +218,7 @@
                 sent = True
             elif answer.err_value.no_memory:
                 # The upstream answered: it is neither failing nor to be asked again.
-                message = "the host has no memory for the response now"
-                return Err(Failure(502, "no_memory", message, False))
+                return Err(NO_MEMORY)
             else:
                 if not self.end.has_begun():
                     self.directory.record_failure(upstream.name)
--- a/rosemaryyoke/entry/tests/test_unbounded_answers.py
+++ b/rosemaryyoke/entry/tests/test_unbounded_answers.py
@@ -20,6 +20,7 @@
 CALLERS = 40
 CALL_TIMEOUT_S = 15.0
 READ_TIMEOUT_S = 3.0
+KEY = "k1"
 
 
 @pytest.fixture()
@@ -50,6 +51,11 @@
     return call(system, "/v1/completions", body)
 
 
+def ask_service(system):
+    """Send a call that runs at most once by its key; return the outcome."""
+    return call(system, f"/services/{SERVICE}/issue", {}, {"Idempotency-Key": KEY})
+
+
 def read_service(system):
     """Send a call that may be repeated, and give up after a while."""
     url = f"http://{system.address('host0')}/services/{SERVICE}/read"
@@ -87,6 +93,17 @@
     assert_unharmed(system, faulty)
 
 
+# Guards against lookups of outcomes, one for each repeated call, that are not counted.
+def test_lookups_without_end_hold_little_memory(system, faulty):
+    first = ask_service(system)
+    assert first.ok_value.status == 502  # whether the call has run is unknown
+    # The service is not asked again at once.
+    wait_for(lambda: ask_service(system) and faulty.unbounded, 15.0)
+    call_at_once(ask_service, system)
+    assert faulty.unbounded > CALLERS / 2
+    assert_unharmed(system, faulty)
+
+
 # Guards against reports of load that are kept up to the limit of a body.
 def test_load_reports_without_end_hold_little_memory(system, faulty):
     faulty.reports_without_end = True
