Test answers without end of all that hosts read from engines

The report of bytes without end was shown for requests, streams and state reports at the platform's face; orders, probes, forwarded requests and streams at /v1 had only been read.

--- a/rosemaryyoke/upstreams/tests/test_engine_streams.py
+++ b/rosemaryyoke/upstreams/tests/test_engine_streams.py
@@ -1,10 +1,14 @@
 """Streams of engines in the project's own protocol that do not end as they should."""
 
+import os
+from pathlib import Path
+
 import pytest
 from result import Err
 
+from rosemaryyoke.testing.hostile_clients import peak_memory_bytes
 from rosemaryyoke.testing.raw_server import RawServer
-from rosemaryyoke.upstreams import EngineRequest, Finished, Started, Token
+from rosemaryyoke.upstreams import EngineRequest, Finished, Started, Token, engine
 from rosemaryyoke.upstreams.engine import HttpEngineAdapter
 from rosemaryyoke.wire import HttpRequest, send
 
@@ -18,6 +22,17 @@
 ]
 PIECE = b"x" * 65_536
 MAX_READ_BYTES = 24 * 1024 * 1024
+STREAM_TIMEOUT_S = 2.0
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FURTHER_FORMS = {
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "status line": (b"", b"HTTP/1.1 200 OK"),
+    "chunk extension": (CHUNKED + b"1;a=", b"x"),
+    "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+    "blank lines": (HEAD + b"\r\n", b"\n"),
+    "comments": (HEAD + b"\r\n", b": x\n"),
+    "no HTTP": (b"", b"x"),
+}
 
 
 @pytest.fixture()
@@ -65,6 +80,19 @@
     assert isinstance(outcome, Err) and server.sent_bytes < MAX_READ_BYTES
 
 
+# Guards against a head of a further form that is kept for as long as it comes, and
+# against lines of a stream that are.
+@pytest.mark.parametrize("form", FURTHER_FORMS)
+def test_unbounded_stream_takes_no_memory(start_server, form, monkeypatch):
+    monkeypatch.setitem(engine.STREAM_OPTIONS, "timeout_s", STREAM_TIMEOUT_S)
+    start, pattern = FURTHER_FORMS[form]
+    Path("/proc/self/clear_refs").write_text("5")  # resets the peak
+    before_bytes = peak_memory_bytes(os.getpid())
+    outcome, events = complete(start_server(start, pattern * (65_536 // len(pattern))))
+    assert isinstance(outcome, Err) and outcome.err_value.sent and not events
+    assert peak_memory_bytes(os.getpid()) - before_bytes < MAX_READ_BYTES
+
+
 # Guards against events that are recognized only if their lines end with a line feed.
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
 def test_events_are_parsed_whatever_their_line_ends(start_server, line_end):
