Give up streams of serve in which no event comes

A caller at /v1 whose engine sends blank lines without end got no answer for up to ten minutes, the limit of a stream, and its host read all of it.

Cause: only the bytes of an event that is not complete are limited. Blank lines are no part of one, and the time limit for silence does not apply while bytes come.

Evidence: test_stream_without_events_is_given_up[blank lines] failed before: the stand-in had sent all of its 268 MB and ended the stream itself. Comments had been limited before.

Change: as much as one event may have is the limit of what comes without an event.

--- a/rosemaryyoke/upstreams/tests/test_engine_streams.py
+++ b/rosemaryyoke/upstreams/tests/test_engine_streams.py
@@ -93,6 +93,16 @@
     assert peak_memory_bytes(os.getpid()) - before_bytes < MAX_READ_BYTES
 
 
+# Guards against callers that wait for a stream in which no event comes.
+@pytest.mark.parametrize("form", ("blank lines", "comments"))
+def test_stream_without_events_is_given_up(start_server, form):
+    start, pattern = FURTHER_FORMS[form]
+    server = start_server(start, pattern * (65_536 // len(pattern)))
+    outcome, _ = complete(server)
+    assert isinstance(outcome, Err) and "too large" in outcome.err_value.message
+    assert server.sent_bytes < MAX_READ_BYTES
+
+
 # Guards against events that are recognized only if their lines end with a line feed.
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
 def test_events_are_parsed_whatever_their_line_ends(start_server, line_end):
--- a/rosemaryyoke/wire/sse.py
+++ b/rosemaryyoke/wire/sse.py
@@ -7,8 +7,10 @@
 
 from rosemaryyoke.http1.errors import ResponseTooLarge
 from rosemaryyoke.http1.event_stream import EventSplitter, split_events
+from rosemaryyoke.http1.responses import DEFAULT_RESPONSE_LIMITS
 from rosemaryyoke.wire.errors import EventTooLarge
 
+MAX_EVENTLESS_BYTES = DEFAULT_RESPONSE_LIMITS.body_bytes
 DATA_START = b"data: "
 
 
@@ -30,21 +32,30 @@
 
 
 class SseParser:
-    """Incremental parser that splits a byte stream into events."""
+    """Incremental parser that splits a byte stream into events.
+
+    ``eventless_bytes`` counts what has come since the last event.
+    """
 
     def __init__(self) -> None:
         self.splitter = EventSplitter()
+        self.eventless_bytes = 0
 
     def feed(self, data: bytes) -> list[SseEvent]:
         """Add bytes and return the events that they complete.
 
-        Raise ``EventTooLarge`` if an event exceeds the limit.
+        Raise ``EventTooLarge`` if an event exceeds the limit, or as much comes without
+        an event.
         """
         try:
             whole = self.splitter.feed(data)
         except ResponseTooLarge as error:
             raise EventTooLarge(str(error)) from error
-        return [decode_event(lines) for lines in split_events(whole)]
+        events = [decode_event(lines) for lines in split_events(whole)]
+        self.eventless_bytes = 0 if events else self.eventless_bytes + len(data)
+        if self.eventless_bytes > MAX_EVENTLESS_BYTES:
+            raise EventTooLarge("the stream is too large without an event")
+        return events
 
 
 def decode_event(lines: list[bytes]) -> SseEvent:
