Compress the state that hosts fetch from each other

In a large fleet, callers could meet old configurations and draining engines for seconds after one host had read the change: while the store answers only that host, all others fetch its state at the same moment, over its link.

Cause: a state was sent as plain text, with the configuration even if the other host had it. With 350 upstreams it has 68,013 bytes, so that 194 hosts take 10.6 s at a link of 10 Mbit/s, where a request may take 0.6 s. Polls have been compressed for that reason.

Change: /state is compressed and leaves out a known configuration for hosts that ask so by header fields, which earlier builds ignore and don't send. What compresses and limits the text of polls serves both. Two stubs of test_declared_weights.py take the new argument.

--- a/rosemaryyoke/hosts/relay.py
+++ b/rosemaryyoke/hosts/relay.py
@@ -1,7 +1,6 @@
 """Distribution of the catalog from the hosts that read the store to the others."""
 
 import time
-import zlib
 from urllib.parse import parse_qs, urlsplit
 
 import orjson
@@ -11,6 +10,7 @@
 
 from rosemaryyoke.catalog import Catalog
 from rosemaryyoke.exchanges.caller import CallerConnection
+from rosemaryyoke.hosts.compression import compress, decompress
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.transfer import StateTransfer, encode_upstream
 from rosemaryyoke.hosts.watchers import WatcherRoles
@@ -19,9 +19,7 @@
 CATALOG_PATH = "/catalog"
 RESPONSE_MARGIN_S = 0.4  # beyond the time for which a poll waits
 MS_PER_S = 1_000
-COMPRESSION_LEVEL = 1
 MAX_POLL_AGE_S = 60.0
-MAX_CATALOG_BYTES = 32 * 1024 * 1024
 COMPRESSED_TYPE = (b"Content-Type", b"application/zlib")
 
 
@@ -66,19 +64,12 @@
         value["declared"] = catalog.known_declarations()
         if catalog.configuration.version > configuration:
             value["configuration"] = catalog.configuration_source.decode()
-    return zlib.compress(orjson.dumps(value), COMPRESSION_LEVEL)
+    return compress(orjson.dumps(value))
 
 
 def decode_changes(data: bytes) -> dict:
     """Decode what ``encode_changes`` returned; raise ``ValueError`` if invalid."""
-    decompressor = zlib.decompressobj()
-    try:
-        text = decompressor.decompress(data, MAX_CATALOG_BYTES)
-    except zlib.error as error:
-        raise ValueError(str(error)) from error
-    if not decompressor.eof:
-        raise ValueError("the catalog is incomplete or too large")
-    return orjson.loads(text)
+    return orjson.loads(decompress(data))
 
 
 @define(eq=False)
--- a/rosemaryyoke/hosts/tests/test_declared_weights.py
+++ b/rosemaryyoke/hosts/tests/test_declared_weights.py
@@ -51,7 +51,7 @@
     transfer.roles.table.update_from_beacon(make_beacon(2), time.monotonic())
     calls = []
 
-    def send(address, method, target, timeout_s):
+    def send(address, method, target, timeout_s, headers):
         calls.append(address)
         return Ok(Response(200, orjson.dumps(state_of(old))))
 
@@ -69,7 +69,7 @@
         transfer.roles.table.update_from_beacon(make_beacon(number), time.monotonic())
     calls = []
 
-    def send(address, method, target, timeout_s):
+    def send(address, method, target, timeout_s, headers):
         calls.append(address)
         state = state_of(make_host(ASSUMED_S, assumed=True))
         return Ok(Response(200, orjson.dumps(state)))
--- a/rosemaryyoke/hosts/tests/test_relay_answers.py
+++ b/rosemaryyoke/hosts/tests/test_relay_answers.py
@@ -7,8 +7,8 @@
 from attrs import define
 from result import Ok
 
+from rosemaryyoke.hosts.compression import MAX_TEXT_BYTES
 from rosemaryyoke.hosts.relay import (
-    MAX_CATALOG_BYTES,
     CatalogRelay,
     decode_changes,
     encode_changes,
@@ -47,7 +47,7 @@
         b"no catalog",
         WHOLE[: len(WHOLE) // 2],
         zlib.compress(b"no document"),
-        zlib.compress(b" " * (MAX_CATALOG_BYTES + 1)),
+        zlib.compress(b" " * (MAX_TEXT_BYTES + 1)),
     ],
     ids=["empty", "text", "half", "no JSON", "too large"],
 )
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -6,14 +6,16 @@
 
 import orjson
 from absl import logging
-from attrs import define, field, fields_dict
+from attrs import define, evolve, field, fields_dict
 from result import Err
 
 from rosemaryyoke.catalog import Catalog, CatalogSource, Upstream, WantedWeights
 from rosemaryyoke.exchanges.caller import CallerConnection
+from rosemaryyoke.hosts.compression import compress, decompress
 from rosemaryyoke.hosts.host_state import HostState
 from rosemaryyoke.hosts.watchers import WatcherRoles
-from rosemaryyoke.http1 import Address, RequestMessage, send_request
+from rosemaryyoke.http1 import Address, RequestMessage, Response, send_request
+from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.objects.objects import StoredObject
 
 STATE_PATH = "/state"
@@ -25,18 +27,25 @@
 # the store tells.
 OPERATORS_KEYS = ("era", "configuration", "wanted", "declared")
 JSON_TYPE = (b"Content-Type", b"application/json")
+# Earlier builds ignore both fields of requests, and send a whole text.
+ACCEPTED_ENCODING = (b"Accept-Encoding", b"deflate")
+ENCODING = (b"Content-Encoding", b"deflate")
+KNOWN_CONFIGURATION = b"Known-Configuration"  # the version that the sender has
 
 
-def encode_state(catalog: Catalog) -> bytes:
+def encode_state(catalog: Catalog, known_configuration: int = 0) -> bytes:
     """Encode the catalog as JSON for another host.
 
-    ``age_s`` is null if this host has no current view of the store.
+    ``age_s`` is null if this host has no current view of the store, and
+    ``configuration`` if the other host knows it, or a newer one.
     """
+    is_known = catalog.configuration.version <= known_configuration
+    source = None if is_known else catalog.configuration_source.decode()
     return orjson.dumps(
         {
             "era": catalog.upstreams_era,
             "position": catalog.upstreams_position,
-            "configuration": catalog.configuration_source.decode(),
+            "configuration": source,
             "upstreams": [encode_upstream(i) for i in catalog.upstreams.values()],
             "wanted": catalog.wanted,
             "declared": catalog.known_declarations(),
@@ -90,7 +99,18 @@
     if message.target.decode("latin-1") != STATE_PATH or not catalog.is_loaded():
         caller.send_error(404, "unknown", "nothing is known here")
         return
-    caller.send_response(200, b"OK", [JSON_TYPE], encode_state(catalog))
+    known = find_header(message.headers, KNOWN_CONFIGURATION.lower()) or b"0"
+    body, headers = encode_state(catalog, int(known)), [JSON_TYPE]
+    if find_header(message.headers, b"accept-encoding") == ACCEPTED_ENCODING[1]:
+        body, headers = compress(body), [JSON_TYPE, ENCODING]
+    caller.send_response(200, b"OK", headers, body)
+
+
+def decode_state(response: Response) -> dict:
+    """Return the state in a response; raise ``ValueError`` if it is invalid."""
+    if find_header(response.headers, b"content-encoding") == ENCODING[1]:
+        response = evolve(response, body=decompress(response.body))
+    return response.json()
 
 
 @define(eq=False)
@@ -132,13 +152,23 @@
         The time that the answer took counts toward the age of the state.
         """
         started_s = time.monotonic()
+        known = self.catalog.configuration
+        version = known.version if known is not None else 0
         reply = send_request(
-            peer.peer_address, "GET", STATE_PATH, timeout_s=REQUEST_TIMEOUT_S
+            peer.peer_address,
+            "GET",
+            STATE_PATH,
+            timeout_s=REQUEST_TIMEOUT_S,
+            headers=[ACCEPTED_ENCODING, (KNOWN_CONFIGURATION, b"%d" % version)],
         )
         if isinstance(reply, Err) or not reply.ok_value.ok:
             logging.warning("state transfer from host=%s failed", peer.host)
             return False
-        value = reply.ok_value.json()
+        try:
+            value = decode_state(reply.ok_value)
+        except ValueError as error:
+            logging.warning("state of host=%s is malformed: %s", peer.host, error)
+            return False
         if self.catalog.follows_store() and value.get("position") is None:
             value = {key: value[key] for key in OPERATORS_KEYS if key in value}
         age_s = value.get("age_s")
