End the wait for connections when a server stops, so that its port is free

A host that has stopped would also have gone on to accept one more connection.

Cause: closing a listener does not end an accept call of another thread, which keeps the socket listening. Each stopped host of a test kept its five ports; a worker has 2,750.

Evidence: of three hosts and a store 16 ports listened on after their stop, now none; test_stopped_server_leaves_its_port failed before.

Change: the listener is shut down before it is closed, as at the port for hosts of serve. The stand-in for a listener in the same test file gets that method.

--- a/rosemaryyoke/exchanges/server.py
+++ b/rosemaryyoke/exchanges/server.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from typing import Callable
 
 from absl import logging
@@ -145,6 +146,9 @@
         """Stop accepting connections."""
         self.stopped = True
         if self.listener is not None:
+            # A close does not end an accept call that waits, which keeps the port.
+            with suppress(OSError):
+                self.listener.shutdown(socket.SHUT_RDWR)
             close(self.listener)
 
     def disable_keep_alive(self) -> None:
--- a/rosemaryyoke/exchanges/tests/test_server_survives.py
+++ b/rosemaryyoke/exchanges/tests/test_server_survives.py
@@ -9,7 +9,8 @@
 
 from rosemaryyoke.exchanges.server import ConnectionServer
 from rosemaryyoke.http1 import Address, send_request
-from rosemaryyoke.testing.builders import free_port
+from rosemaryyoke.platform.tests.deployment import wait_for
+from rosemaryyoke.testing.builders import free_port, is_free
 
 
 @pytest.fixture()
@@ -35,11 +36,24 @@
             raise self.failures.pop()
         return self.listener.accept()
 
+    def shutdown(self, how):
+        """End the calls that wait."""
+        self.listener.shutdown(how)
+
     def close(self):
         """Close the listener."""
         self.listener.close()
 
 
+# Guards against a port that stays taken by the thread that accepts connections.
+def test_stopped_server_leaves_its_port(server):
+    server.start()
+    assert send_request(server.address, "GET", "/").is_ok()
+    server.stop()
+    wait_for(lambda: is_free(server.address.port))
+    assert send_request(server.address, "GET", "/").is_err()
+
+
 # Guards against a host that accepts nothing any more once it was short of descriptors.
 def test_server_accepts_again_after_a_lack_of_descriptors(server, monkeypatch):
     failures = [OSError(errno.EMFILE, "too many"), OSError(errno.ECONNABORTED, "gone")]
