Let a check of the view end before its executor does

A host that stopped could log an exception, "cannot schedule new futures after shutdown", if its view was being checked at that moment (seen in a test run beside load). No caller is affected: a host's process ends without that step.

Cause: stopping the guard ended the executor while the guard's thread was still checking. Evidence: test_check_under_way_may_fetch_while_host_stops failed with that error before. Change: the guard's thread ends the executor after its last check.

--- a/rosemaryyoke/hosts/tests/test_view_guard.py
+++ b/rosemaryyoke/hosts/tests/test_view_guard.py
@@ -61,6 +61,9 @@
         """Call at the next request."""
         self.retry_at_s = -math.inf
 
+    def stop(self):
+        """Do nothing, as there is no thread."""
+
     def request(self, now_s):
         """Begin a call, unless one is under way or failed lately."""
         busy_s = max([-math.inf, *self.started_s]) + CALL_S
@@ -195,6 +198,21 @@
     assert guard.reader.started_s
 
 
+# Guards against a check under way that fails, as the host stops meanwhile.
+def test_check_under_way_may_fetch_while_host_stops(clock):
+    guard, fetched = ModelledFleet(9, clock).guards[0], []
+    guard.transfer = SimpleNamespace(fetch_from=lambda peer: fetched.append(peer.host))
+    guard.executor = ThreadPoolExecutor(MAX_FETCHES)
+    clock.now_s += 2.0
+    name = announce_view(guard, -1, 0.3, clock)
+    guard.stop()
+    guard.check(clock.now_s)
+    wait_for(lambda: fetched == [name])
+    guard.run()  # ends at once
+    with pytest.raises(RuntimeError):
+        guard.executor.submit(print)
+
+
 # Guards against hosts that wait for each other's old views instead of the store.
 def test_old_views_of_others_do_not_replace_store(clock):
     guard, fetched = ModelledFleet(9, clock).guards[0], []
--- a/rosemaryyoke/hosts/view_guard.py
+++ b/rosemaryyoke/hosts/view_guard.py
@@ -172,7 +172,6 @@
         """Signal the threads to end."""
         self.stopping.set()
         self.reader.stop()
-        self.executor.shutdown(wait=False)
 
     def run(self) -> None:
         """Check the view periodically until stopped."""
@@ -181,6 +180,7 @@
                 self.check(time.monotonic())
             except Exception:
                 logging.exception("checking the view of the store failed")
+        self.executor.shutdown(wait=False)
 
     def check(self, now_s: float) -> None:
         """Refresh the view if it is too old, and stand in for a missing watcher."""
