Assume that versions found at a start were declared long ago

Cause: since a version that a listing tells counts as declared after the store last confirmed the view. A host that starts confirms its view by reading upstreams and configuration, so that the version seemed to be declared just then: its age was 0.00007 s in place of the assumed 11 s. Hosts ask each other for the times, but after a loss of power of all of them nobody knows.

Evidence: test_versions_found_at_start_are_assumed_to_be_old and one of two cases of test_version_found_later_was_declared_since_the_last_read failed before.

Change: the age is that of the last read of the declared versions, by this host or one that confirmed its view; a host that knows of none assumes 11 s, also for what it polls.

--- a/rosemaryyoke/catalog/catalog.py
+++ b/rosemaryyoke/catalog/catalog.py
@@ -44,6 +44,8 @@
     ``confirmed_s`` is as of when a host that ``confirmed_by`` names confirmed the view,
     and ``store_answered_s`` when the store last answered this host's read of the
     upstreams, which shows at the same time that its watches of other kinds are served.
+    ``weights_read_s`` is when the store last told this host all declared versions, and
+    ``max_assumed_age_s`` is assumed of those whose declaration it knows nothing of.
     """
 
     configuration: Configuration | None = None
@@ -64,6 +66,8 @@
     confirmed_s: float = -math.inf
     confirmed_by: str = ""
     store_answered_s: float = -math.inf
+    weights_read_s: float = -math.inf
+    max_assumed_age_s: float = 0.0
     timing: ViewTiming = DEFAULT_TIMING
     changed: threading.Condition = field(factory=threading.Condition)
     listeners: list[Callable[[], None]] = field(factory=list)
@@ -175,6 +179,15 @@
         )
         self._notify_listeners()
 
+    def assumed_age_s(self) -> float:
+        """Return how long ago a version was declared that this host just hears of.
+
+        That was after this host, or one that confirmed its view, last read the declared
+        versions. A host that starts knows of no such time.
+        """
+        known_s = max(self.weights_read_s, self.confirmed_s)
+        return min(self.max_assumed_age_s, time.monotonic() - known_s)
+
     def known_declarations(self) -> dict[str, list[tuple[int, float]]]:
         """Return the versions of each model whose age is known, with the age in s."""
         now_s = time.monotonic()
--- a/rosemaryyoke/catalog/follower.py
+++ b/rosemaryyoke/catalog/follower.py
@@ -244,7 +244,6 @@
         assumed_weights_age_s: float = 0.0,
         timing: ViewTiming = DEFAULT_TIMING,
     ):
-        self.assumed_weights_age_s = assumed_weights_age_s
         self.source = source
         self.catalog = catalog
         self.upstreams: dict[str, Upstream] = {}
@@ -277,8 +276,10 @@
                 source.weights_kind,
                 self.apply_wanted_listing,
                 self.apply_wanted_changes,
+                self.record_weights_position,
             ),
         ]
+        catalog.max_assumed_age_s = assumed_weights_age_s
         catalog.unread_kinds.update((source.configuration_kind, source.upstreams_kind))
 
     def make_dependent_follower(
@@ -286,6 +287,7 @@
         kind: str,
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[FeedChanges], None],
+        on_position: Callable[[int, float], None] = lambda position, answered_s: None,
     ) -> KindFollower:
         """Return a follower that calls the store only while upstreams are read."""
         return DependentFollower(
@@ -295,6 +297,7 @@
             0.0,
             on_listing,
             on_changes,
+            on_position,
             on_store_status=self.catalog.record_store_status,
             reading_since_s=lambda: self.reading_since_s,
         )
@@ -316,6 +319,10 @@
         self.catalog.advance_position(position)
         self.catalog.record_store_answer(answered_s)
 
+    def record_weights_position(self, position: int, answered_s: float) -> None:
+        """Record when the store told all declared versions."""
+        self.catalog.weights_read_s = answered_s
+
     def start(self) -> None:
         """Start one thread per kind."""
         for follower in self.followers:
@@ -473,11 +480,8 @@
         return time.monotonic() < self.grace_until_s
 
     def apply_wanted_listing(self, listing: Listing) -> None:
-        """Apply the declared weights versions in a listing.
-
-        New ones were declared after the store last confirmed the view.
-        """
-        age_s = min(self.assumed_weights_age_s, self.catalog.age_s())
+        """Apply the declared weights versions in a listing."""
+        age_s = self.catalog.assumed_age_s()
         for stored in listing.objects:
             self._update_wanted(stored, age_s, is_assumed=True)
 
--- a/rosemaryyoke/catalog/tests/test_follower.py
+++ b/rosemaryyoke/catalog/tests/test_follower.py
@@ -1,8 +1,10 @@
 """Followers recover from store errors, outages and malformed entries."""
 
+import math
 import threading
 import time
 
+import pytest
 from attrs import define, field
 from result import Err, Ok
 
@@ -58,6 +60,10 @@
     def __init__(self, feed):
         self.feed = feed
 
+    def decode_wanted(self, stored):
+        """Return the version that the body has."""
+        return Ok(WantedWeights(stored.name, int(stored.body)))
+
     def decode_upstream(self, stored):
         """Return an upstream, or an error for the body ``bad``."""
         if stored.body == b"bad":
@@ -267,6 +273,41 @@
     assert catalog.upstreams_position == 12
 
 
+def make_weights_listing(*versions):
+    """Return listings of the declared versions of a model, one for each."""
+    return [Ok(Listing(n, [make_object("m1", b"%d" % n)])) for n in versions]
+
+
+# Guards against a host that starts after a declaration and takes the old weights for
+# permitted as long as if they had been declared just then (VERSION).
+def test_versions_found_at_start_are_assumed_to_be_old():
+    feed = ScriptedFeed([Ok(Listing(1)), Ok(Listing(1)), *make_weights_listing(3)])
+    catalog = Catalog()
+    follower = Follower(Source(feed), catalog, assumed_weights_age_s=11.0)
+    catalog.update_configuration(Configuration(1, (), {}), b"")
+    for task in follower.followers:
+        task.step()
+    assert catalog.is_fresh()
+    assert catalog.outdated_s("m1", 2, time.monotonic()) >= 11.0
+
+
+# Guards against engines that are left out as outdated when a version is declared, as
+# the host finds it by a listing.
+@pytest.mark.parametrize("reads_itself", (True, False))
+def test_version_found_later_was_declared_since_the_last_read(reads_itself):
+    feed = ScriptedFeed(make_weights_listing(2, 3))
+    catalog = Catalog()
+    follower = Follower(Source(feed), catalog, assumed_weights_age_s=11.0)
+    weights = follower.followers[-1]
+    weights.step()
+    weights.position = None
+    if not reads_itself:
+        catalog.weights_read_s = -math.inf
+        catalog.record_confirmation(0.5, "h2")
+    weights.step()
+    assert catalog.outdated_s("m1", 2, time.monotonic()) < 0.7
+
+
 # Guards against a host that counts as following the store by a call that hangs.
 def test_view_grows_old_while_a_call_hangs():
     _, upstreams, catalog, _ = make_follower(Ok(Listing(1)))
--- a/rosemaryyoke/hosts/transfer.py
+++ b/rosemaryyoke/hosts/transfer.py
@@ -229,7 +229,8 @@
         for model, version in value.get("wanted", {}).items():
             ages = dict(declared.get(model, ()))
             wanted, is_assumed = WantedWeights(model, version), version not in ages
-            self.catalog.update_wanted(wanted, ages.get(version, 0.0), is_assumed)
+            version_age_s = ages.get(version, self.catalog.assumed_age_s())
+            self.catalog.update_wanted(wanted, version_age_s, is_assumed)
             self.catalog.learn_declarations(model, ages.items())
         if era < self.catalog.upstreams_era:
             logging.warning("state of host=%s is of the older era %d", host, era)
