--- a/rosemaryyoke/hosts/tests/test_declared_weights.py
+++ b/rosemaryyoke/hosts/tests/test_declared_weights.py
@@ -107,8 +107,8 @@
     assert new.wanted == {MODEL: 2} and new.assumes_declarations()
 
 
-# Guards against the same at hosts that hear of a version from one that has just started,
-# too, as after a loss of power of all machines.
+# Guards against the same at hosts that hear of a version from one that has just
+# started, too, as after a loss of power of all machines.
 def test_version_of_unknown_age_is_old_at_a_host_that_starts():
     new = make_catalog(make_upstream("e1", weights={MODEL: 1}))
     new.max_assumed_age_s = ASSUMED_S
