Stand-in with large responses: answer polls of load with a report

Cause: the stand-in answers everything with 4 MB, also the polls of its load. Such a report was no JSON, an exception that left the instance usable; since it is larger than 256 KB, which counts as a poll that failed, as another status than 2xx does. A service that answers /load so is faulty; the stand-in should not be.

Change: it answers /load with an empty report. The assertions are the same; the six tests that use it, among them the two that failed, passed after that.

--- a/rosemaryyoke/entry/tests/hostile_loads.py
+++ b/rosemaryyoke/entry/tests/hostile_loads.py
@@ -17,6 +17,7 @@
 KIB = 1024
 MB = 1_000_000
 BODY_BYTES = 4 * 1024 * 1024
+LOAD_REPORT = b"{}"
 OVERSIZED_BYTES = 39 * 1024 * 1024
 MISSING_BYTES = 7
 PIECE_BYTES = 65_536
@@ -201,12 +202,13 @@
     """A service whose responses are as large as a body may be."""
 
     def do_GET(self) -> None:
-        """Answer with a large body."""
+        """Answer with a large body, or a report of load."""
+        body = LOAD_REPORT if self.path == "/load" else b"r" * BODY_BYTES
         self.send_response(200)
-        self.send_header("Content-Length", str(BODY_BYTES))
+        self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         with suppress(OSError):
-            self.wfile.write(b"r" * BODY_BYTES)
+            self.wfile.write(body)
 
     def log_message(self, format: str, *args) -> None:
         """Log nothing."""
