Close the socket of datagrams when a host stops, so that its port is free

Cause: BeaconService.stop ended its threads' loops, not the socket: the thread that receives waits on in it. Each host that a test process started and stopped kept its UDP port. The search for free ports looks at TCP alone; until the TCP port of the same number was kept, too, so that such a port was never taken again. Since then it is, and the host there fails at its start, "service beacons failed to start: Address already in use".

Change: the socket is shut down, which ends the call that waits, and closed; a host that stops sends no more datagrams. is_free asks for both kinds of ports.

--- a/rosemaryyoke/hosts/beacons.py
+++ b/rosemaryyoke/hosts/beacons.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections import deque
+from contextlib import suppress
 from typing import Callable
 
 from absl import logging
@@ -116,9 +117,15 @@
             threading.Thread(target=target, name=name, daemon=True).start()
 
     def stop(self) -> None:
-        """Signal the threads to end."""
+        """Signal the threads to end and close the socket."""
         self.stopping.set()
         self.news.set()
+        if self.udp_socket is not None:
+            # A close does not end a call that waits for datagrams, which keeps the
+            # port. Linux ends it at a shutdown, which it reports as not connected.
+            with suppress(OSError):
+                self.udp_socket.shutdown(socket.SHUT_RDWR)
+            self.udp_socket.close()
 
     def send(self) -> None:
         """Send beacons and digests periodically until stopped."""
@@ -267,6 +274,8 @@
             pause_s = self.pacer.reserve(len(data))
             if pause_s:
                 self.stopping.wait(pause_s)
+            if self.stopping.is_set():
+                return
             self.send_datagram(address, data)
 
     def send_datagram(self, address: Address, data: bytes) -> None:
@@ -283,12 +292,16 @@
         while not self.stopping.is_set():
             try:
                 data, sender = self.udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
+                if self.stopping.is_set():
+                    return
                 self.handle_datagram(data[:1], data[1:], sender)
             except MalformedBeacon as error:
                 logging.log_every_n_seconds(
                     logging.WARNING, "malformed datagram: %s", 5, error
                 )
             except OSError as error:
+                if self.stopping.is_set():
+                    return
                 logging.warning("receiving a datagram failed: %s", error)
                 self.stopping.wait(BEACON_PERIOD_S)
             except Exception:
--- a/rosemaryyoke/hosts/tests/test_beacons.py
+++ b/rosemaryyoke/hosts/tests/test_beacons.py
@@ -22,6 +22,9 @@
 from rosemaryyoke.hosts.pacer import Pacer
 from rosemaryyoke.hosts.table import DIGEST_RECEIVERS_PER_DATA_CENTRE
 from rosemaryyoke.hosts.tests.test_table import OWN, make_beacon
+from rosemaryyoke.http1 import Address
+from rosemaryyoke.platform.tests.deployment import wait_for
+from rosemaryyoke.testing.builders import free_port, is_free
 
 PEERS = 64
 ENGINES = 70
@@ -171,3 +174,15 @@
     service = BeaconService(table, Fleet(Catalog()), make)
     service.send()
     assert len(rounds) == 2
+
+
+# Guards against a host that cannot start at the address of one that has stopped.
+def test_stopped_service_leaves_its_port():
+    own_address = Address("127.0.0.1", free_port())
+    table = HostTable(own_address, "h1", "z1")
+    beacon = full_beacon()
+    service = BeaconService(table, Fleet(Catalog()), lambda *_: beacon)
+    service.start()
+    assert not is_free(own_address.port)
+    service.stop()
+    wait_for(lambda: is_free(own_address.port))
--- a/rosemaryyoke/testing/builders.py
+++ b/rosemaryyoke/testing/builders.py
@@ -59,11 +59,15 @@
 
 
 def is_free(port: int) -> bool:
-    """Tell whether nothing listens on a port."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    """Tell whether nothing listens on a port, for connections or datagrams."""
+    with (
+        socket.socket() as connections,
+        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+    ):
+        connections.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind(("127.0.0.1", port))
+            for probe in (connections, datagrams):
+                probe.bind(("127.0.0.1", port))
         except OSError:
             return False
     return True
