Test of quotas: count requests that were both sent and run within a window

The rule counts requests that are both sent and arrive within a window; the test looked at arrivals alone. Eight of the requests that go out every 50 ms are granted in each window, so that the ninth follows the first by 2 s and what the ways to the engine differ by.

The engine records when each request was sent, and most_in_window counts as the rule does. Bounds and requests are unchanged.

--- a/rosemaryyoke/platform/tests/test_quotas.py
+++ b/rosemaryyoke/platform/tests/test_quotas.py
@@ -6,7 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rosemaryyoke.http1.messages import find_header
 from rosemaryyoke.platform.standins.documents import (
@@ -38,26 +38,40 @@
     ]
 
 
+@frozen
+class Run:
+    """When a client sent a request, and when it arrived at the engine that ran it."""
+
+    sent_s: float
+    arrived_s: float
+
+
 @define(eq=False)
 class RecordingEngine(EngineStandin):
-    """An engine that records when it runs requests."""
+    """An engine that records the requests that it runs."""
 
-    runs: list = field(kw_only=True)
+    runs: list[Run] = field(kw_only=True)
+    sent_s: dict[bytes, float] = field(kw_only=True)
 
     def run(self, message, caller, status=200, events=None, finish=True):
         """Record and run a request."""
-        self.runs.append(time.monotonic())
+        request = find_header(message.headers, b"request-id")
+        self.runs.append(Run(self.sent_s[request], time.monotonic()))
         EngineStandin.run(self, message, caller, status, events, finish)
 
 
 @define(eq=False)
 class QuotaFleet:
-    """Hosts, the upstreams behind them and when these ran requests."""
+    """Hosts, the upstreams behind them and what these ran.
+
+    ``sent_s`` is when each request was sent, by its identifier.
+    """
 
     store: StoreStandin = field(factory=StoreStandin)
     engines: list = field(factory=list)
     hosts: list = field(factory=list)
-    runs: list = field(factory=list)
+    runs: list[Run] = field(factory=list)
+    sent_s: dict[bytes, float] = field(factory=dict)
     numbers: itertools.count = field(factory=itertools.count)
     version: int = 1
 
@@ -65,7 +79,7 @@
         """Start the upstreams and hosts, and wait until these grant."""
         self.configure(**tenant)
         for number in range(2):
-            engine = RecordingEngine(f"e{number}", runs=self.runs)
+            engine = RecordingEngine(f"e{number}", runs=self.runs, sent_s=self.sent_s)
             entry = make_registration(str(engine.address))
             self.store.set("servers", engine.name, entry)
             self.engines.append(engine)
@@ -111,6 +125,7 @@
         """Send a request to a host; return the answer."""
         host = self.hosts[number % len(self.hosts)]
         parts = f"first{number}:100,last{number}:100"
+        self.sent_s[b"r%d" % number] = time.monotonic()
         reader = send_client_request(
             host.settings.callers,
             headers=stream_headers(parts),
@@ -128,16 +143,20 @@
             return [future.result() for future in futures]
 
     def most_in_window(self, since_s=0.0):
-        """Return the highest cost that ran within a window."""
-        times = sorted(at_s for at_s in self.runs if at_s >= since_s)
-        return COST * max(
-            (sum(at_s <= other < at_s + WINDOW_S for other in times) for at_s in times),
-            default=0,
-        )
+        """Return the highest cost that was both sent and run within a window."""
+        runs = [run for run in self.runs if run.arrived_s >= since_s]
+        counts = [
+            sum(
+                first.sent_s <= run.sent_s and run.arrived_s < first.sent_s + WINDOW_S
+                for run in runs
+            )
+            for first in runs
+        ]
+        return COST * max(counts, default=0)
 
     def runs_within(self, duration_s):
         """Return how many requests ran within a time from the first run on."""
-        times = sorted(self.runs)
+        times = sorted(run.arrived_s for run in self.runs)
         return sum(at_s < times[0] + duration_s for at_s in times)
 
     def stop(self):
