--- a/rosemaryyoke/hosts/tests/test_state_transfer.py
+++ b/rosemaryyoke/hosts/tests/test_state_transfer.py
@@ -22,7 +22,7 @@
 from rosemaryyoke.hosts.transfer import STATE_PATH, answer_state, encode_state
 from rosemaryyoke.http1 import Response
 
-HOSTS, UPSTREAMS = 195, 350  # of the largest fleet that is played
+HOSTS, UPSTREAMS = 195, 350  # of the largest deployment
 LINK_BYTES_PER_S = 10e6 / 8
 SPREAD_S = 0.6  # the time that a request for a state may take
 
